--- /dev/null
+++ b/cmake/modules.cmake
@@ -0,0 +1,27 @@
+# toucandeck_module(NAME LIBS...): static library of all sources in the current folder.
+function(toucandeck_module name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
+  list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
+  if(sources)
+    add_library(toucandeck_${name} STATIC ${sources})
+    target_include_directories(toucandeck_${name} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(toucandeck_${name} PUBLIC ${ARGN})
+  else()
+    add_library(toucandeck_${name} INTERFACE)
+    target_include_directories(toucandeck_${name} INTERFACE ${PROJECT_SOURCE_DIR}/src)
+    target_link_libraries(toucandeck_${name} INTERFACE ${ARGN})
+  endif()
+endfunction()
+
+# toucandeck_test(NAME LIBS...): one test program of all sources in the current folder.
+function(toucandeck_test name)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
+  if(NOT sources)
+    return()
+  endif()
+  add_executable(test_${name} ${sources})
+  target_include_directories(test_${name} PRIVATE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR}/test)
+  target_link_libraries(test_${name} PRIVATE ${ARGN} rapidcheck GTest::gmock GTest::gtest_main)
+  gtest_discover_tests(test_${name} TEST_PREFIX ${name}. DISCOVERY_MODE PRE_TEST WORKING_DIRECTORY ${PROJECT_SOURCE_DIR}
+    PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261204" TIMEOUT 300)
+endfunction()
