--- /dev/null
+++ b/src/daemon/operator_api.cpp
@@ -0,0 +1,409 @@
+#include "daemon/operator_api.h"
+
+#include "daemon/controller_events.h"
+#include "daemon/operator_json.h"
+#include "state/table_csv.h"
+
+#include <algorithm>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view kPrefix = "/v1/";
+
+HttpResponse jsonResponse(int status, const json &body)
+{
+    return { status, { { "Content-Type", "application/json" } }, body.dump() + '\n' };
+}
+
+int statusOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::InvalidArgument:
+        return 400;
+    case ErrorCode::Unauthorized:
+        return 401;
+    case ErrorCode::NotFound:
+        return 404;
+    case ErrorCode::Conflict:
+    case ErrorCode::Refused:
+        return 409;
+    case ErrorCode::NotLeader:
+        return 421;
+    default:
+        return 503;
+    }
+}
+
+HttpResponse errorResponse(const Error &error)
+{
+    return jsonResponse(statusOf(error.code), { { "error", toString(error.code) }, { "message", error.message } });
+}
+
+/// Value of a query parameter, decoded; empty if it is missing.
+std::string queryValue(const HttpRequest &request, const char *name)
+{
+    evkeyvalq fields{};
+    evhttp_parse_query_str(std::string(request.query()).c_str(), &fields);
+    const char *value = evhttp_find_header(&fields, name);
+    std::string text = value ? value : "";
+    evhttp_clear_headers(&fields);
+    return text;
+}
+
+/// Answers with what @p block returns, or with its error.
+template<class Block>
+void answerWith(const std::shared_ptr<HttpExchange> &exchange, Block &&block)
+{
+    exchange->respond(handleError(std::forward<Block>(block), [](const Error &error) { return errorResponse(error); }));
+}
+
+/// True if both texts are equal; takes the same time for every wrong token of the same length.
+bool equalSecrets(std::string_view a, std::string_view b)
+{
+    if (a.size() != b.size()) {
+        return false;
+    }
+    unsigned difference = 0;
+    for (std::size_t n = 0; n < a.size(); ++n) {
+        difference |= static_cast<unsigned char>(a[n]) ^ static_cast<unsigned char>(b[n]);
+    }
+    return difference == 0;
+}
+
+} // namespace
+
+struct OperatorApi::Route
+{
+    std::string_view method;
+    std::string_view path;
+    Handler handler;
+    bool leaderOnly;
+};
+
+const OperatorApi::Route *OperatorApi::findRoute(std::string_view method, std::string_view path)
+{
+    static constexpr Route kRoutes[] = {
+        { "GET", "/v1/table", &OperatorApi::table, true },
+        { "GET", "/v1/table.csv", &OperatorApi::tableCsv, true },
+        { "POST", "/v1/table/edit", &OperatorApi::edit, true },
+        { "POST", "/v1/table/import", &OperatorApi::import, true },
+        { "GET", "/v1/applied", &OperatorApi::applied, true },
+        { "GET", "/v1/owners", &OperatorApi::owners, true },
+        { "GET", "/v1/status", &OperatorApi::status, true },
+        { "POST", "/v1/leave/plan", &OperatorApi::leavePlan, true },
+        { "GET", "/v1/leave/status", &OperatorApi::leaveStatus, true },
+        { "GET", "/v1/controllers", &OperatorApi::controllers, true },
+        { "POST", "/v1/controllers/add", &OperatorApi::addController, true },
+        { "POST", "/v1/controllers/remove", &OperatorApi::removeController, true },
+        { "GET", "/v1/identity", &OperatorApi::identity, false },
+        { "POST", "/v1/bootstrap", &OperatorApi::bootstrap, false },
+        { "GET", "/v1/events", &OperatorApi::events, false },
+    };
+    const auto matches = [&](const Route &it) { return it.method == method && it.path == path; };
+    const auto *it = std::find_if(std::begin(kRoutes), std::end(kRoutes), matches);
+    return it == std::end(kRoutes) ? nullptr : it;
+}
+
+OperatorApi::OperatorApi(
+    ReplicaDriver &driver, Coordinator &coordinator, const EventRing &events, const Clock &clock, Logger &logger, std::string token)
+    : m_driver(driver)
+    , m_coordinator(coordinator)
+    , m_events(events)
+    , m_clock(clock)
+    , m_logger(logger)
+    , m_token(std::move(token))
+{
+}
+
+bool OperatorApi::handle(const Exchange &exchange)
+{
+    const auto &request = exchange->request();
+    if (request.path().substr(0, kPrefix.size()) != kPrefix) {
+        return false;
+    }
+    if (!isAuthorized(request)) {
+        m_logger.write(Events::kOperatorRefused, { field("peer", exchange->peer()), field("path", request.path()) });
+        exchange->respond(
+            errorResponse({ ErrorCode::Unauthorized, "the request needs 'Authorization: Bearer TOKEN' with the operators' token" }));
+        return true;
+    }
+    const auto *route = findRoute(request.method, request.path());
+    if (!route) {
+        exchange->respond(errorResponse({ ErrorCode::NotFound, fmt::format("there is no {} {}", request.method, request.path()) }));
+    } else if (route->leaderOnly) {
+        whenLeading(exchange, route->handler);
+    } else {
+        (this->*route->handler)(exchange);
+    }
+    return true;
+}
+
+void OperatorApi::setToken(std::string token)
+{
+    m_token = std::move(token);
+}
+
+bool OperatorApi::isAuthorized(const HttpRequest &request) const
+{
+    return m_token.empty() || equalSecrets(request.header("Authorization").value_or(""), "Bearer " + m_token);
+}
+
+void OperatorApi::whenLeading(const Exchange &exchange, Handler handler)
+{
+    if (!m_driver.replica().isLeader()) {
+        answerNotLeader(exchange);
+        return;
+    }
+    m_driver.replica().confirmLeadership([this, exchange, handler](const Result<void> &confirmed) {
+        if (confirmed) {
+            (this->*handler)(exchange);
+        } else {
+            answerNotLeader(exchange);
+        }
+    });
+}
+
+void OperatorApi::answerNotLeader(const Exchange &exchange) const
+{
+    exchange->respond(jsonResponse(421,
+                                   { { "error", toString(ErrorCode::NotLeader) },
+                                     { "message", "this controller does not lead" },
+                                     { "leader", m_driver.leaderHttpAddress() } }));
+}
+
+void OperatorApi::table(const Exchange &exchange)
+{
+    exchange->respond(jsonResponse(200, internal::tableToJson(m_driver.state().view())));
+}
+
+void OperatorApi::tableCsv(const Exchange &exchange)
+{
+    exchange->respond({ 200, { { "Content-Type", "text/csv" } }, TableCsv::write(m_driver.state().view()) });
+}
+
+void OperatorApi::edit(const Exchange &exchange)
+{
+    handleError(
+        [&]() -> Result<void> {
+            bool force = false;
+            BOOST_LEAF_AUTO(edit, internal::editFromJson(exchange->request().body, force));
+            proposeEdit(exchange, edit, force);
+            return {};
+        },
+        [&](const Error &error) { exchange->respond(errorResponse(error)); });
+}
+
+void OperatorApi::import(const Exchange &exchange)
+{
+    handleError(
+        [&]() -> Result<void> {
+            const auto requestId = queryValue(exchange->request(), "request_id");
+            if (requestId.empty()) {
+                return fail(ErrorCode::InvalidArgument, "the query needs request_id");
+            }
+            BOOST_LEAF_AUTO(edit, TableCsv::read(exchange->request().body, requestId));
+            proposeEdit(exchange, edit, queryValue(exchange->request(), "force") == "true");
+            return {};
+        },
+        [&](const Error &error) { exchange->respond(errorResponse(error)); });
+}
+
+void OperatorApi::proposeEdit(const Exchange &exchange, const wire::EditTable &edit, bool force)
+{
+    // A resent edit gets its first answer, whatever the load is now.
+    if (const auto *known = m_driver.state().editAnswer(edit.request_id())) {
+        answerEdit(exchange, *known);
+        return;
+    }
+    const bool fits = force
+        || handleError(
+                          [&]() -> Result<bool> {
+                              const std::vector<wire::RowEdit> edits(edit.edits().begin(), edit.edits().end());
+                              BOOST_LEAF_AUTO(plan, LeavePlan::compute(m_driver.state().view(), edits, loads()));
+                              BOOST_LEAF_CHECK(plan.check());
+                              return true;
+                          },
+                          [&](const Error &error) {
+                              exchange->respond(errorResponse(error));
+                              return false;
+                          });
+    if (!fits) {
+        return;
+    }
+    wire::Command command;
+    *command.mutable_edit_table() = edit;
+    m_driver.proposeForAnswer(command, [this, exchange](std::optional<LogIndex> index, const CommandAnswer &answer) {
+        if (!index || !answer.edit) {
+            exchange->respond(errorResponse({ ErrorCode::Unavailable,
+                                              "the leader changed; the edit may have been accepted: resend it with the same request id",
+                                              Verdict::MayHaveRun }));
+            return;
+        }
+        answerEdit(exchange, *answer.edit);
+    });
+}
+
+void OperatorApi::answerEdit(const Exchange &exchange, const wire::EditAnswer &answer) const
+{
+    m_logger.write(Events::kEditAnswered,
+                   { field("status", wire::EditStatus_Name(answer.status())),
+                     field("revision", answer.revision()),
+                     field("message", answer.message()) });
+    if (answer.status() == wire::ACCEPTED) {
+        exchange->respond(jsonResponse(200, { { "revision", answer.revision() } }));
+        return;
+    }
+    const auto code = answer.status() == wire::CONFLICT ? ErrorCode::Conflict : ErrorCode::InvalidArgument;
+    exchange->respond(errorResponse({ code, answer.message() }));
+}
+
+void OperatorApi::applied(const Exchange &exchange)
+{
+    const auto version = std::strtoull(queryValue(exchange->request(), "version").c_str(), nullptr, 10);
+    json pending = json::array();
+    for (const auto &it : m_coordinator.sessions()) {
+        if (it.version.value < version && it.leaseEnd > m_clock.now()) {
+            pending.push_back(it.instance);
+        }
+    }
+    exchange->respond(jsonResponse(200, { { "applied", m_coordinator.appliedEverywhere(LogIndex{ version }) }, { "pending", pending } }));
+}
+
+void OperatorApi::owners(const Exchange &exchange)
+{
+    exchange->respond(jsonResponse(200, internal::ownersToJson(m_driver.state().view())));
+}
+
+void OperatorApi::status(const Exchange &exchange)
+{
+    const auto &view = m_driver.state().view();
+    exchange->respond(jsonResponse(200,
+                                   { { "version", view.version().value },
+                                     { "controllers", internal::controllersToJson(m_driver.replica()) },
+                                     { "sessions", internal::sessionsToJson(view, m_coordinator.sessions(), m_clock.now()) } }));
+}
+
+void OperatorApi::leavePlan(const Exchange &exchange)
+{
+    answerWith(exchange, [&]() -> Result<HttpResponse> {
+        bool force = false;
+        BOOST_LEAF_AUTO(edit, internal::editFromJson(exchange->request().body, force));
+        const std::vector<wire::RowEdit> edits(edit.edits().begin(), edit.edits().end());
+        BOOST_LEAF_AUTO(plan, LeavePlan::compute(m_driver.state().view(), edits, loads()));
+        return jsonResponse(200, internal::toJson(plan));
+    });
+}
+
+void OperatorApi::leaveStatus(const Exchange &exchange)
+{
+    InFlightReports inFlight;
+    for (const auto &it : m_coordinator.sessions()) {
+        if (it.lastRenewal) {
+            inFlight[it.session] = it.inFlight;
+        }
+    }
+    std::vector<ControllerMember> members;
+    const auto &replica = m_driver.replica();
+    for (const auto &it : replica.membership().members) {
+        ControllerMember member;
+        member.id = it.replica;
+        member.failureDomain = it.failureDomain;
+        member.voter = it.role == ReplicaRole::Voter;
+        member.reachable = replica.syncedIndexOf(it.replica) >= replica.commitIndex() || it.replica == replica.id();
+        members.push_back(std::move(member));
+    }
+    const auto status = LeaveStatus::compute(m_driver.state().view(), inFlight, members, m_clock.wallNow());
+    exchange->respond(jsonResponse(200, internal::toJson(status)));
+}
+
+LoadReports OperatorApi::loads() const
+{
+    LoadReports loads;
+    for (const auto &it : m_coordinator.sessions()) {
+        loads[it.session] = it.loadPermille;
+    }
+    return loads;
+}
+
+void OperatorApi::controllers(const Exchange &exchange)
+{
+    exchange->respond(jsonResponse(200, internal::controllersToJson(m_driver.replica())));
+}
+
+void OperatorApi::addController(const Exchange &exchange)
+{
+    handleError(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(added, internal::membershipFromJson(exchange->request().body));
+            if (added.members.size() != 1) {
+                return fail(ErrorCode::InvalidArgument, "members must name the one controller to add");
+            }
+            added.members.front().role = ReplicaRole::Learner;
+            proposeMembership(exchange, m_driver.replica().membership().with(added.members.front()));
+            return {};
+        },
+        [&](const Error &error) { exchange->respond(errorResponse(error)); });
+}
+
+void OperatorApi::removeController(const Exchange &exchange)
+{
+    handleError(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(id, internal::idFromText(queryValue(exchange->request(), "replica")));
+            if (!m_driver.replica().membership().find(ReplicaId{ id })) {
+                return fail(ErrorCode::NotFound, fmt::format("controller {} is not a member", internal::idText(id)));
+            }
+            proposeMembership(exchange, m_driver.replica().membership().without(ReplicaId{ id }));
+            return {};
+        },
+        [&](const Error &error) { exchange->respond(errorResponse(error)); });
+}
+
+void OperatorApi::proposeMembership(const Exchange &exchange, const Membership &membership)
+{
+    handleError(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(index, m_driver.replica().proposeMembership(membership));
+            m_driver.replica().onOutcome(index, [this, exchange](ProposalOutcome outcome) {
+                if (outcome == ProposalOutcome::Applied) {
+                    controllers(exchange);
+                } else {
+                    answerNotLeader(exchange);
+                }
+            });
+            return {};
+        },
+        [&](const Error &error) { exchange->respond(errorResponse(error)); });
+}
+
+void OperatorApi::identity(const Exchange &exchange)
+{
+    const auto &replica = m_driver.replica();
+    exchange->respond(jsonResponse(
+        200, { { "replica", internal::idText(replica.id().value) }, { "member", replica.membership().find(replica.id()) != nullptr } }));
+}
+
+void OperatorApi::bootstrap(const Exchange &exchange)
+{
+    answerWith(exchange, [&]() -> Result<HttpResponse> {
+        BOOST_LEAF_AUTO(membership, internal::membershipFromJson(exchange->request().body));
+        BOOST_LEAF_CHECK(m_driver.bootstrap(membership));
+        m_logger.write(Events::kControllerBootstrapped, { field("members", membership.members.size()) });
+        return jsonResponse(200, { { "members", membership.members.size() } });
+    });
+}
+
+void OperatorApi::events(const Exchange &exchange)
+{
+    exchange->respond(jsonResponse(200, { { "events", m_events.lines() } }));
+}
+
+} // namespace Toucandeck
