Add headers of module runtime

Cause: the daemon roles, the stand-in backend server and the load generator build on the runtime's interfaces. Conclusion: other modules can write against these declarations.

--- /dev/null
+++ b/src/runtime/http_client.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "common/result.h"
+#include "log/logger.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_message.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Toucandeck
+{
+
+namespace internal
+{
+class HttpClientConnection;
+} // namespace internal
+
+/// Outcome of one HTTP request.
+struct HttpResult
+{
+    std::optional<HttpResponse> response; ///< Empty if no complete answer arrived.
+    /// Ran with a response. Without one: NotRun if no byte of the request was written, else MayHaveRun.
+    Verdict verdict = Verdict::NotRun;
+    ErrorCode code = ErrorCode::Unavailable; ///< Without a response: Unavailable, Overloaded or DeadlineExceeded.
+    std::string error; ///< Without a response: message for people.
+};
+
+struct HttpClientOptions
+{
+    std::size_t maxConnections = 128; ///< Per target. A request beyond it fails with Overloaded and NotRun.
+    Duration connectTimeout = std::chrono::milliseconds(1000);
+    Duration idleClose = std::chrono::seconds(20); ///< Shorter than the servers' idle time, so that they close fewer first.
+    std::size_t maxHeaderBytes = 64U << 10U;
+    std::size_t maxBodyBytes = 8U << 20U; ///< Larger answers count as a failure.
+};
+
+/// HTTP/1.1 client with persistent connections per target ("IP:PORT"), one request at a time on each.
+/// Nothing is sent twice: a request whose connection breaks after the first written byte fails with MayHaveRun.
+class HttpClient
+{
+public:
+    using Handler = std::function<void(HttpResult)>;
+    using RequestId = std::uint64_t;
+
+    HttpClient(EventLoop &loop, HttpClientOptions options, Logger &logger);
+    /// Cancels all requests without calling their handlers.
+    ~HttpClient();
+
+    /// Sends the request; Host and Content-Length are set. @p handler is called exactly once, never from within this call.
+    /// @p timeout covers connecting, writing and the whole answer.
+    RequestId send(const std::string &target, HttpRequest request, Duration timeout, Handler handler);
+    /// Closes the connection of the request; its handler is not called. True if the request may have been written.
+    bool cancel(RequestId id);
+
+    std::size_t connections(const std::string &target) const;
+    std::size_t idleConnections(const std::string &target) const;
+    std::size_t inFlight() const;
+    /// Number of persistent connections found closed before reuse.
+    std::uint64_t staleConnections() const;
+    /// Changes the bound on connections per target.
+    void setMaxConnections(std::size_t n);
+
+private:
+    struct Pool;
+    friend class internal::HttpClientConnection;
+
+    internal::HttpClientConnection *takeIdle(Pool &pool);
+    internal::HttpClientConnection *openConnection(const std::string &target, Pool &pool);
+    void finished(internal::HttpClientConnection &connection, HttpResult result, bool reusable);
+    void discard(internal::HttpClientConnection &connection);
+    void failSoon(RequestId id, Handler handler, ErrorCode code, std::string error);
+
+    EventLoop &m_loop;
+    HttpClientOptions m_options;
+    Logger &m_logger;
+    RequestId m_nextId = 1;
+    std::uint64_t m_stale = 0;
+    std::map<std::string, std::unique_ptr<Pool>> m_pools;
+    std::map<RequestId, internal::HttpClientConnection *> m_active;
+    std::map<RequestId, Handler> m_failing;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/runtime/http_server.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "common/result.h"
+#include "log/logger.h"
+#include "runtime/event_loop.h"
+#include "runtime/http_message.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+struct evhttp;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace Toucandeck
+{
+
+class HttpServer;
+
+/// One request that waits for its answer. Held by a shared_ptr while the answer is worked out.
+class HttpExchange
+{
+public:
+    ~HttpExchange();
+    HttpExchange(const HttpExchange &) = delete;
+    HttpExchange &operator=(const HttpExchange &) = delete;
+
+    const HttpRequest &request() const;
+    /// IP address of the client.
+    const std::string &peer() const;
+    /// Sends the answer; only the first call has an effect. Without a call, the destructor answers 500.
+    void respond(HttpResponse response);
+    /// Called once if the client closes its connection before the answer, also if it has done so already.
+    void onClosed(std::function<void()> handler);
+    /// True after the client has closed its connection.
+    bool isClosed() const;
+
+private:
+    friend class HttpServer;
+    HttpExchange(HttpServer *server, evhttp_request *request);
+    void closed();
+
+    HttpServer *m_server;
+    evhttp_request *m_request; ///< Null after the answer or the close.
+    HttpRequest m_content;
+    std::string m_peer;
+    bool m_closed = false;
+    std::function<void()> m_onClosed;
+};
+
+struct HttpServerOptions
+{
+    std::string host = "127.0.0.1";
+    std::uint16_t port = 0; ///< 0 takes a free port.
+    std::size_t maxHeaderBytes = 64U << 10U;
+    std::size_t maxBodyBytes = 1U << 20U; ///< Larger bodies get 413 with the verdict not-run.
+    Duration idleTimeout = std::chrono::seconds(60); ///< Connections that are silent for longer are closed.
+    Duration stopLimit = std::chrono::seconds(30); ///< A graceful stop waits no longer for answers.
+    Duration stopLinger = std::chrono::milliseconds(500); ///< Idle connections stay open this long during a stop.
+};
+
+/// HTTP/1.1 server over evhttp. Requests are answered asynchronously, in any order between connections.
+/// Malformed requests get 400, and too large ones 413, both with "Toucandeck-Verdict: not-run".
+/// Chunked request bodies are accepted and passed on whole.
+class HttpServer
+{
+public:
+    using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+    /// Fails with Io if the address cannot be bound.
+    static Result<std::unique_ptr<HttpServer>> create(EventLoop &loop, HttpServerOptions options, Logger &logger);
+    ~HttpServer();
+
+    void setHandler(Handler handler);
+    std::uint16_t port() const;
+    /// "IP:PORT" with the port taken.
+    std::string address() const;
+    /// Requests that wait for their answer.
+    std::size_t inFlight() const;
+    /// From now on each answer asks the client to close its connection.
+    void announceStop();
+    /// Accepts no new connections, finishes all answers, then calls @p done.
+    void stop(std::function<void()> done);
+
+private:
+    friend class HttpExchange;
+    struct Connection;
+
+    HttpServer(EventLoop &loop, HttpServerOptions options, Logger &logger);
+    Result<void> open();
+    void handle(evhttp_request *request);
+    void answered(HttpExchange &exchange, evhttp_request *request, HttpResponse response);
+    void connectionClosed(evhttp_connection *connection);
+    void checkStopped();
+    void finishStop(bool forced);
+
+    EventLoop &m_loop;
+    HttpServerOptions m_options;
+    Logger &m_logger;
+    Handler m_handler;
+    evhttp *m_http = nullptr;
+    std::uint16_t m_port = 0;
+    bool m_ownAnswer = false;
+    bool m_stopAnnounced = false;
+    bool m_lingered = false;
+    std::size_t m_inFlight = 0;
+    std::function<void()> m_stopDone;
+    EventLoop::Watch m_lingerTimer;
+    EventLoop::Watch m_stopTimer;
+    std::unordered_map<evhttp_connection *, std::unique_ptr<Connection>> m_connections;
+};
+
+} // namespace Toucandeck
