Add code of module runtime with first tests

Cause: the daemon, the stand-in backend server and the load generator need an event loop, messages, HTTP, metrics and traces. Change: EventLoop, MessageSocket with CURVE and ZAP, HttpServer, HttpClient, Metrics, Tracer, Supervisor; tests over loopback. Ruled out: queueing in ZeroMQ for peers that are away, because such messages would arrive after their deadline; the library's HTTP errors without a verdict header, which is inserted behind the status line instead.

--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
 namespace Toucandeck
 {
@@ -67,22 +68,31 @@
 
 private:
     struct Pool;
-    friend class internal::HttpClientConnection;
+    struct Active
+    {
+        Pool *pool = nullptr;
+        internal::HttpClientConnection *connection = nullptr;
+        Handler handler;
+    };
 
+    Pool *poolFor(const std::string &target);
     internal::HttpClientConnection *takeIdle(Pool &pool);
-    internal::HttpClientConnection *openConnection(const std::string &target, Pool &pool);
-    void finished(internal::HttpClientConnection &connection, HttpResult result, bool reusable);
-    void discard(internal::HttpClientConnection &connection);
+    void discard(Pool &pool, internal::HttpClientConnection *connection);
+    void finished(RequestId id, HttpResult result, bool reusable);
     void failSoon(RequestId id, Handler handler, ErrorCode code, std::string error);
+    void deliverSoon(RequestId id, Handler handler, HttpResult result);
+    void closeIdle();
 
     EventLoop &m_loop;
     HttpClientOptions m_options;
     Logger &m_logger;
     RequestId m_nextId = 1;
+    RequestId m_starting = 0; ///< Request whose send() is under way.
     std::uint64_t m_stale = 0;
     std::map<std::string, std::unique_ptr<Pool>> m_pools;
-    std::map<RequestId, internal::HttpClientConnection *> m_active;
-    std::map<RequestId, Handler> m_failing;
+    std::unordered_map<RequestId, Active> m_active;
+    std::unordered_map<RequestId, Handler> m_failing; ///< Outcome known, handler not yet called.
+    EventLoop::Watch m_sweep;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -11,7 +11,11 @@
 #include <string>
 #include <unordered_map>
 
+struct bufferevent;
+struct evbuffer;
+struct event_base;
 struct evhttp;
+struct evhttp_bound_socket;
 struct evhttp_connection;
 struct evhttp_request;
 
@@ -91,6 +95,9 @@
 
     HttpServer(EventLoop &loop, HttpServerOptions options, Logger &logger);
     Result<void> open();
+    static bufferevent *newBufferevent(event_base *base, void *self);
+    static void addVerdict(evbuffer *output, std::size_t added);
+    Connection &connectionOf(evhttp_connection *connection);
     void handle(evhttp_request *request);
     void answered(HttpExchange &exchange, evhttp_request *request, HttpResponse response);
     void connectionClosed(evhttp_connection *connection);
@@ -102,6 +109,7 @@
     Logger &m_logger;
     Handler m_handler;
     evhttp *m_http = nullptr;
+    evhttp_bound_socket *m_listener = nullptr;
     std::uint16_t m_port = 0;
     bool m_ownAnswer = false;
     bool m_stopAnnounced = false;
@@ -111,6 +119,7 @@
     EventLoop::Watch m_lingerTimer;
     EventLoop::Watch m_stopTimer;
     std::unordered_map<evhttp_connection *, std::unique_ptr<Connection>> m_connections;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace Toucandeck
--- /dev/null
+++ b/src/runtime/message_frames.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "runtime/message_context.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Toucandeck::internal
+{
+
+/// Takes one message of any number of frames; nothing if none waits.
+std::optional<std::vector<std::string>> receiveFrames(const ZmqSocket &socket);
+
+/// Queues one message without blocking; false if the queue is full or no peer is connected.
+bool sendFrames(const ZmqSocket &socket, const std::vector<std::string> &frames);
+
+} // namespace Toucandeck::internal
--- /dev/null
+++ b/src/runtime/message_monitor.cpp
@@ -0,0 +1,42 @@
+#include "runtime/message_monitor.h"
+
+#include "runtime/message_frames.h"
+
+#include <fmt/format.h>
+#include <zmq.h>
+
+namespace Toucandeck::internal
+{
+
+Result<std::unique_ptr<MessageMonitor>>
+MessageMonitor::create(EventLoop &loop, const MessageContext &context, const ZmqSocket &watched, std::function<void(std::string)> onFailed)
+{
+    auto monitor = std::unique_ptr<MessageMonitor>(new MessageMonitor(std::move(onFailed)));
+    const auto endpoint = fmt::format("inproc://toucandeck.monitor.{}", fmt::ptr(watched.get()));
+    if (zmq_socket_monitor(watched.get(), endpoint.c_str(), ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL) != 0) {
+        return fail(ErrorCode::Io, std::string("cannot monitor the message socket: ") + zmq_strerror(zmq_errno()));
+    }
+    BOOST_LEAF_ASSIGN(monitor->m_socket, context.socket(ZMQ_PAIR));
+    if (zmq_connect(monitor->m_socket.get(), endpoint.c_str()) != 0) {
+        return fail(ErrorCode::Io, std::string("cannot connect to the socket monitor: ") + zmq_strerror(zmq_errno()));
+    }
+    monitor->m_readable = loop.onReadable(descriptorOf(monitor->m_socket), [raw = monitor.get()] { raw->process(); });
+    return monitor;
+}
+
+MessageMonitor::MessageMonitor(std::function<void(std::string)> onFailed)
+    : m_onFailed(std::move(onFailed))
+{
+}
+
+void MessageMonitor::process()
+{
+    while ((eventsOf(m_socket) & ZMQ_POLLIN) != 0) {
+        const auto frames = receiveFrames(m_socket);
+        if (frames) {
+            m_onFailed(frames->size() > 1 ? (*frames)[1] : "unknown");
+        }
+    }
+}
+
+} // namespace Toucandeck::internal
--- /dev/null
+++ b/src/runtime/message_peer.cpp
@@ -0,0 +1,119 @@
+#include "runtime/message_peer.h"
+
+#include "runtime/message_frames.h"
+
+#include <zmq.h>
+
+namespace Toucandeck::internal
+{
+
+namespace
+{
+
+/// A first reconnect soon after the loss, later ones at a rate that a departed peer's former neighbours can sustain.
+constexpr int kReconnectMs = 20;
+constexpr int kMaxReconnectMs = 500;
+constexpr int kConnectTimeoutMs = 1000;
+/// Unacknowledged data for this long closes the connection. Without it, TCP's doubled retransmission time would delay the first
+/// message after a partition by as long as the partition lasted.
+constexpr int kUnacknowledgedMs = 1000;
+
+} // namespace
+
+Result<std::unique_ptr<MessagePeer>> MessagePeer::create(EventLoop &loop,
+                                                         const MessageContext &context,
+                                                         const MessageSocketOptions &options,
+                                                         const std::string &address,
+                                                         const CurveKeys *keys,
+                                                         const std::string &serverKey,
+                                                         std::function<void(std::size_t)> onDropped)
+{
+    auto peer = std::unique_ptr<MessagePeer>(new MessagePeer(loop, options, std::move(onDropped)));
+    BOOST_LEAF_ASSIGN(peer->m_socket, context.socket(ZMQ_DEALER));
+    peer->setOptions(keys, serverKey);
+    if (zmq_connect(peer->m_socket.get(), address.c_str()) != 0) {
+        return fail(ErrorCode::InvalidArgument, "message address " + address + ": " + zmq_strerror(zmq_errno()));
+    }
+    peer->m_readable = loop.onReadable(descriptorOf(peer->m_socket), [raw = peer.get()] { raw->process(); });
+    peer->process();
+    return peer;
+}
+
+MessagePeer::MessagePeer(EventLoop &loop, const MessageSocketOptions &options, std::function<void(std::size_t)> onDropped)
+    : m_loop(loop)
+    , m_options(options)
+    , m_onDropped(std::move(onDropped))
+    , m_lastUse(loop.clock().now())
+{
+}
+
+void MessagePeer::setOptions(const CurveKeys *keys, const std::string &serverKey)
+{
+    // Messages must not wait in the library for a peer that is away: they would arrive long after their deadline.
+    setOption(m_socket, ZMQ_IMMEDIATE, 1);
+    setOption(m_socket, ZMQ_SNDHWM, m_options.highWaterMark);
+    setOption(m_socket, ZMQ_RECONNECT_IVL, kReconnectMs);
+    setOption(m_socket, ZMQ_RECONNECT_IVL_MAX, kMaxReconnectMs);
+    setOption(m_socket, ZMQ_CONNECT_TIMEOUT, kConnectTimeoutMs);
+    setOption(m_socket, ZMQ_TCP_MAXRT, kUnacknowledgedMs);
+    if (keys != nullptr) {
+        setOption(m_socket, ZMQ_CURVE_SERVERKEY, serverKey);
+        setOption(m_socket, ZMQ_CURVE_PUBLICKEY, keys->publicKey);
+        setOption(m_socket, ZMQ_CURVE_SECRETKEY, keys->secretKey);
+    }
+}
+
+bool MessagePeer::send(std::string frame)
+{
+    m_lastUse = m_loop.clock().now();
+    if (m_waiting.empty() && zmq_send(m_socket.get(), frame.data(), frame.size(), ZMQ_DONTWAIT) >= 0) {
+        return true;
+    }
+    if (m_waiting.size() >= static_cast<std::size_t>(m_options.highWaterMark)) {
+        return false;
+    }
+    m_waiting.push_back({ std::move(frame), m_lastUse });
+    if (!m_dropTimer.isActive()) {
+        m_dropTimer = m_loop.after(m_options.maxQueueAge, [this] { dropOld(); });
+    }
+    return true;
+}
+
+TimePoint MessagePeer::lastUse() const
+{
+    return m_lastUse;
+}
+
+void MessagePeer::process()
+{
+    int events = eventsOf(m_socket);
+    while ((events & ZMQ_POLLIN) != 0) {
+        receiveFrames(m_socket); // Peers answer on connections of their own; whatever comes here has no meaning.
+        events = eventsOf(m_socket);
+    }
+    while (!m_waiting.empty()) {
+        const auto &frame = m_waiting.front().frame;
+        if (zmq_send(m_socket.get(), frame.data(), frame.size(), ZMQ_DONTWAIT) < 0) {
+            break;
+        }
+        m_waiting.pop_front();
+    }
+}
+
+void MessagePeer::dropOld()
+{
+    const auto oldest = m_loop.clock().now() - m_options.maxQueueAge;
+    std::size_t n = 0;
+    while (!m_waiting.empty() && m_waiting.front().since <= oldest) {
+        m_waiting.pop_front();
+        ++n;
+    }
+    if (!m_waiting.empty()) {
+        m_dropTimer = m_loop.after(m_waiting.front().since - oldest, [this] { dropOld(); });
+    }
+    if (n > 0) {
+        m_onDropped(n);
+    }
+}
+
+} // namespace Toucandeck::internal
--- a/src/runtime/message_socket.h
+++ b/src/runtime/message_socket.h
@@ -23,7 +23,8 @@
 struct CurveOptions
 {
     std::string secretKeyFile; ///< Own secret key, Z85 text of 40 characters.
-    std::string allowedKeysFolder; ///< One file per peer: name = "<message address without tcp://>.pub" or any; content = Z85 public key.
+    std::string serverPublicKey; ///< Key of peers without one of their own (setPeerKey). Empty: the own public key, shared by all.
+    std::string allowedKeysFolder; ///< Each file holds the Z85 public key of one peer that may connect.
 };
 
 struct MessageSocketOptions
@@ -50,9 +51,7 @@
 
 namespace internal
 {
-class MessageContext;
 class MessagePeer;
-class ZapHandler;
 } // namespace internal
 
 /// One bound ZeroMQ ROUTER for all received messages and one DEALER per peer address for sent ones.
@@ -78,33 +77,36 @@
     const MessageCounters &counters() const;
     std::size_t peers() const;
     /// Own CURVE public key (Z85); empty without CURVE.
-    const std::string &publicKey() const;
+    std::string publicKey() const;
+    /// Public key that the peer at this address must prove, as registered in the view or named in the settings.
+    void setPeerKey(const std::string &address, const std::string &publicKey);
     /// Reads the folder of allowed keys again (SIGHUP).
     Result<void> reloadKeys();
 
 private:
+    struct Parts;
+
     MessageSocket(EventLoop &loop, MessageSocketOptions options, Logger &logger);
+    Result<void> openCurve();
     Result<void> open();
     void receive();
     void receiveOne(std::string_view frame);
     void scheduleReceive();
+    void sendToSelf(wire::Envelope envelope);
+    void dropped(const std::string &address, std::size_t n);
     void closeIdlePeers();
     internal::MessagePeer *peerFor(const std::string &address);
+    std::string serverKeyOf(const std::string &address) const;
 
     EventLoop &m_loop;
     MessageSocketOptions m_options;
-    Logger &m_logger;
     Handler m_handler;
     MessageCounters m_counters;
     std::string m_address;
     std::uint64_t m_nextMessage = 1;
     bool m_receiveScheduled = false;
-    std::unique_ptr<internal::MessageContext> m_context;
-    std::unique_ptr<internal::ZapHandler> m_zap;
-    std::map<std::string, std::unique_ptr<internal::MessagePeer>> m_peers;
-    EventLoop::Watch m_readable;
-    EventLoop::Watch m_idleTimer;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::unique_ptr<Parts> m_parts;
 };
 
 } // namespace Toucandeck
--- a/src/runtime/supervisor.h
+++ b/src/runtime/supervisor.h
@@ -74,6 +74,7 @@
     bool m_running = false;
     int m_restarts = 0;
     std::vector<std::unique_ptr<Child>> m_children;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace Toucandeck
--- /dev/null
+++ b/src/runtime/zap_handler.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "runtime/event_loop.h"
+#include "runtime/log_throttle.h"
+#include "runtime/message_context.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace Toucandeck::internal
+{
+
+/// Answers the library's authentication requests (ZAP, RFC 27) on the loop: CURVE keys in the allowed set pass, all else fails.
+class ZapHandler
+{
+public:
+    static Result<std::unique_ptr<ZapHandler>>
+    create(EventLoop &loop, const MessageContext &context, std::set<std::string> allowed, std::function<void(std::string)> onRejected);
+    void setAllowed(std::set<std::string> allowed);
+
+private:
+    ZapHandler(std::set<std::string> allowed, std::function<void(std::string)> onRejected);
+    void process();
+    void answer(const std::vector<std::string> &request);
+
+    std::set<std::string> m_allowed;
+    std::function<void(std::string)> m_onRejected;
+    ZmqSocket m_socket;
+    EventLoop::Watch m_readable;
+};
+
+} // namespace Toucandeck::internal
--- /dev/null
+++ b/test/runtime/test_message_socket.cpp
@@ -0,0 +1,199 @@
+// Guards against lost, crossed or reordered messages, and against input of peers that must not be trusted.
+#include "loopback.h"
+
+#include "runtime/message_socket.h"
+
+#include <filesystem>
+#include <fstream>
+#include <zmq.h>
+
+using namespace Toucandeck;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+wire::Envelope request(std::uint64_t id)
+{
+    wire::Envelope envelope;
+    envelope.mutable_forward_request()->set_request(id);
+    return envelope;
+}
+
+struct MessageSocketTest : LoopFixture
+{
+    std::unique_ptr<MessageSocket> open(std::optional<CurveOptions> curve = {}, MessageSocketOptions options = {})
+    {
+        options.address = "tcp://127.0.0.1:0";
+        options.curve = std::move(curve);
+        return valueOf(MessageSocket::create(*loop, options, logger));
+    }
+
+    RecordingLogger logger;
+};
+
+std::uint16_t portOf(const MessageSocket &socket)
+{
+    return static_cast<std::uint16_t>(std::stoi(socket.address().substr(socket.address().rfind(':') + 1)));
+}
+
+/// Folder with a new key pair that only itself and @p others may connect to.
+struct KeyFolder
+{
+    std::filesystem::path root;
+    std::string publicKey;
+
+    explicit KeyFolder(const std::string &name, const std::vector<std::string> &others = {})
+        : root(std::filesystem::path(testing::TempDir()) / ("toucandeck_keys_" + std::to_string(getpid()) + name))
+    {
+        char open[41];
+        char secret[41];
+        EXPECT_EQ(zmq_curve_keypair(open, secret), 0);
+        publicKey = open;
+        std::filesystem::create_directories(root / "allowed");
+        std::ofstream(root / "secret") << secret << "\n";
+        for (const auto &it : others) {
+            std::ofstream(root / "allowed" / std::to_string(std::hash<std::string>()(it))) << it << "\n";
+        }
+    }
+
+    ~KeyFolder()
+    {
+        std::filesystem::remove_all(root);
+    }
+
+    CurveOptions options(const std::string &serverKey = {}) const
+    {
+        return { (root / "secret").string(), serverKey, (root / "allowed").string() };
+    }
+};
+
+} // namespace
+
+TEST_F(MessageSocketTest, ThousandsOfCrossedAnswersMatchTheirRequests)
+{
+    constexpr std::uint64_t kRequests = 5000;
+    const auto client = open();
+    const auto server = open();
+    std::vector<wire::Envelope> held;
+    server->setHandler([&](const wire::Envelope &envelope) {
+        held.push_back(envelope);
+        if (held.size() < 50) {
+            return;
+        }
+        // In reverse order, so that answers cross later requests.
+        for (; !held.empty(); held.pop_back()) {
+            wire::Envelope reply;
+            reply.mutable_forward_reply()->set_request(held.back().forward_request().request());
+            reply.mutable_forward_reply()->set_body(std::to_string(held.back().forward_request().request()));
+            EXPECT_TRUE(server->send(held.back().sender(), reply));
+        }
+    });
+    std::map<std::uint64_t, int> answers;
+    client->setHandler([&](const wire::Envelope &envelope) {
+        const auto &reply = envelope.forward_reply();
+        EXPECT_EQ(reply.body(), std::to_string(reply.request()));
+        ++answers[reply.request()];
+    });
+    std::uint64_t sent = 0;
+    const auto timer = loop->every(1ms, [&] {
+        for (int i = 0; i < 100 && sent < kRequests; ++i) {
+            ASSERT_TRUE(client->send(server->address(), request(++sent)));
+        }
+    });
+    ASSERT_TRUE(runUntil([&] { return answers.size() == kRequests; }));
+    for (const auto &it : answers) {
+        EXPECT_EQ(it.second, 1);
+    }
+    EXPECT_EQ(client->counters().dropped + server->counters().dropped, 0U);
+}
+
+TEST_F(MessageSocketTest, KeepsTheOrderAndDeliversToItself)
+{
+    const auto a = open();
+    const auto b = open();
+    std::vector<std::uint64_t> got;
+    b->setHandler([&](const wire::Envelope &envelope) { got.push_back(envelope.forward_request().request()); });
+    for (std::uint64_t i = 0; i < 1000; ++i) {
+        ASSERT_TRUE(a->send(b->address(), request(i)));
+    }
+    ASSERT_TRUE(runUntil([&] { return got.size() == 1000; }));
+    EXPECT_TRUE(std::is_sorted(got.begin(), got.end()));
+    b->send(b->address(), request(7));
+    ASSERT_TRUE(runUntil([&] { return got.size() == 1001; }));
+    EXPECT_EQ(got.back(), 7U);
+}
+
+TEST_F(MessageSocketTest, MalformedInputIsCountedAndDropped)
+{
+    const auto socket = open();
+    socket->setHandler([](const wire::Envelope &envelope) { FAIL() << envelope.ShortDebugString(); });
+    void *context = zmq_ctx_new();
+    void *dealer = zmq_socket(context, ZMQ_DEALER);
+    ASSERT_EQ(zmq_connect(dealer, socket->address().c_str()), 0);
+    zmq_send(dealer, "\xff\xff garbage", 10, 0);
+    zmq_send(dealer, "", 0, 0);
+    zmq_send(dealer, "two", 3, ZMQ_SNDMORE);
+    zmq_send(dealer, "frames", 6, 0);
+    const RawSocket raw(portOf(*socket));
+    raw.write("GET / HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(runUntil([&] { return socket->counters().undecodable == 3 && socket->counters().rejectedPeers >= 1; }));
+    zmq_close(dealer);
+    zmq_ctx_term(context);
+}
+
+TEST_F(MessageSocketTest, UnreachablePeerNeverBlocksAndItsMessagesAreDropped)
+{
+    MessageSocketOptions options;
+    options.highWaterMark = 10;
+    options.maxQueueAge = 50ms;
+    const auto socket = open({}, options);
+    std::string gone;
+    {
+        gone = open()->address();
+    }
+    int accepted = 0;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        accepted += socket->send(gone, request(i)) ? 1 : 0;
+    }
+    EXPECT_EQ(accepted, 10);
+    EXPECT_EQ(socket->counters().dropped, 90U);
+    EXPECT_TRUE(runUntil([&] { return socket->counters().dropped == 100; }));
+    EXPECT_FALSE(socket->send("inproc://x", request(1)));
+    EXPECT_FALSE(socket->send("tcp://no port", request(1)));
+}
+
+TEST_F(MessageSocketTest, CurveAdmitsAllowedKeysAndRejectsOthers)
+{
+    const KeyFolder known("known");
+    const KeyFolder stranger("stranger");
+    const KeyFolder server("server", { known.publicKey });
+    const auto receiver = open(server.options());
+    const auto friendly = open(known.options(server.publicKey));
+    const auto foreign = open(stranger.options(server.publicKey));
+    const auto plain = open();
+    std::set<std::uint64_t> got;
+    receiver->setHandler([&](const wire::Envelope &envelope) { got.insert(envelope.forward_request().request()); });
+    foreign->send(receiver->address(), request(1));
+    plain->send(receiver->address(), request(2));
+    ASSERT_TRUE(runUntil([&] { return receiver->counters().rejectedPeers >= 2; }));
+    friendly->send(receiver->address(), request(3));
+    ASSERT_TRUE(runUntil([&] { return !got.empty(); }));
+    EXPECT_EQ(got, std::set<std::uint64_t>{ 3 });
+}
+
+TEST_F(MessageSocketTest, BadKeyFilesAreNamed)
+{
+    const KeyFolder keys("bad");
+    std::ofstream(keys.root / "allowed" / "x") << "short\n";
+    const auto message = handleError(
+        [&]() -> Result<std::string> {
+            MessageSocketOptions options;
+            options.address = "tcp://127.0.0.1:0";
+            options.curve = keys.options();
+            BOOST_LEAF_CHECK(MessageSocket::create(*loop, options, logger));
+            return std::string();
+        },
+        [](const Error &error) { return error.message; });
+    EXPECT_NE(message.find("allowed/x"), std::string::npos) << message;
+}
