Add public headers of module state

Cause: ownership, daemon and CLI code against the interfaces of module state. Conclusion: the bodies follow.

--- /dev/null
+++ b/src/state/row_key.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "common/result.h"
+#include "state/wire_namespace.h"
+
+#include <compare>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace Toucandeck
+{
+
+/// What a table row applies to. An empty part stands for "*".
+struct RowKey
+{
+    std::string service;
+    std::string failureDomain;
+    std::string instance;
+
+    auto operator<=>(const RowKey &) const = default;
+
+    bool isService() const
+    {
+        return !service.empty() && failureDomain.empty() && instance.empty();
+    }
+};
+
+/// The parts of the key that a row carries.
+RowKey keyOf(const wire::TableRow &row);
+
+/// Text form, for example "clue-svc/jm-a/*".
+std::string toString(const RowKey &key);
+
+/// Reads the text form. Fails with InvalidArgument unless the key is one of service/*/*, */domain/*, service/domain/* and
+/// service/domain/instance, with valid names.
+Result<RowKey> parseRowKey(std::string_view text);
+
+/// Checks the same rules on a key that is already divided into its parts.
+Result<void> checkRowKey(const RowKey &key);
+
+/// Whether the text is a name of a service, failure domain or instance: 1 to 100 letters, digits, '.', '_' or '-'.
+bool isValidName(std::string_view text);
+
+/// Sets the parts of the key in the row.
+void setKey(wire::TableRow &row, const RowKey &key);
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/state/view.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "common/ids.h"
+#include "state/effective_row.h"
+#include "state/state_tables.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Toucandeck
+{
+
+/// Who holds a key.
+struct Owner
+{
+    PartitionId partition;
+    bool hotKey = false; ///< From a hot key override instead of the partition.
+    SessionId session; ///< None: the key has no owner at present.
+    Epoch epoch;
+    SessionId movingTo; ///< Receiver of the graceful move in progress; none: no move.
+    std::optional<WallTime> crashGranted; ///< Last grant after the loss of an owner.
+    bool crashed = false; ///< The last owner was lost and nobody is granted yet.
+
+    bool isMoving() const
+    {
+        return static_cast<bool>(movingTo);
+    }
+};
+
+/// A registered instance of a service.
+struct Instance
+{
+    SessionId id;
+    const wire::RouterSession *session = nullptr; ///< Valid until the next change of the view.
+    EffectiveRow row;
+};
+
+/// Table, sessions and assignments as one router or controller sees them. Lookups cache results and are not thread-safe.
+class View
+{
+public:
+    /// Applies the change if it starts at version(). Returns false, without a change, if it does not. Also returns false if the
+    /// digest then differs: the view has drifted; it is emptied and goes back to version 0, so that a full copy is fetched.
+    bool applyDelta(const wire::ViewDelta &delta);
+
+    /// Replaces everything. Returns false if the digest does not match the content; the view is then empty at version 0.
+    bool applySnapshot(const wire::ViewState &state);
+
+    /// The whole content, in a fixed order.
+    wire::ViewState toWire() const;
+
+    /// Log index of the last change applied; 0 for an empty view.
+    LogIndex version() const;
+
+    /// XOR of the XXH3 of each item, maintained with each change.
+    std::uint64_t digest() const;
+
+    /// The digest computed anew from all items; for checks.
+    std::uint64_t computeDigest() const;
+
+    /// Owner of a key; nothing if the service is not divided by key.
+    std::optional<Owner> ownerOf(std::string_view service, KeyHash hash) const;
+
+    /// Owner of a partition, without hot key overrides; nothing if the service has no such partition.
+    std::optional<Owner> ownerOf(std::string_view service, PartitionId partition) const;
+
+    /// All registered instances of the service, sorted by failure domain and instance. Valid until the next change of the view.
+    const std::vector<Instance> &instancesOf(std::string_view service) const;
+
+    /// The session, or nullptr. Valid until the next change of the view.
+    const wire::RouterSession *session(SessionId id) const;
+
+    /// Session of the instance, or none.
+    SessionId sessionOf(std::string_view service, std::string_view failureDomain, std::string_view instance) const;
+
+    /// Settings of an instance, registered or not. Valid until the next change of the view.
+    const EffectiveRow &effectiveRow(std::string_view service, std::string_view failureDomain, std::string_view instance) const;
+
+    /// Settings of the service; defaults if it is unknown. Valid until the next change of the view.
+    const ServiceSettings &serviceSettings(std::string_view service) const;
+
+    /// Names of the services that have a row or a session, sorted.
+    std::vector<std::string> services() const;
+
+    /// All rows by key.
+    const std::map<RowKey, wire::TableRow> &rows() const;
+
+    /// The row with this key, or nullptr.
+    const wire::TableRow *row(const RowKey &key) const;
+
+    /// All sessions by id.
+    const std::map<SessionId, wire::RouterSession> &sessions() const;
+
+    /// Assignments of all partitions of the service, by partition number; epoch 0: never owned. Empty if not divided by key.
+    std::span<const wire::Assignment> assignments(std::string_view service) const;
+
+    /// Hot key overrides of the service.
+    const std::map<KeyHash, wire::HotKey> &hotKeys(std::string_view service) const;
+
+    /// Partitions that the session owns, including those it is handing over.
+    std::vector<PartitionId> partitionsOf(SessionId id) const;
+
+private:
+    friend class ClusterState;
+    friend class LeavePlan;
+
+    void forgetCaches();
+
+    LogIndex m_version;
+    internal::StateTables m_tables;
+    mutable std::map<std::string, std::vector<Instance>, std::less<>> m_instances;
+    mutable internal::EffectiveRowCache m_effectiveRows;
+};
+
+} // namespace Toucandeck
