--- a/src/ownership/hot_key_planner.h
+++ b/src/ownership/hot_key_planner.h
@@ -6,8 +6,6 @@
 #include <cstddef>
 #include <map>
 #include <optional>
-#include <string>
-#include <utility>
 #include <vector>
 
 namespace Toucandeck
@@ -38,7 +36,7 @@
     bool busy = false;
 };
 
-/// Decision on one hot key: set the override to @p to; back home if @p to is the home.
+/// Decision on one hot key: move it to @p to; back home if @p to is the home.
 struct HotKeyChange
 {
     KeyHash key;
@@ -55,21 +53,40 @@
     static constexpr std::size_t kMaxOverrides = 16;
     /// A key stays this long where it was put, so that reports that lag behind cannot move it to and fro.
     static constexpr Duration kMinResidence = std::chrono::seconds(10);
+    /// Each further move of the same key doubles its residence up to this time: a key that overloads every instance it comes to is
+    /// not helped by moving.
+    static constexpr Duration kMaxResidence = std::chrono::seconds(320);
+    /// Least time between two changes of a service: several reports (200 ms) must show the effect of the first.
+    static constexpr Duration kChangeInterval = std::chrono::seconds(1);
     /// An owner must exceed the least loaded instance by this much (thousandths of slots) before a key moves.
     static constexpr std::uint32_t kMoveGapPermille = 300;
-    /// Keys below this rate stay with, or return to, their partition.
+    /// Owners below this load keep their keys, whatever the gap: queues do not form below it.
+    static constexpr std::uint32_t kBusyPermille = 600;
+    /// Requests per second below which no key gets an override; an instance of 9 slots serves several times as many.
     static constexpr double kMinRate = 50;
-    /// Share of kMinRate below which an override is removed; the gap to kMinRate is the hysteresis.
-    static constexpr double kReturnShare = 0.5;
+    /// An override is removed below this rate; the distance to kMinRate is the hysteresis.
+    static constexpr double kReturnRate = 20;
 
     explicit HotKeyPlanner(const Clock &clock);
 
-    /// At most one change per call, so that the next reports show its effect before another key moves.
+    /// At most one change per call.
     std::optional<HotKeyChange> plan(const std::vector<InstanceLoad> &instances, const std::vector<HotKeyLoad> &keys);
 
 private:
+    struct Placed
+    {
+        TimePoint since;
+        Duration residence;
+    };
+
+    bool mayMove(const HotKeyLoad &key, TimePoint now) const;
+    std::optional<HotKeyChange> returnHome(const std::vector<InstanceLoad> &instances, const std::vector<HotKeyLoad> &keys);
+    std::optional<HotKeyChange> relieve(const std::vector<InstanceLoad> &instances, const std::vector<HotKeyLoad> &keys);
+    HotKeyChange change(const HotKeyLoad &key, SessionId to);
+    void forgetCold(TimePoint now);
+
     const Clock &m_clock;
-    std::map<KeyHash, TimePoint> m_movedAt;
+    std::map<KeyHash, Placed> m_placed;
     std::optional<TimePoint> m_lastChange;
 };
 
--- /dev/null
+++ b/src/ownership/leave_times.cpp
@@ -0,0 +1,47 @@
+#include "ownership/leave_times.h"
+
+#include "ownership/events.h"
+
+namespace Toucandeck::internal
+{
+
+LeaveTimes::LeaveTimes(LeaderContext &context)
+    : m_context(context)
+{
+}
+
+void LeaveTimes::reset()
+{
+    m_pending.clear();
+}
+
+void LeaveTimes::plan()
+{
+    const auto now = m_context.wallMilliseconds();
+    for (const auto &[key, row] : m_context.view().rows()) {
+        if (row.has_leave_time_ms() && row.leave_time_ms() <= now && !m_pending.contains(key)) {
+            propose(row);
+        }
+    }
+}
+
+void LeaveTimes::propose(const wire::TableRow &row)
+{
+    const auto key = keyOf(row);
+    wire::Command command;
+    // The request id follows from the row: a second leader that proposes the same edit gets the first answer.
+    command.mutable_edit_table()->set_request_id("leave-time:" + toString(key) + ":" + std::to_string(row.revision()));
+    auto &edit = *command.mutable_edit_table()->add_edits();
+    setKey(*edit.mutable_row(), key);
+    const bool isServing = row.state() == wire::UNSET || row.state() == wire::SERVING;
+    if (isServing) {
+        edit.mutable_row()->set_state(wire::LEAVING);
+    }
+    edit.set_seen_revision(row.revision());
+    edit.add_clear("leave_time");
+    m_pending.insert(key);
+    m_context.parts.logger.write(OwnershipEvents::kLeaveTimeReached, { field("row", toString(key)) });
+    m_context.propose(command, [this, key](const CommandAnswer *) { m_pending.erase(key); });
+}
+
+} // namespace Toucandeck::internal
--- a/src/ownership/placement.h
+++ b/src/ownership/placement.h
@@ -16,6 +16,8 @@
     double weight = 1;
     /// False for an instance that leaves, is out or has no backend server: it loses its partitions by moves and receives none.
     bool mayOwn = true;
+    /// False for an instance that keeps what it has but gets nothing new, because it was not heard from lately.
+    bool mayReceive = true;
     /// Most partitions in motion towards it.
     std::uint32_t motionLimit = 4;
 };
--- /dev/null
+++ b/src/ownership/release_tracker.cpp
@@ -0,0 +1,130 @@
+#include "ownership/release_tracker.h"
+
+namespace Toucandeck::internal
+{
+
+namespace
+{
+
+using Groups = std::map<SessionId, OwnedItems>;
+
+void add(OwnedItems &items, PartitionId partition)
+{
+    items.partitions.push_back(partition);
+}
+
+void add(OwnedItems &items, KeyHash key)
+{
+    items.hotKeys.push_back(key);
+}
+
+std::vector<ReleaseGroup> listOf(const Groups &groups, const std::string &service)
+{
+    std::vector<ReleaseGroup> list;
+    for (const auto &[receiver, items] : groups) {
+        list.push_back({ receiver, items });
+        list.back().items.service = service;
+    }
+    return list;
+}
+
+/// Brings @p moves in line with @p present, the receivers of the items that the view shows as moving away. @p owned are the items
+/// that the view shows as owned.
+template<class Item, class Move>
+void compare(std::map<Item, Move> &moves,
+             const std::map<Item, SessionId> &present,
+             const std::map<Item, bool> &owned,
+             Groups &begun,
+             Groups &cancelled)
+{
+    for (auto it = moves.begin(); it != moves.end();) {
+        const auto now = present.find(it->first);
+        if (now != present.end() && now->second == it->second.receiver) {
+            ++it;
+            continue;
+        }
+        if (owned.contains(it->first)) {
+            add(cancelled[it->second.receiver], it->first);
+        }
+        it = moves.erase(it);
+    }
+    for (const auto &[item, receiver] : present) {
+        if (moves.try_emplace(item, Move{ receiver, false }).second) {
+            add(begun[receiver], item);
+        }
+    }
+}
+
+template<class Item, class Move>
+void collectReleased(const std::map<Item, Move> &moves, Groups &groups)
+{
+    for (const auto &[item, move] : moves) {
+        if (move.released) {
+            add(groups[move.receiver], item);
+        }
+    }
+}
+
+template<class Item, class Move>
+void mark(std::map<Item, Move> &moves, const std::vector<Item> &items)
+{
+    for (const auto item : items) {
+        const auto it = moves.find(item);
+        if (it != moves.end()) {
+            it->second.released = true;
+        }
+    }
+}
+
+} // namespace
+
+ReleaseTracker::Changes ReleaseTracker::update(const View &view, const std::string &service, SessionId self)
+{
+    std::map<PartitionId, SessionId> movingPartitions;
+    std::map<PartitionId, bool> ownedPartitions;
+    for (const auto &it : view.assignments(service)) {
+        if (it.owner() == self.value) {
+            ownedPartitions.emplace(PartitionId{ it.partition() }, true);
+            if (it.moving_to() != 0) {
+                movingPartitions.emplace(PartitionId{ it.partition() }, SessionId{ it.moving_to() });
+            }
+        }
+    }
+    std::map<KeyHash, SessionId> movingKeys;
+    std::map<KeyHash, bool> ownedKeys;
+    for (const auto &[key, it] : view.hotKeys(service)) {
+        if (it.owner() == self.value) {
+            ownedKeys.emplace(key, true);
+            if (it.moving_to() != 0) {
+                movingKeys.emplace(key, SessionId{ it.moving_to() });
+            }
+        }
+    }
+    Groups begun;
+    Groups cancelled;
+    compare(m_partitions, movingPartitions, ownedPartitions, begun, cancelled);
+    compare(m_hotKeys, movingKeys, ownedKeys, begun, cancelled);
+    return { listOf(begun, service), listOf(cancelled, service) };
+}
+
+void ReleaseTracker::markReleased(const OwnedItems &items)
+{
+    mark(m_partitions, items.partitions);
+    mark(m_hotKeys, items.hotKeys);
+}
+
+std::vector<ReleaseGroup> ReleaseTracker::released(const std::string &service) const
+{
+    Groups groups;
+    collectReleased(m_partitions, groups);
+    collectReleased(m_hotKeys, groups);
+    return listOf(groups, service);
+}
+
+void ReleaseTracker::clear()
+{
+    m_partitions.clear();
+    m_hotKeys.clear();
+}
+
+} // namespace Toucandeck::internal
