--- a/src/state/cluster_state.h
+++ b/src/state/cluster_state.h
@@ -53,8 +53,8 @@
 /// Hot keys: SetHotKey with the present owner of the partition and moving_to begins a move; ReleaseHotKey passes the key to
 /// moving_to with a higher epoch. SetHotKey with another owner is a grant and needs a key without a live owner. previous_epoch is
 /// that of the override, or of the partition while there is no override. SetHotKey with owner 0 and moving_to 0 drops an override
-/// that has no owner and did not crash, or whose owner also owns the partition; the partition's epoch is raised, so that the epoch
-/// of the key grows.
+/// whose owner also owns the partition, or that crashed like the partition; the partition's epoch is raised, so that the epoch of
+/// the key grows.
 ///
 /// RegisterSession of a session that is already registered for the same instance updates its addresses and flags.
 class ClusterState : public StateMachine
@@ -93,43 +93,45 @@
     using Handler = void (ClusterState::*)(const wire::Command &);
     static Handler handlerOf(wire::Command::BodyCase body);
 
+    // cluster_state_edits.cpp
     void editTable(const wire::Command &command);
-    void registerSession(const wire::Command &command);
-    void expireSession(const wire::Command &command);
-    void closeSession(const wire::Command &command);
-    void grantPartitions(const wire::Command &command);
-    void beginMoves(const wire::Command &command);
-    void releasePartitions(const wire::Command &command);
-    void setHotKey(const wire::Command &command);
-    void releaseHotKey(const wire::Command &command);
-
     wire::EditAnswer answerEdit(const wire::EditTable &edit);
     Result<void> checkEdits(const wire::EditTable &edit) const;
-    Result<void> checkAgainstPresent(const wire::RowEdit &edit) const;
-    void changeRows(const wire::EditTable &edit);
+    Result<void> checkRevision(const wire::RowEdit &edit) const;
+    void changeRow(const wire::RowEdit &edit);
     void rememberEdit(const std::string &requestId, const wire::EditAnswer &answer);
 
+    // cluster_state_sessions.cpp
+    void registerSession(const wire::Command &command);
     RegisterAnswer answerRegister(const wire::RouterSession &session) const;
+    void expireSession(const wire::Command &command);
+    void closeSession(const wire::Command &command);
     void endSession(SessionId id);
-    void endAssignments(SessionId id, const std::string &service);
-    void endHotKeys(SessionId id, const std::string &service);
 
+    // cluster_state_partitions.cpp
+    void grantPartitions(const wire::Command &command);
+    void beginMoves(const wire::Command &command);
+    void releasePartitions(const wire::Command &command);
     bool grantPartition(const wire::PartitionGrant &grant);
     bool beginMove(const wire::PartitionGrant &move);
     bool releasePartition(const wire::ReleasePartitions &release, std::uint32_t partition);
+    const wire::Assignment *assignment(const std::string &service, std::uint32_t partition) const;
+
+    // cluster_state_hot_keys.cpp
+    void setHotKey(const wire::Command &command);
+    void releaseHotKey(const wire::Command &command);
     bool startHotKey(const wire::SetHotKey &command, const wire::Assignment &partition);
     bool changeHotKey(const wire::SetHotKey &command, const wire::HotKey &present, const wire::Assignment &partition);
-    bool dropHotKey(const wire::HotKey &present, const wire::Assignment &partition);
-    void grantHotKey(wire::HotKey hotKey, SessionId owner, std::int64_t wallTime);
+    bool moveHotKey(const wire::HotKey &present, const wire::HotKey &wanted);
+    bool grantHotKey(wire::HotKey hotKey, const wire::HotKey &wanted);
+    bool dropHotKey(const wire::HotKey &present, wire::Assignment partition);
 
-    const wire::Assignment *assignment(const std::string &service, std::uint32_t partition) const;
-    bool isLiveSessionOf(SessionId id, const std::string &service) const;
-    Epoch takeEpoch();
+    // cluster_state.cpp
+    bool isLiveSessionOf(std::uint64_t session, const std::string &service) const;
+    std::uint64_t takeEpoch();
     void count(bool accepted);
-
-    void changeAssignment(const std::string &service, const wire::Assignment &assignment);
-    void changeHotKeyEntry(const wire::HotKey &hotKey);
-    void removeHotKeyEntry(const wire::HotKey &hotKey);
+    void changeAssignment(const std::string &service, const wire::Assignment &changed);
+    void changeHotKeyEntry(const wire::HotKey &changed);
     wire::ViewDelta takeDelta(LogIndex index);
     void collectAssignments(wire::ViewDelta &delta) const;
     void collectHotKeys(wire::ViewDelta &delta) const;
--- /dev/null
+++ b/src/state/csv_reader.cpp
@@ -0,0 +1,118 @@
+#include "state/csv_reader.h"
+
+#include <fmt/format.h>
+#include <utility>
+
+namespace Toucandeck::internal
+{
+
+namespace
+{
+
+class CsvScanner
+{
+public:
+    explicit CsvScanner(std::string_view text)
+        : m_text(text)
+    {
+    }
+
+    bool atEnd() const
+    {
+        return m_at >= m_text.size();
+    }
+
+    Result<CsvRecord> record()
+    {
+        CsvRecord record;
+        record.line = m_line;
+        do {
+            BOOST_LEAF_AUTO(field, scanField(record));
+            record.fields.push_back(std::move(field));
+        } while (take(','));
+        if (!atEnd() && !takeLineEnd()) {
+            return failHere(record, record.fields.size(), "text after the closing quote");
+        }
+        return record;
+    }
+
+private:
+    char peek() const
+    {
+        return atEnd() ? '\0' : m_text[m_at];
+    }
+
+    bool take(char c)
+    {
+        const bool found = !atEnd() && m_text[m_at] == c;
+        m_at += found ? 1 : 0;
+        return found;
+    }
+
+    bool takeLineEnd()
+    {
+        const auto rest = m_text.substr(m_at);
+        const std::size_t n = rest.starts_with("\r\n") ? 2 : rest.starts_with('\n') ? 1 : 0;
+        m_at += n;
+        m_line += n > 0 ? 1 : 0;
+        return n > 0;
+    }
+
+    Result<std::string> scanField(const CsvRecord &record)
+    {
+        return take('"') ? scanQuoted(record) : scanPlain(record);
+    }
+
+    Result<std::string> scanPlain(const CsvRecord &record)
+    {
+        std::string field;
+        while (!atEnd() && peek() != ',' && peek() != '\n' && !m_text.substr(m_at).starts_with("\r\n")) {
+            if (peek() == '"') {
+                return failHere(record, record.fields.size() + 1, "a quote inside a field that does not start with one");
+            }
+            field.push_back(m_text[m_at++]);
+        }
+        return field;
+    }
+
+    Result<std::string> scanQuoted(const CsvRecord &record)
+    {
+        std::string field;
+        while (!atEnd()) {
+            const char c = m_text[m_at++];
+            if (c == '"' && !take('"')) {
+                return field;
+            }
+            m_line += c == '\n' ? 1 : 0;
+            field.push_back(c);
+        }
+        return failHere(record, record.fields.size() + 1, "the closing quote is missing");
+    }
+
+    boost::leaf::error_id failHere(const CsvRecord &record, std::size_t column, std::string_view problem) const
+    {
+        return fail(ErrorCode::InvalidArgument, fmt::format("line {}, column {}: {}", record.line, column, problem));
+    }
+
+    std::string_view m_text;
+    std::size_t m_at = 0;
+    std::size_t m_line = 1;
+};
+
+} // namespace
+
+Result<std::vector<CsvRecord>> readCsv(std::string_view text)
+{
+    std::vector<CsvRecord> records;
+    CsvScanner scanner(text);
+    while (!scanner.atEnd()) {
+        BOOST_LEAF_AUTO(record, scanner.record());
+        const bool isEmptyLine = record.fields.size() == 1 && record.fields.front().empty();
+        if (!isEmptyLine) {
+            records.push_back(std::move(record));
+        }
+    }
+    return records;
+}
+
+} // namespace Toucandeck::internal
--- a/src/state/effective_row.h
+++ b/src/state/effective_row.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace Toucandeck
 {
@@ -56,6 +57,10 @@
 };
 
 constexpr std::uint32_t defaultPartitions = 256;
+constexpr std::uint32_t maxPartitions = 65'536;
+
+/// Reads the column "key" ("none", "segment:N" or "header:NAME") into keySource, segment and header. Nothing if it is malformed.
+std::optional<ServiceSettings> parseKeyColumn(std::string_view text);
 
 /// Reads the settings out of a service row. A malformed key counts as "none".
 ServiceSettings settingsOf(const wire::TableRow &serviceRow);
--- a/src/state/state_tables.h
+++ b/src/state/state_tables.h
@@ -23,7 +23,7 @@
     bool hasRow = false;
     std::vector<wire::Assignment> assignments; ///< By partition number; epoch 0: never owned.
     std::map<KeyHash, wire::HotKey> hotKeys;
-    std::map<std::pair<std::string, std::string>, SessionId, std::less<>> instances; ///< By failure domain and instance.
+    std::map<std::pair<std::string, std::string>, SessionId> instances; ///< By failure domain and instance.
 };
 
 /// Rows, sessions and assignments with their digest. Shared by View and ClusterState, so that both hold the same content.
--- a/src/state/table_columns.h
+++ b/src/state/table_columns.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "common/ids.h"
 #include "common/result.h"
 #include "state/row_key.h"
 
@@ -19,8 +20,10 @@
     void (*clear)(wire::TableRow &row);
     void (*copy)(const wire::TableRow &from, wire::TableRow &to);
     std::string (*text)(const wire::TableRow &row); ///< Only for a column that is set.
-    Result<void> (*parse)(wire::TableRow &row, std::string_view text);
-    Result<void> (*check)(const wire::TableRow &row); ///< Only for a column that is set.
+    /// Sets the column from text. Returns what is wrong with the text; empty: nothing.
+    std::string (*parse)(wire::TableRow &row, std::string_view text);
+    /// Returns what is wrong with the value of a column that is set; empty: nothing.
+    std::string (*check)(const wire::TableRow &row);
 };
 
 /// All columns in display order: weight, slots, connections, state, leave_time, key, partitions, fenced.
--- a/src/state/view.h
+++ b/src/state/view.h
@@ -39,6 +39,26 @@
     EffectiveRow row;
 };
 
+namespace internal
+{
+
+/// Results of lookups. A copy starts empty, because the results point into the view that they were computed from.
+struct ViewCaches
+{
+    ViewCaches() = default;
+    ViewCaches(const ViewCaches &other);
+    ViewCaches &operator=(const ViewCaches &other);
+    ~ViewCaches() = default;
+
+    /// Drops what the change may have made wrong.
+    void forget(const wire::ViewDelta &delta);
+
+    std::map<std::string, std::vector<Instance>, std::less<>> instances;
+    EffectiveRowCache effectiveRows;
+};
+
+} // namespace internal
+
 /// Table, sessions and assignments as one router or controller sees them. Lookups cache results and are not thread-safe.
 class View
 {
@@ -77,8 +97,8 @@
     /// Session of the instance, or none.
     SessionId sessionOf(std::string_view service, std::string_view failureDomain, std::string_view instance) const;
 
-    /// Settings of an instance, registered or not. Valid until the next change of the view.
-    const EffectiveRow &effectiveRow(std::string_view service, std::string_view failureDomain, std::string_view instance) const;
+    /// Settings of an instance, registered or not.
+    EffectiveRow effectiveRow(std::string_view service, std::string_view failureDomain, std::string_view instance) const;
 
     /// Settings of the service; defaults if it is unknown. Valid until the next change of the view.
     const ServiceSettings &serviceSettings(std::string_view service) const;
@@ -108,12 +128,12 @@
     friend class ClusterState;
     friend class LeavePlan;
 
-    void forgetCaches();
+    EffectiveRow computeEffectiveRow(std::string_view service, std::string_view failureDomain, std::string_view instance) const;
+    bool putAll(const wire::ViewDelta &delta);
 
     LogIndex m_version;
     internal::StateTables m_tables;
-    mutable std::map<std::string, std::vector<Instance>, std::less<>> m_instances;
-    mutable internal::EffectiveRowCache m_effectiveRows;
+    mutable internal::ViewCaches m_caches;
 };
 
 } // namespace Toucandeck
--- /dev/null
+++ b/test/state/random_commands.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "common/random_source.h"
+#include "state/view.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace Toucandeck::testing
+{
+
+/// Draws commands that fit the present state about as often as they do not.
+class RandomCommands
+{
+public:
+    explicit RandomCommands(RandomSource &random);
+
+    wire::Command next(const View &view);
+
+    /// Edit with a fresh request id and mostly with the present revisions.
+    wire::Command edit(const View &view);
+
+    bool oneIn(std::uint64_t n);
+
+private:
+    wire::RowEdit randomRowEdit(const View &view);
+    void randomValues(wire::TableRow &row);
+    wire::Command registration(const View &view);
+    wire::Command sessionEnd(const View &view);
+    wire::Command grants(const View &view, bool moves);
+    wire::Command release(const View &view);
+    wire::Command hotKey(const View &view);
+    wire::Command hotKeyRelease(const View &view);
+    std::string service();
+    std::uint64_t session(const View &view);
+    /// Session of the service if there is one, to make commands that take effect.
+    std::uint64_t sessionOf(const View &view, const std::string &service);
+    template<class T>
+    const T &pick(const std::vector<T> &all);
+
+    RandomSource &m_random;
+    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_lastSession = 0;
+};
+
+} // namespace Toucandeck::testing
--- /dev/null
+++ b/test/state/state_run.cpp
@@ -0,0 +1,238 @@
+#include "state/state_run.h"
+
+#include <fmt/format.h>
+
+namespace Toucandeck::testing
+{
+
+namespace
+{
+
+/// Far fewer than ClusterState keeps, so that each resend must get its first answer.
+constexpr std::size_t resendWindow = 500;
+
+constexpr std::uint64_t watchedKeys = 16; // includes all hashes for which RandomCommands sets overrides
+
+} // namespace
+
+StateRun::StateRun(std::uint64_t seed)
+    : m_random(seed)
+    , m_commands(m_random)
+{
+}
+
+std::uint64_t StateRun::steps() const
+{
+    return m_steps;
+}
+
+const std::map<std::string, std::uint64_t> &StateRun::faults() const
+{
+    return m_faults;
+}
+
+const std::vector<std::string> &StateRun::violations() const
+{
+    return m_violations;
+}
+
+void StateRun::expect(bool condition, const std::string &violation)
+{
+    if (!condition) {
+        m_violations.push_back(fmt::format("step {}: {}", m_steps, violation));
+    }
+}
+
+void StateRun::step()
+{
+    ++m_steps;
+    if (m_commands.oneIn(40)) {
+        race();
+    } else if (m_commands.oneIn(30) && !m_sentEdits.empty()) {
+        resend();
+    } else if (m_commands.oneIn(100)) {
+        ++m_faults["malformed"];
+        applyBytes("\xff\xff\xff");
+    } else {
+        apply(m_commands.next(m_state.view()));
+    }
+    if (m_commands.oneIn(50)) {
+        restart();
+    }
+    feedView();
+}
+
+void StateRun::apply(const wire::Command &command)
+{
+    m_naive.apply(m_index + 1, command);
+    applyBytes(command.SerializeAsString());
+    if (command.has_edit_table()) {
+        m_sentEdits.push_back(command);
+        checkEdit(command.edit_table());
+    } else if (command.has_register_session()) {
+        expect(m_state.lastAnswer().registration.value().accepted == m_naive.registered, "registration differs from the naive version");
+    } else if (command.has_expire_session() || command.has_close_session()) {
+        m_faults["session_ends"] += m_state.lastAnswer().accepted;
+    } else {
+        m_faults["void_parts"] += m_state.lastAnswer().voided;
+    }
+    if (command.has_begin_moves()) {
+        m_faults["moves"] += m_state.lastAnswer().accepted;
+    }
+    if (command.has_release_partitions()) {
+        m_faults["releases"] += m_state.lastAnswer().accepted;
+    }
+}
+
+void StateRun::applyBytes(const std::string &bytes)
+{
+    const auto before = m_state.view().toWire();
+    // The log also holds entries that are not commands, so indices have gaps.
+    m_state.apply(LogIndex{ ++m_index }, bytes);
+    checkState(before);
+}
+
+void StateRun::checkEdit(const wire::EditTable &edit)
+{
+    const auto &answer = m_state.lastAnswer().edit.value();
+    expect(answer.status() == m_naive.editStatus, "edit answer differs from the naive version: " + answer.message());
+    if (!edit.request_id().empty()) {
+        const auto [first, isNew] = m_firstAnswers.emplace(edit.request_id(), answer.SerializeAsString());
+        expect(first->second == answer.SerializeAsString(), "a resent edit did not get its first answer");
+    }
+}
+
+/// Two edits of the same row that name the same revision.
+void StateRun::race()
+{
+    ++m_faults["racing_edits"];
+    const auto first = m_commands.edit(m_state.view());
+    auto second = first;
+    second.mutable_edit_table()->set_request_id(first.edit_table().request_id() + "-rival");
+    const auto before = m_state.view().toWire();
+    apply(first);
+    const bool isChanged = m_state.lastAnswer().edit->status() == wire::ACCEPTED && m_state.view().toWire().digest() != before.digest();
+    apply(second);
+    expect(!isChanged || m_state.lastAnswer().edit->status() == wire::CONFLICT, "both of two edits with equal revisions were accepted");
+}
+
+void StateRun::resend()
+{
+    ++m_faults["resends"];
+    const auto window = std::min(m_sentEdits.size(), resendWindow);
+    const auto edit = m_sentEdits[m_sentEdits.size() - 1 - m_random.below(window)];
+    apply(edit);
+}
+
+/// A controller that restarts: the state continues from its snapshot, the deltas are lost.
+void StateRun::restart()
+{
+    ++m_faults["restarts"];
+    const auto snapshot = m_state.snapshot();
+    ClusterState restored;
+    const bool ok = handleError(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(restored.restore(snapshot));
+            return true;
+        },
+        [](const Error &) { return false; });
+    expect(ok, "the snapshot cannot be restored");
+    expect(restored.snapshot() == snapshot, "the snapshot of a restored state differs");
+    expect(dump(restored.view()) == dump(m_state.view()), "a restored state differs");
+    m_state = std::move(restored);
+}
+
+void StateRun::checkState(const wire::ViewState &before)
+{
+    const auto &view = m_state.view();
+    expect(dump(view) == m_naive.dump(), fmt::format("differs from the naive version:\n{}naive:\n{}", dump(view), m_naive.dump()));
+    expect(view.version().value == m_index && before.version() < m_index, "version does not follow the log");
+    expect(view.digest() == view.computeDigest(), "digest differs from the recomputed one");
+    for (const auto &[key, row] : view.rows()) {
+        auto &last = m_lastRevisions[toString(key)];
+        expect(row.revision() >= last, "revision went back");
+        last = row.revision();
+    }
+    for (const auto &service : view.services()) {
+        for (const auto &it : view.assignments(service)) {
+            checkOwner(fmt::format("{}/{}", service, it.partition()), *view.ownerOf(service, PartitionId{ it.partition() }));
+        }
+        for (std::uint64_t hash = 0; hash < watchedKeys; ++hash) {
+            if (const auto owner = view.ownerOf(service, KeyHash{ hash })) {
+                checkOwner(fmt::format("{}#{}", service, hash), *owner);
+            }
+        }
+    }
+}
+
+/// Follows a partition, or a key through the beginning and end of its override.
+void StateRun::checkOwner(const std::string &item, const Owner &present)
+{
+    auto &last = m_lastOwners[item];
+    expect(present.epoch >= last.epoch, item + ": epoch went back");
+    if (present.session && present.session != last.session) {
+        const bool wasFree = !last.session || m_state.view().session(last.session) == nullptr;
+        expect(wasFree || last.movingTo == present.session, item + ": owner replaced without a release");
+        expect(present.epoch > last.epoch, item + ": two owners with one epoch");
+        expect(m_state.view().session(present.session) != nullptr, item + ": the owner is not registered");
+        expect(present.hotKey || item.find('#') != std::string::npos || m_usedEpochs.insert(present.epoch).second,
+               item + ": epoch used twice");
+    }
+    expect(!last.session || present.session || present.crashed, item + ": an owner was lost without a trace");
+    last = present;
+}
+
+void StateRun::copyView()
+{
+    expect(m_view.applySnapshot(m_state.view().toWire()), "a full copy does not match its digest");
+}
+
+void StateRun::feedView()
+{
+    if (m_commands.oneIn(3)) {
+        ++m_faults["late_deltas"];
+        return;
+    }
+    const auto deltas = m_state.deltasSince(m_view.version());
+    if (!deltas) {
+        ++m_faults["full_copies"];
+        copyView();
+    } else {
+        for (const auto &it : deltas->deltas()) {
+            feedDelta(it);
+        }
+    }
+    if (m_view.version() == m_state.view().version()) {
+        expect(dump(m_view) == dump(m_state.view()), "the view differs from the state at the same version");
+        expect(m_view.digest() == m_state.view().digest(), "the digest of the view differs at the same version");
+    }
+}
+
+void StateRun::feedDelta(const wire::ViewDelta &delta)
+{
+    const auto before = dump(m_view);
+    const auto version = m_view.version();
+    const bool fits = delta.from_version() == version.value;
+    if (m_commands.oneIn(50)) {
+        ++m_faults["lost_deltas"];
+        return;
+    }
+    if (fits && m_commands.oneIn(50)) {
+        ++m_faults["altered_deltas"];
+        auto altered = delta;
+        altered.add_removed_sessions(1);
+        altered.add_rows()->set_service("drift");
+        expect(!m_view.applyDelta(altered) && m_view.version() == LogIndex(), "a view that has drifted stays in use");
+        copyView();
+        return;
+    }
+    expect(m_view.applyDelta(delta) == fits, "applyDelta misjudged whether the delta fits");
+    expect(fits || (m_view.version() == version && dump(m_view) == before), "a delta out of order changed the view");
+    if (fits && m_commands.oneIn(20)) {
+        ++m_faults["repeated_deltas"];
+        const auto after = dump(m_view);
+        expect(!m_view.applyDelta(delta) && dump(m_view) == after, "a repeated delta changed the view");
+    }
+}
+
+} // namespace Toucandeck::testing
