Declare the interfaces of admission and routing

Cause: the router role is written at the same time and needs the interfaces to compile against. Conclusion: implementations follow behind these interfaces.

--- /dev/null
+++ b/src/routing/key_extractor.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "common/result.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Toucandeck
+{
+
+/// Value of a request header; nothing if it is absent. Names are compared without regard to case by the implementer.
+using HeaderLookup = std::function<std::optional<std::string_view>(std::string_view name)>;
+
+/// Header of the key unless the service row names another.
+constexpr std::string_view kDefaultKeyHeader = "Toucandeck-Key";
+
+/// Takes the key out of a request as the service row's column `key` says.
+class KeyExtractor
+{
+public:
+    /// Reads "none", "segment:N" or "header:NAME". Fails with InvalidArgument for anything else.
+    static Result<KeyExtractor> parse(std::string_view text);
+
+    /// False for "none": any instance may serve any request.
+    bool isKeyed() const;
+
+    /// The key, percent-decoded if it is a path segment; nothing if the service is not keyed. @p path follows the service name
+    /// and begins with '/'; segment 1 is the first one in it. Fails with InvalidArgument if the request has no key.
+    Result<std::optional<std::string>> extract(std::string_view path, const HeaderLookup &headers) const;
+
+private:
+    enum class Kind {
+        None,
+        Segment,
+        Header,
+    };
+
+    Kind m_kind = Kind::None;
+    unsigned m_segment = 0;
+    std::string m_header;
+};
+
+} // namespace Toucandeck
