Implement admission and routing

Cause: the declared interfaces had no implementation. Change: AdmissionController with queue, connection budget, limits and cold start ramp; IdempotencyTable; key extraction, request headers, choosers, outlier detection, retries, hedging, hot keys. Conclusion: the interfaces are usable by the daemon.

--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -99,14 +99,15 @@
 
     bool mayUseSlot(unsigned depth) const;
     unsigned slotsForDepth(unsigned depth) const;
-    Start start(std::uint64_t id, unsigned depth, bool openConnection);
+    bool mayStartWaiting() const;
+    bool admitsNew() const;
+    Start start(const Offer &offer, bool openConnection);
     Refusal refuse(std::uint64_t id, ErrorCode code, std::string message);
     Decision enqueue(const Offer &offer);
     std::optional<Refusal> refusalAtOffer(const Offer &offer);
-    bool tryStartQueued(PollResult &result);
-    void refuseHopeless(PollResult &result);
-    TimePoint lastStart(const Offer &offer) const;
-    Duration expectedWait(const Offer &offer) const;
+    Refusal refuseQueued(const Offer &offer);
+    TimePoint latestStart(const QueuedOffer &queued) const;
+    Duration expectedWait(bool nested) const;
     void releaseLingering();
     void releaseSlot(unsigned depth);
 
@@ -124,6 +125,7 @@
     std::unordered_map<std::uint64_t, Running> m_running;
     std::deque<Lingering> m_lingering;
     std::array<unsigned, kMaxDepth + 1> m_byDepth{}; ///< Slots in use per depth.
+    unsigned m_inFlight = 0; ///< Sum of m_byDepth.
 };
 
 } // namespace Toucandeck
--- /dev/null
+++ b/src/admission/aimd_limit.cpp
@@ -0,0 +1,41 @@
+#include "admission/aimd_limit.h"
+
+#include <algorithm>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+constexpr double kBackoff = 0.9;
+constexpr unsigned kLowest = kMaxDepth + 1; // one slot per depth, so that nested calls never block each other
+
+} // namespace
+
+void AimdLimit::setMaximum(unsigned slots)
+{
+    // A limit that was at the old maximum follows it; a learned one stays.
+    m_limit = m_limit >= m_maximum ? slots : std::min<double>(m_limit, slots);
+    m_maximum = slots;
+}
+
+void AimdLimit::record(const LimitSample &sample)
+{
+    if (sample.kind == AnswerKind::Cancelled) {
+        return;
+    }
+    if (sample.kind != AnswerKind::Ok) {
+        m_limit *= kBackoff;
+    } else if (2 * sample.inFlight >= limit()) {
+        m_limit += 1 / std::max(m_limit, 1.0);
+    }
+    m_limit = std::min<double>(std::max<double>(m_limit, kLowest), m_maximum);
+}
+
+unsigned AimdLimit::limit() const
+{
+    return static_cast<unsigned>(m_limit);
+}
+
+} // namespace Toucandeck
--- a/src/admission/cold_start_ramp.h
+++ b/src/admission/cold_start_ramp.h
@@ -4,15 +4,20 @@
 
 #include "common/latency_window.h"
 
+#include <optional>
+
 namespace Toucandeck
 {
 
 struct ColdStartOptions
 {
     unsigned windowPerLimit = 4; ///< Successes per unit of the limit before it doubles.
-    Duration windowTime = std::chrono::milliseconds(250); ///< Least time at one limit.
+    /// Least time at one limit. A backend server that warms up evenly over 2 s from 2 slots to 9 bears 8 after 1.71 s, which
+    /// the third window must not precede.
+    Duration windowTime = std::chrono::milliseconds(600);
     double jumpFactor = 6; ///< Latency above this multiple of the median counts as cold; stragglers are five times slower.
     unsigned jumpAnswers = 5; ///< Consecutive answers above before the ramp restarts.
+    std::size_t leastAnswers = 32; ///< Below this many recent answers the median says nothing.
     Duration latencySpan = std::chrono::seconds(10);
 };
 
@@ -29,12 +34,12 @@
     unsigned limit() const override;
 
 private:
-    bool isCold(const Outcome &outcome);
+    bool isLatencyJump(Duration latency);
     void countSuccess();
 
     const Clock &m_clock;
     ColdStartOptions m_options;
-    LatencyWindow m_latency;
+    std::optional<LatencyWindow> m_latency; ///< Without answers that count as slow.
     unsigned m_maximum = 0;
     unsigned m_limit = 0;
     unsigned m_successes = 0;
--- a/src/admission/idempotency_record.h
+++ b/src/admission/idempotency_record.h
@@ -3,8 +3,8 @@
 #include "common/ids.h"
 #include "common/time.h"
 
-#include <compare>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -20,7 +20,7 @@
     KeyHash keyHash;
     std::string idempotencyKey;
 
-    auto operator<=>(const IdempotencyId &) const = default;
+    bool operator==(const IdempotencyId &) const = default;
 };
 
 struct IdempotencyRequest
@@ -44,3 +44,13 @@
 };
 
 } // namespace Toucandeck
+
+template<>
+struct std::hash<Toucandeck::IdempotencyId>
+{
+    std::size_t operator()(const Toucandeck::IdempotencyId &id) const noexcept
+    {
+        // The key hash is uniform; the idempotency key separates requests for a hot key.
+        return id.keyHash.value ^ std::hash<std::string>()(id.idempotencyKey) ^ (std::hash<std::string>()(id.service) << 1U);
+    }
+};
--- a/src/admission/idempotency_table.h
+++ b/src/admission/idempotency_table.h
@@ -6,11 +6,11 @@
 #include "common/clock.h"
 #include "common/result.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <span>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 
 namespace Toucandeck
@@ -105,7 +105,7 @@
         std::shared_ptr<const StoredAnswer> answer;
         std::vector<std::uint64_t> waiters;
     };
-    using Records = std::map<IdempotencyId, Record>;
+    using Records = std::unordered_map<IdempotencyId, Record>;
 
     void expire();
     void end(Records::iterator it, State state, std::shared_ptr<const StoredAnswer> answer, TimePoint ended);
--- a/src/admission/offer.h
+++ b/src/admission/offer.h
@@ -21,7 +21,8 @@
     unsigned depth = 0; ///< Number of calls this one is nested in, at most kMaxDepth.
     TimePoint deadline;
     bool nested = false; ///< Sent by a backend server, not by a caller.
-    bool statusCheck = false; ///< Started or refused at once, never queued. Only nested requests may set it.
+    /// Makes no further calls and may use every slot. Started or refused at once; it waits only for the opening of a connection.
+    bool statusCheck = false;
 };
 
 /// The request must be sent to the backend server now.
--- a/src/admission/request_queue.h
+++ b/src/admission/request_queue.h
@@ -8,19 +8,28 @@
 #include <functional>
 #include <optional>
 #include <unordered_set>
+#include <vector>
 
 namespace Toucandeck
 {
 
+/// A waiting request.
+struct QueuedOffer
+{
+    Offer offer;
+    TimePoint since;
+};
+
 /// Bounded queue with two classes, callers' and service-to-service work, which are served in turn. Within a class the
 /// deeper call goes first, because a shallower one waits for it; within a depth the order is that of arrival.
 class RequestQueue
 {
 public:
+    /// @param perClass is the most requests that wait in a class.
     explicit RequestQueue(std::size_t perClass);
 
-    /// False if the class is full.
-    bool push(const Offer &offer);
+    /// False if the class is full. The id must not be in the queue.
+    bool push(const Offer &offer, TimePoint now);
 
     /// Removes and returns the next request for which @p mayStart(depth) holds.
     std::optional<Offer> pop(const std::function<bool(unsigned)> &mayStart);
@@ -28,20 +37,20 @@
     /// Counts a start that bypassed the queue, so that the classes stay even.
     void countStart(bool nested);
 
-    /// Removes all requests for which @p unwanted holds, in order of arrival per depth.
-    std::vector<Offer> removeIf(const std::function<bool(const Offer &)> &unwanted);
+    /// Removes and returns all requests for which @p unwanted holds.
+    std::vector<QueuedOffer> removeIf(const std::function<bool(const QueuedOffer &)> &unwanted);
     bool remove(std::uint64_t id);
     bool contains(std::uint64_t id) const;
 
-    /// Whether a request that @p other could overtake waits: one of the same class that is as deep or deeper.
-    bool hasAhead(const Offer &other) const;
+    /// Depth of the deepest request that waits.
+    std::optional<unsigned> deepest() const;
 
     std::size_t size() const;
     std::size_t size(bool nested) const;
-    void forEach(const std::function<void(const Offer &)> &visit) const;
+    void forEach(const std::function<void(const QueuedOffer &)> &visit) const;
 
 private:
-    using Depths = std::array<std::deque<Offer>, kMaxDepth + 1>;
+    using Depths = std::array<std::deque<QueuedOffer>, kMaxDepth + 1>;
 
     std::optional<Offer> popClass(std::size_t which, const std::function<bool(unsigned)> &mayStart);
 
--- a/src/common/latency_window.cpp
+++ b/src/common/latency_window.cpp
@@ -2,6 +2,7 @@
 
 #include "common/assert.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/histogram.hpp>
 #include <cmath>
--- a/src/routing/hot_key_sketch.h
+++ b/src/routing/hot_key_sketch.h
@@ -35,14 +35,13 @@
     std::size_t size() const;
 
 private:
-    void decay();
-    void heapUp(std::size_t place);
-    void heapDown(std::size_t place);
+    double weight();
+    void sift(std::size_t place);
     void swapPlaces(std::size_t a, std::size_t b);
 
     const Clock &m_clock;
     HotKeyOptions m_options;
-    TimePoint m_decayed;
+    TimePoint m_landmark; ///< A request at this time weighs 1; later ones weigh more, which equals decay of the earlier ones.
     std::vector<HotKey> m_heap; ///< Least frequent first.
     std::unordered_map<KeyHash, std::size_t> m_places;
 };
--- a/src/routing/outlier_detector.h
+++ b/src/routing/outlier_detector.h
@@ -3,7 +3,9 @@
 #include "common/latency_window.h"
 #include "log/logger.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -24,6 +26,7 @@
     virtual bool isOnProbation(std::uint64_t instance) const = 0;
 
     /// An instance on probation that is due to get one request as a probe, which this call takes; nothing if none is due.
+    /// Ask only for idempotent requests, which can be hedged while the probe is slow.
     virtual std::optional<std::uint64_t> takeProbe() = 0;
 };
 
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -9,8 +9,9 @@
 class RetryBudget
 {
 public:
-    /// @param share of requests, from 0 to 1; @param burst is the most attempts that can be saved up, at least 1.
-    RetryBudget(double share, double burst);
+    /// @param share of requests, from 0 to 1; @param burst is the most attempts that can be saved up, at least 1;
+    /// @param initial attempts are allowed before any request.
+    RetryBudget(double share, double burst, double initial = 0);
 
     /// A first attempt was made.
     void countRequest();
@@ -24,6 +25,7 @@
 private:
     double m_share;
     double m_burst;
+    double m_initial;
     double m_saved;
     std::uint64_t m_requests = 0;
     std::uint64_t m_taken = 0;
--- a/src/routing/retry_policy.h
+++ b/src/routing/retry_policy.h
@@ -48,6 +48,7 @@
 {
     double share = 0.1; ///< Of requests.
     double burst = 10; ///< Retries saved up at most.
+    double initial = 1; ///< Lets the first request of an idle router be retried.
     unsigned mostAttempts = 3;
     Duration firstDelay = std::chrono::milliseconds(5); ///< Doubles with each attempt; half of it is jitter.
 };
--- a/src/routing/two_choices.h
+++ b/src/routing/two_choices.h
@@ -7,8 +7,9 @@
 
 struct TwoChoicesOptions
 {
-    /// Cost of leaving the failure domain, added to the latency: a round trip between the domains of either deployment.
-    Duration domainPenalty = std::chrono::milliseconds(8);
+    /// Added to the cost of an instance in another failure domain because links between domains are costly. Their delay is
+    /// part of the recent latency already.
+    Duration domainPenalty = std::chrono::milliseconds(2);
     Duration unknownLatency = std::chrono::milliseconds(5); ///< Assumed for an instance without answers yet.
     Duration reportLifetime = std::chrono::milliseconds(500); ///< A load report counts less with age and not at all after this.
     /// Share of a report that counts. Below 1 because reports lag, and own in-flight requests are exact.
