Use the bounded-load placement in the controller role

Cause: the strategy is named BoundedLoadPlacement in ownership/bounded_load.h. Change: include path only. Ruled out: nothing. Conclusion: compiles with module ownership.

--- a/src/daemon/controller_role.h
+++ b/src/daemon/controller_role.h
@@ -3,7 +3,7 @@
 #include "daemon/event_ring.h"
 #include "daemon/operator_api.h"
 #include "daemon/replica_driver.h"
-#include "ownership/bounded_load_placement.h"
+#include "ownership/bounded_load.h"
 #include "ownership/coordinator.h"
 #include "runtime/metrics.h"
 #include "runtime/supervisor.h"
