Add replica, file log store and memory log store

Ruled out: a separate identity file, since losing only the log would then leave a voter without its entries; a record per entry, since a crash could then tear more than the last record.

--- /dev/null
+++ b/src/consensus/core_leader.cpp
@@ -0,0 +1,220 @@
+#include "consensus/quorum.h"
+#include "consensus/replica_core.h"
+
+#include "common/assert.h"
+
+#include <algorithm>
+
+namespace Toucandeck::internal
+{
+
+namespace
+{
+
+void toWire(const LogEntry &entry, wire::ReplicaEntry *message)
+{
+    message->set_index(entry.index.value);
+    message->set_term(entry.term.value);
+    message->set_data(entry.data);
+    switch (entry.kind) {
+    case EntryKind::Command:
+        return message->set_kind(wire::ReplicaEntry::COMMAND);
+    case EntryKind::Membership:
+        return message->set_kind(wire::ReplicaEntry::MEMBERSHIP);
+    case EntryKind::Noop:
+        return message->set_kind(wire::ReplicaEntry::NOOP);
+    }
+}
+
+} // namespace
+
+void ReplicaCore::leaderTick()
+{
+    if (!hearsQuorumOf(m_log.membership())) {
+        return stepDown("no quorum answered within an election timeout");
+    }
+    if (m_clock.now() < m_nextHeartbeat) {
+        return;
+    }
+    m_heartbeatDue = true;
+    m_nextHeartbeat = m_clock.now() + m_options.heartbeat;
+    for (auto &[replica, progress] : m_progress) {
+        progress.inFlight = 0;
+        progress.chunkInFlight = false;
+    }
+}
+
+bool ReplicaCore::hearsQuorumOf(const Membership &membership, ReplicaId except) const
+{
+    const auto oldest = m_clock.now() - m_options.electionTimeoutMax;
+    return isQuorum(membership, [this, oldest, except](ReplicaId replica) {
+        if (replica == m_id || replica == except) {
+            return replica != except;
+        }
+        const auto it = m_progress.find(replica);
+        return it != m_progress.end() && it->second.lastHeard >= oldest;
+    });
+}
+
+void ReplicaCore::refreshProgress()
+{
+    const auto &membership = m_log.membership();
+    std::erase_if(m_progress, [&membership](const auto &it) { return membership.find(it.first) == nullptr; });
+    for (const auto &it : membership.members) {
+        if (it.replica == m_id || m_progress.contains(it.replica)) {
+            continue;
+        }
+        Progress progress;
+        progress.next = LogIndex{ m_log.lastIndex().value + 1 };
+        progress.lastHeard = m_clock.now();
+        m_progress.emplace(it.replica, std::move(progress));
+    }
+}
+
+void ReplicaCore::sendAppends(ReplicaId to, Progress &progress, bool heartbeat)
+{
+    bool sent = false;
+    // A replica that is gone gets only heartbeats: repeated entries would cost up to appendBytes each.
+    const bool answers = m_clock.now() - progress.lastHeard <= m_options.electionTimeoutMax;
+    while (answers && !progress.sending && progress.next <= m_log.lastIndex()) {
+        const auto limit = progress.probing ? 1 : m_options.appendsInFlight;
+        if (progress.inFlight >= limit || !sendEntries(to, progress)) {
+            break;
+        }
+        sent = true;
+    }
+    if (answers && progress.sending) {
+        sendChunk(to, progress);
+    }
+    if (heartbeat && !sent) {
+        const LogIndex previous{ progress.next.value - 1 };
+        const auto known = m_log.termAt(previous);
+        // A follower that needs a snapshot refuses every append message; this one only shows that the leader lives.
+        const auto base = known ? previous : m_log.lastIndex();
+        sendAppend(to, base, *m_log.termAt(base), {});
+    }
+}
+
+bool ReplicaCore::sendEntries(ReplicaId to, Progress &progress)
+{
+    const LogIndex previous{ progress.next.value - 1 };
+    const auto previousTerm = m_log.termAt(previous);
+    if (!previousTerm) {
+        startSnapshotFor(progress);
+        return false;
+    }
+    const auto entries = nextEntries(progress.next);
+    sendAppend(to, previous, *previousTerm, entries);
+    ++progress.inFlight;
+    if (!progress.probing) {
+        progress.next.value += entries.size();
+    }
+    return true;
+}
+
+std::vector<LogEntry> ReplicaCore::nextEntries(LogIndex from) const
+{
+    std::vector<LogEntry> entries;
+    std::size_t bytes = 0;
+    for (auto index = from; index <= m_log.lastIndex(); ++index.value) {
+        const auto &entry = m_log.at(index);
+        bytes += entry.data.size();
+        if (!entries.empty() && bytes > m_options.appendBytes) {
+            break;
+        }
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+void ReplicaCore::sendAppend(ReplicaId to, LogIndex previous, Term previousTerm, std::span<const LogEntry> entries)
+{
+    auto message = this->message(to);
+    auto *request = message.mutable_append_request();
+    request->set_previous_index(previous.value);
+    request->set_previous_term(previousTerm.value);
+    request->set_commit_index(m_commitIndex.value);
+    request->set_read_round(m_round);
+    for (const auto &it : entries) {
+        toWire(it, request->add_entries());
+    }
+    m_transport.send(to, message);
+}
+
+void ReplicaCore::onAppendReply(const wire::ReplicaMessage &message)
+{
+    const auto found = m_progress.find(ReplicaId{ message.from() });
+    if (m_role != Role::Leader || found == m_progress.end()) {
+        return;
+    }
+    auto &progress = found->second;
+    const auto &reply = message.append_reply();
+    progress.lastHeard = m_clock.now();
+    progress.ackedRound = std::max(progress.ackedRound, reply.read_round());
+    progress.inFlight -= std::min<std::size_t>(progress.inFlight, 1);
+    const LogIndex index{ reply.index() };
+    if (!reply.accepted()) {
+        return onRejected(progress, index);
+    }
+    TOUCANDECK_ASSERT(index <= m_log.lastIndex(), "a follower acknowledges only what the leader has sent");
+    progress.match = std::max(progress.match, index);
+    progress.next = std::max(progress.next, LogIndex{ progress.match.value + 1 });
+    progress.probing = false;
+    if (progress.sending && progress.match >= progress.sending->lastIndex) {
+        progress.sending.reset();
+    }
+}
+
+void ReplicaCore::onRejected(Progress &progress, LogIndex hint)
+{
+    // A rejection that points at or before the matched entries, or after the next one, is a late duplicate.
+    if (progress.sending || hint <= progress.match || hint >= progress.next) {
+        return;
+    }
+    progress.next = hint;
+    progress.probing = true;
+    progress.inFlight = 0;
+}
+
+bool ReplicaCore::isSyncedOnQuorum(LogIndex index) const
+{
+    return isQuorum(m_log.membership(), [this, index](ReplicaId replica) { return syncedIndexOf(replica) >= index; });
+}
+
+void ReplicaCore::advanceLeaderCommit()
+{
+    std::vector<LogIndex> candidates;
+    for (const auto &it : m_log.membership().members) {
+        candidates.push_back(syncedIndexOf(it.replica));
+    }
+    std::sort(candidates.rbegin(), candidates.rend());
+    for (const auto index : candidates) {
+        // An entry of an earlier term is committed only together with a later one of this term: a replica without it could
+        // still be elected (leader completeness).
+        if (index <= m_commitIndex || m_log.termAt(index) != m_hardState.term) {
+            return;
+        }
+        if (isSyncedOnQuorum(index)) {
+            return setCommit(index);
+        }
+    }
+}
+
+LogIndex ReplicaCore::syncedIndexOf(ReplicaId member) const
+{
+    if (m_role != Role::Leader) {
+        return {};
+    }
+    if (member == m_id) {
+        return m_syncedIndex;
+    }
+    const auto it = m_progress.find(member);
+    return it == m_progress.end() ? LogIndex{} : it->second.match;
+}
+
+bool ReplicaCore::isNeededForQuorum(ReplicaId member) const
+{
+    return m_role == Role::Leader && !hearsQuorumOf(m_log.membership(), member);
+}
+
+} // namespace Toucandeck::internal
--- a/src/consensus/log_entry.h
+++ b/src/consensus/log_entry.h
@@ -56,4 +56,8 @@
     std::vector<LogEntry> entries; ///< Entries after the snapshot, without gaps.
 };
 
+/// Removes the entries that a snapshot replaces: those up to its index, and all if the entry at its index has another term
+/// or is missing.
+void replaceBySnapshot(StoredState &state, const Snapshot &snapshot);
+
 } // namespace Toucandeck
--- a/src/consensus/membership.h
+++ b/src/consensus/membership.h
@@ -55,6 +55,9 @@
 wire::MembershipConfig toWire(const Membership &membership);
 Membership fromWire(const wire::MembershipConfig &config);
 
+/// Checks that ids are set and unique and that there is a voter. Errors: InvalidArgument.
+Result<void> checkMembership(const Membership &membership);
+
 /// Checks that @p after differs from @p before in exactly one replica and by an allowed step: a learner added, a replica
 /// removed, a learner promoted, or the addresses of one replica changed.
 /// Errors: InvalidArgument (malformed, for example a duplicate id), Refused (not an allowed step).
--- a/src/consensus/memory_log_store.h
+++ b/src/consensus/memory_log_store.h
@@ -2,8 +2,6 @@
 
 #include "consensus/log_store.h"
 
-#include <functional>
-
 namespace Toucandeck
 {
 
