--- a/src/consensus/core_election.cpp
+++ b/src/consensus/core_election.cpp
@@ -43,6 +43,12 @@
     return m_leader && m_clock.now() - m_lastLeaderContact < m_options.electionTimeoutMin;
 }
 
+bool ReplicaCore::refusesVotes() const
+{
+    // A leader counts on this for leadsSurely(). After a start the time of the last message from the leader is unknown.
+    return hearsLeader() || m_clock.now() - m_loadedAt < m_options.electionTimeoutMin;
+}
+
 bool ReplicaCore::isUpToDate(const wire::VoteRequest &request) const
 {
     if (request.last_term() != m_log.lastTerm().value) {
@@ -144,7 +150,7 @@
 {
     // Pre-votes are refused while a leader is heard, so that a replica that returns from a partition deposes nobody.
     const bool granted
-        = message.term() > m_hardState.term.value && !m_log.isEmpty() && !hearsLeader() && isUpToDate(message.vote_request());
+        = message.term() > m_hardState.term.value && !m_log.isEmpty() && !refusesVotes() && isUpToDate(message.vote_request());
     auto reply = this->message(ReplicaId{ message.from() });
     if (granted) {
         reply.set_term(message.term());
--- a/src/consensus/core_leader.cpp
+++ b/src/consensus/core_leader.cpp
@@ -38,6 +38,7 @@
     }
     m_heartbeatDue = true;
     m_nextHeartbeat = m_clock.now() + m_options.heartbeat;
+    std::erase_if(m_roundStarts, [this](const auto &it) { return it.second < m_clock.now() - m_options.electionTimeoutMax; });
     for (auto &[replica, progress] : m_progress) {
         progress.inFlight = 0;
         progress.chunkInFlight = false;
@@ -150,7 +151,7 @@
     auto &progress = found->second;
     const auto &reply = message.append_reply();
     progress.lastHeard = m_clock.now();
-    progress.ackedRound = std::max(progress.ackedRound, reply.read_round());
+    confirmRound(progress, reply.read_round());
     progress.inFlight -= std::min<std::size_t>(progress.inFlight, 1);
     const LogIndex index{ reply.index() };
     if (!reply.accepted()) {
@@ -165,6 +166,31 @@
     }
 }
 
+void ReplicaCore::confirmRound(Progress &progress, std::uint64_t round)
+{
+    const auto start = m_roundStarts.find(round);
+    if (start == m_roundStarts.end() || round <= progress.ackedRound) {
+        return;
+    }
+    progress.ackedRound = round;
+    progress.ackedRoundStart = start->second;
+}
+
+bool ReplicaCore::leadsSurely() const
+{
+    if (m_role != Role::Leader || m_failure) {
+        return false;
+    }
+    // A follower refuses votes for electionTimeoutMin after each message that it answered, counted by its own clock, which is later
+    // than the start of the round here. The margin covers the drift of both clocks, 1,000 ppm each.
+    constexpr int kMarginParts = 100;
+    const auto oldest = m_clock.now() - (m_options.electionTimeoutMin - m_options.electionTimeoutMin / kMarginParts);
+    return isQuorum(m_log.membership(), [this, oldest](ReplicaId replica) {
+        const auto it = m_progress.find(replica);
+        return replica == m_id || (it != m_progress.end() && it->second.ackedRound > 0 && it->second.ackedRoundStart > oldest);
+    });
+}
+
 void ReplicaCore::onRejected(Progress &progress, LogIndex hint)
 {
     // A rejection that points at or before the matched entries, or after the next one, is a late duplicate.
--- a/src/consensus/core_messages.cpp
+++ b/src/consensus/core_messages.cpp
@@ -38,6 +38,10 @@
         refuseOldTerm(message);
         return false;
     }
+    // Disregarded as a whole: taking over the term would end the contact with the leader.
+    if (message.has_vote_request() && !message.vote_request().pre_vote() && refusesVotes()) {
+        return false;
+    }
     const bool preVoteRequest = message.has_vote_request() && message.vote_request().pre_vote();
     const bool grantedPreVote = message.has_vote_reply() && message.vote_reply().pre_vote() && message.vote_reply().granted();
     // Pre-votes carry the term that the candidate would start, which nobody is in yet.
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -86,6 +86,11 @@
     return m_core->isLeaderReady();
 }
 
+bool Replica::leadsSurely() const
+{
+    return m_core->leadsSurely();
+}
+
 ReplicaId Replica::id() const
 {
     return m_core->id();
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -77,6 +77,11 @@
     /// True if this replica leads and has applied an entry of its own term, and with it everything committed earlier.
     bool isLeaderReady() const;
 
+    /// True only while no other replica can have been elected: this replica leads, and a quorum has answered messages that it sent
+    /// within the last minimum election timeout, counted from their sending. Voters refuse votes for that time after each message of
+    /// the leader and after their start.
+    bool leadsSurely() const;
+
     ReplicaId id() const;
     Term term() const;
 
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -51,6 +51,7 @@
     BOOST_LEAF_CHECK(startLog());
     m_syncedHardState = m_hardState;
     m_syncedIndex = m_log.lastIndex();
+    m_loadedAt = m_clock.now();
     resetElectionTimer();
     return {};
 }
@@ -98,8 +99,10 @@
     }
     promoteLearners();
     const auto newReads = std::any_of(m_reads.begin(), m_reads.end(), [this](const PendingRead &it) { return it.round > m_round; });
-    if (newReads) {
+    if (newReads || m_heartbeatDue) {
         ++m_round;
+        m_roundStart = m_clock.now();
+        m_roundStarts.emplace(m_round, m_roundStart);
     }
     // Entries leave before the local sync so that the leader and the followers sync at the same time.
     TOUCANDECK_ASSERT(m_syncedHardState.term == m_hardState.term, "a leader's term is synced before it sends in it");
--- a/src/consensus/replica_core.h
+++ b/src/consensus/replica_core.h
@@ -24,6 +24,7 @@
     LogIndex next; ///< First entry of the next append message.
     TimePoint lastHeard;
     std::uint64_t ackedRound = 0; ///< Latest round of leadership confirmation that it answered.
+    TimePoint ackedRoundStart{}; ///< When that round was started here.
     bool probing = true; ///< The end of its log is unknown; one append message at a time.
     std::size_t inFlight = 0; ///< Append messages with entries that it has not answered; reset at each heartbeat.
     std::shared_ptr<const Snapshot> sending; ///< Set while it receives a snapshot.
@@ -54,6 +55,7 @@
 
     bool isLeader() const;
     bool isLeaderReady() const;
+    bool leadsSurely() const;
     ReplicaId id() const;
     Term term() const;
     std::optional<ReplicaId> leader() const;
@@ -108,6 +110,7 @@
 
     // Election.
     bool hearsLeader() const;
+    bool refusesVotes() const;
     bool isUpToDate(const wire::VoteRequest &request) const;
     void resetElectionTimer();
     void electionTimeout();
@@ -138,6 +141,7 @@
     void sendAppend(ReplicaId to, LogIndex previous, Term previousTerm, std::span<const LogEntry> entries);
     std::vector<LogEntry> nextEntries(LogIndex from) const;
     void onAppendReply(const wire::ReplicaMessage &message);
+    void confirmRound(Progress &progress, std::uint64_t round);
     void onRejected(Progress &progress, LogIndex hint);
     void advanceLeaderCommit();
     bool isSyncedOnQuorum(LogIndex index) const;
@@ -201,6 +205,9 @@
     TimePoint m_nextHeartbeat;
     bool m_heartbeatDue = false;
     std::uint64_t m_round = 0; ///< Latest round of leadership confirmation that was sent.
+    TimePoint m_roundStart; ///< Start of that round.
+    std::map<std::uint64_t, TimePoint> m_roundStarts; ///< Starts of the rounds within the last election timeout.
+    TimePoint m_loadedAt; ///< Votes are refused for an election timeout after it.
     std::vector<PendingRead> m_reads;
     std::map<LogIndex, std::vector<std::function<void(ProposalOutcome)>>> m_outcomes;
 
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -4,6 +4,7 @@
 #include "daemon/replica_driver.h"
 #include "ownership/coordinator.h"
 #include "runtime/http_server.h"
+#include "state/leave_plan.h"
 
 #include <functional>
 #include <memory>
