--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -22,7 +22,7 @@
 
 struct AdmissionOptions
 {
-    BackendLimits limits;
+    BackendLimits limits{};
     std::size_t queuePerClass = 64; ///< Queued requests of callers, and as many of services.
     Duration connectionSpacing = std::chrono::milliseconds(1);
     /// A cancelled request holds its slot this long, because the backend server notices a closed connection late.
--- a/src/routing/candidate.h
+++ b/src/routing/candidate.h
@@ -26,7 +26,7 @@
     bool onProbation = false; ///< Chosen only if no other instance can be.
     unsigned inFlight = 0; ///< Requests of this router from sending until the whole answer is there.
     Duration recentLatency{}; ///< Median of recent answers, network included; zero if unknown.
-    std::optional<LoadReport> report;
+    std::optional<LoadReport> report{};
 };
 
 } // namespace Toucandeck
--- /dev/null
+++ b/test/admission/test_admission_controller.cpp
@@ -0,0 +1,215 @@
+// Guards against more work than slots and connections, lost or doubled decisions, and work for a leaving instance.
+#include "admission/fixture.h"
+
+#include <rapidcheck/gtest.h>
+
+using namespace Toucandeck;
+using Toucandeck::Testing::AdmissionFixture;
+using namespace std::chrono_literals;
+
+TEST(AdmissionController, KeepsASlotForEachDeeperCall)
+{
+    AdmissionFixture it;
+    EXPECT_EQ(it.startAll(0, false), 6U);
+    EXPECT_EQ(it.startAll(1, true), 1U);
+    EXPECT_EQ(it.startAll(2, true), 1U);
+    EXPECT_EQ(it.startAll(3, true), 1U);
+    EXPECT_EQ(it.controller.inFlight(), 9U);
+}
+
+TEST(AdmissionController, CallersAreNotStarvedByServices)
+{
+    AdmissionFixture it;
+    EXPECT_EQ(it.startAll(3, true), 9U); // one more waits
+    ASSERT_TRUE(std::holds_alternative<Queued>(it.offer(0, false)));
+    const auto caller = it.lastId;
+    ASSERT_TRUE(std::holds_alternative<Queued>(it.offer(3, true)));
+    unsigned finishes = 0;
+    for (const auto id : it.running) {
+        it.finish(id);
+        ++finishes;
+        const auto starts = it.controller.poll().starts;
+        ASSERT_EQ(starts.size(), 1U);
+        if (starts[0].id == caller) {
+            break;
+        }
+    }
+    EXPECT_LE(finishes, 2U);
+}
+
+TEST(AdmissionController, ClassesTakeTurnsUnderBacklog)
+{
+    AdmissionFixture it;
+    it.startAll(3, true);
+    for (int n = 0; n < 8; ++n) {
+        it.offer(0, false);
+        it.offer(1, true);
+    }
+    unsigned callers = 0;
+    for (std::size_t n = 0; n < 8; ++n) {
+        it.finish(it.running[n]);
+        for (const auto &start : it.controller.poll().starts) {
+            callers += start.id % 2 == 1 ? 1 : 0; // offers alternate, callers' have odd ids after the ten first ones
+        }
+    }
+    EXPECT_GE(callers, 3U);
+    EXPECT_LE(callers, 5U);
+}
+
+TEST(AdmissionController, StatusCheckNeverQueues)
+{
+    AdmissionFixture it;
+    it.startAll(0, false);
+    EXPECT_TRUE(std::holds_alternative<Start>(it.offer(1, true, 1s, true)));
+    it.startAll(3, true);
+    it.controller.poll();
+    EXPECT_EQ(it.controller.inFlight(), 9U);
+    const auto decision = it.offer(1, true, 1s, true);
+    ASSERT_TRUE(std::holds_alternative<Refusal>(decision));
+    EXPECT_EQ(std::get<Refusal>(decision).code, ErrorCode::Overloaded);
+}
+
+TEST(AdmissionController, OpensAtMostOneConnectionPerMillisecond)
+{
+    AdmissionFixture it;
+    const auto deadline = it.clock.now() + 10s;
+    EXPECT_TRUE(std::get<Start>(it.controller.offer({ 1, 0, deadline })).openConnection);
+    EXPECT_TRUE(std::holds_alternative<Queued>(it.controller.offer({ 2, 0, deadline })));
+    EXPECT_EQ(it.controller.nextWakeup(), it.clock.now() + 1ms);
+    EXPECT_TRUE(it.controller.poll().starts.empty());
+    it.clock.advance(1ms);
+    ASSERT_EQ(it.controller.poll().starts.size(), 1U);
+    it.finish(1);
+    EXPECT_FALSE(std::get<Start>(it.controller.offer({ 3, 0, deadline })).openConnection);
+}
+
+TEST(AdmissionController, StaysBelowTheConnectionLimitWhenTheTableLowersIt)
+{
+    AdmissionFixture it(AdmissionOptions{ .limits = { 9, 4 } });
+    EXPECT_EQ(it.startAll(0, false), 4U);
+    it.finish(1);
+    it.controller.setLimits({ 9, 2 });
+    EXPECT_EQ(it.controller.surplusConnections(), 1U);
+    EXPECT_TRUE(it.controller.poll().starts.empty());
+    it.controller.connectionClosed();
+    it.finish(2, AnswerKind::Ok, 4ms, false);
+    EXPECT_TRUE(it.controller.poll().starts.empty());
+    it.finish(3);
+    EXPECT_EQ(it.controller.poll().starts.size(), 1U);
+    EXPECT_EQ(it.controller.openConnections(), 2U);
+}
+
+TEST(AdmissionController, RefusesWhatCannotMeetItsDeadline)
+{
+    AdmissionFixture it;
+    it.startAll(0, false);
+    it.finish(it.running[0], AnswerKind::Ok, 20ms);
+    it.controller.poll();
+    const auto late = it.offer(0, false, 10ms);
+    ASSERT_TRUE(std::holds_alternative<Refusal>(late));
+    EXPECT_EQ(std::get<Refusal>(late).code, ErrorCode::DeadlineExceeded);
+    EXPECT_EQ(std::get<Refusal>(late).verdict, Verdict::NotRun);
+    ASSERT_TRUE(std::holds_alternative<Queued>(it.offer(0, false, 50ms)));
+    const auto waiting = it.lastId;
+    ASSERT_TRUE(it.controller.nextWakeup());
+    it.clock.advance(*it.controller.nextWakeup() - it.clock.now());
+    const auto refusals = it.controller.poll().refusals;
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].id, waiting);
+}
+
+TEST(AdmissionController, QueueIsBoundedAndRetryAfterVaries)
+{
+    AdmissionFixture it(AdmissionOptions{ .queuePerClass = 3 });
+    it.startAll(0, false); // leaves one waiting
+    it.offer();
+    it.offer();
+    std::vector<Duration> advice;
+    for (int n = 0; n < 4; ++n) {
+        const auto decision = it.offer();
+        ASSERT_TRUE(std::holds_alternative<Refusal>(decision));
+        advice.push_back(std::get<Refusal>(decision).retryAfter);
+        EXPECT_GE(advice.back(), 500ms);
+        EXPECT_LE(advice.back(), 1500ms);
+    }
+    EXPECT_NE(advice[0], advice[1]);
+    EXPECT_TRUE(std::holds_alternative<Start>(it.offer(1, true))); // the other class is not affected
+}
+
+TEST(AdmissionController, LeavingAdmitsNothingNewAndLetsTheRestFinish)
+{
+    AdmissionFixture it;
+    it.startAll(0, false);
+    it.controller.setState(ServingState::Leaving);
+    const auto refusals = it.controller.poll().refusals;
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].code, ErrorCode::Unavailable);
+    EXPECT_TRUE(std::holds_alternative<Refusal>(it.offer()));
+    for (const auto id : it.running) {
+        it.finish(id);
+    }
+    EXPECT_TRUE(it.controller.isIdle());
+}
+
+TEST(AdmissionController, CancelledRequestHoldsItsSlotForTheGrace)
+{
+    AdmissionFixture it;
+    it.startAll(0, false);
+    EXPECT_FALSE(it.controller.cancel(it.running[0]));
+    it.finish(it.running[0], AnswerKind::Cancelled, 1ms, false);
+    EXPECT_TRUE(it.controller.poll().starts.empty());
+    EXPECT_EQ(it.controller.inFlight(), 6U);
+    it.clock.advance(10ms);
+    EXPECT_EQ(it.controller.poll().starts.size(), 1U);
+    it.offer();
+    EXPECT_TRUE(it.controller.cancel(it.lastId));
+}
+
+TEST(AdmissionController, ColdNestedCallIsRefusedInsteadOfStallingItsCaller)
+{
+    AdmissionFixture it({}, true);
+    it.controller.setCold(true);
+    EXPECT_EQ(it.startAll(0, false), 1U);
+    ASSERT_TRUE(std::holds_alternative<Queued>(it.offer(1, true)));
+    it.clock.advance(50ms);
+    const auto refusals = it.controller.poll().refusals;
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals[0].id, it.lastId);
+}
+
+TEST(AdmissionControllerDeath, ReleasingASlotTwiceAborts)
+{
+    AdmissionFixture it;
+    it.offer();
+    it.finish(it.lastId);
+    EXPECT_DEATH(it.finish(it.lastId), "finishes once");
+}
+
+// Where no limit is reached, every strategy must start the same requests at the same moment.
+RC_GTEST_PROP(AdmissionDifferential, SameStartsAsNaiveBelowTheLimits, (const std::vector<std::uint8_t> &steps))
+{
+    ManualClock clock;
+    SeededRandom random(1);
+    NullLogger logger;
+    AdmissionController ours({}, std::make_unique<GradientLimit>(), std::make_unique<ColdStartRamp>(clock), clock, random, logger);
+    AdmissionController naive({ .depthReserve = false }, std::make_unique<FixedLimit>(), std::make_unique<NoRamp>(), clock, random, logger);
+    std::vector<std::uint64_t> running;
+    std::uint64_t id = 0;
+    for (const auto step : steps) {
+        clock.advance(1ms);
+        if (running.size() >= 4 || (step % 2 == 0 && !running.empty())) {
+            const auto done = running.front();
+            running.erase(running.begin());
+            ours.finished(done, { AnswerKind::Ok, 4ms, true });
+            naive.finished(done, { AnswerKind::Ok, 4ms, true });
+            continue;
+        }
+        const Offer offer{ ++id, step % 4U, clock.now() + 1s, step % 4U > 0, false };
+        const auto mine = ours.offer(offer);
+        const auto theirs = naive.offer(offer);
+        RC_ASSERT(std::holds_alternative<Start>(mine));
+        RC_ASSERT(std::holds_alternative<Start>(theirs));
+        RC_ASSERT(std::get<Start>(mine).openConnection == std::get<Start>(theirs).openConnection);
+        running.push_back(id);
+    }
+}
