Reconnect to peers whose handshake failed and count all failed handshakes

Cause: the library gives a connection up for good after a failed handshake, and a peer without CURVE that closes first is reported without detail; the descriptor of the monitor stayed silent because its event state had never been read. Ruled out: an unlimited retry by the library, which has none after a protocol error.

--- a/src/runtime/events.h
+++ b/src/runtime/events.h
@@ -11,7 +11,7 @@
 inline constexpr Event kMessageDropped{
     6002, LogLevel::Warning, "message_dropped", "A message to a peer was dropped because its queue is full or its peer unreachable."
 };
-inline constexpr Event kPeerRejected{ 6003, LogLevel::Warning, "peer_rejected", "A peer failed CURVE authentication." };
+inline constexpr Event kPeerRejected{ 6003, LogLevel::Warning, "peer_rejected", "A peer failed the handshake or CURVE authentication." };
 inline constexpr Event kPeerLimit{
     6004, LogLevel::Error, "peer_limit", "The limit on peers is reached; messages to further peers are dropped."
 };
--- a/src/runtime/message_monitor.cpp
+++ b/src/runtime/message_monitor.cpp
@@ -13,7 +13,9 @@
 {
     auto monitor = std::unique_ptr<MessageMonitor>(new MessageMonitor(std::move(onFailed)));
     const auto endpoint = fmt::format("inproc://toucandeck.monitor.{}", fmt::ptr(watched.get()));
-    if (zmq_socket_monitor(watched.get(), endpoint.c_str(), ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL) != 0) {
+    // A peer without CURVE may close first, which ends the handshake without detail.
+    constexpr int kFailures = ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL | ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL;
+    if (zmq_socket_monitor(watched.get(), endpoint.c_str(), kFailures) != 0) {
         return fail(ErrorCode::Io, std::string("cannot monitor the message socket: ") + zmq_strerror(zmq_errno()));
     }
     BOOST_LEAF_ASSIGN(monitor->m_socket, context.socket(ZMQ_PAIR));
@@ -21,6 +23,8 @@
         return fail(ErrorCode::Io, std::string("cannot connect to the socket monitor: ") + zmq_strerror(zmq_errno()));
     }
     monitor->m_readable = loop.onReadable(descriptorOf(monitor->m_socket), [raw = monitor.get()] { raw->process(); });
+    // The descriptor signals only after the event state has been read once.
+    monitor->process();
     return monitor;
 }
 
--- a/src/runtime/message_peer.h
+++ b/src/runtime/message_peer.h
@@ -6,6 +6,7 @@
 #include "runtime/message_socket.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 
 namespace Toucandeck::internal
@@ -35,17 +36,30 @@
         TimePoint since;
     };
 
-    MessagePeer(EventLoop &loop, const MessageSocketOptions &options, std::function<void(std::size_t)> onDropped);
-    void setOptions(const CurveKeys *keys, const std::string &serverKey);
+    MessagePeer(EventLoop &loop,
+                const MessageContext &context,
+                const MessageSocketOptions &options,
+                const std::string &address,
+                const CurveKeys *keys,
+                const std::string &serverKey,
+                std::function<void(std::size_t)> onDropped);
+    void setOptions();
+    Result<void> open();
     void process();
     void dropOld();
+    void reopen();
 
     EventLoop &m_loop;
+    const MessageContext &m_context;
     const MessageSocketOptions &m_options;
+    std::string m_address;
+    const CurveKeys *m_keys;
+    std::string m_serverKey;
     std::function<void(std::size_t)> m_onDropped;
     ZmqSocket m_socket;
     std::deque<Waiting> m_waiting; ///< Until the connection stands or the library's queue has room.
     TimePoint m_lastUse;
+    std::optional<TimePoint> m_stuckSince; ///< First message that had to wait since the last one left.
     EventLoop::Watch m_readable;
     EventLoop::Watch m_dropTimer;
 };
--- a/src/runtime/message_socket.h
+++ b/src/runtime/message_socket.h
@@ -4,7 +4,7 @@
 #include "log/logger.h"
 #include "runtime/event_loop.h"
 
-#include "wire/envelope.pb.h"
+#include "envelope.pb.h"
 
 #include <cstdint>
 #include <deque>
@@ -46,7 +46,7 @@
     std::uint64_t receivedBytes = 0;
     std::uint64_t dropped = 0; ///< Not sent: queue full, too old, or peer unreachable.
     std::uint64_t undecodable = 0;
-    std::uint64_t rejectedPeers = 0; ///< Handshakes that failed authentication.
+    std::uint64_t rejectedPeers = 0; ///< Connections that failed the handshake or authentication.
 };
 
 namespace internal
--- a/src/runtime/zap_handler.cpp
+++ b/src/runtime/zap_handler.cpp
@@ -37,6 +37,8 @@
         return fail(ErrorCode::Io, std::string("cannot bind the authentication handler: ") + zmq_strerror(zmq_errno()));
     }
     zap->m_readable = loop.onReadable(descriptorOf(zap->m_socket), [raw = zap.get()] { raw->process(); });
+    // The descriptor signals only after the event state has been read once.
+    zap->process();
     return zap;
 }
 
