--- a/src/runtime/events.h
+++ b/src/runtime/events.h
@@ -2,7 +2,10 @@
 
 #include "log/event.h"
 
-namespace Toucandeck::RuntimeEvents
+#include <array>
+
+/// Events of module runtime, 6000 to 6999.
+namespace Toucandeck::Events
 {
 
 inline constexpr Event kMessageUndecodable{
@@ -39,4 +42,10 @@
     6040, LogLevel::Error, "message_transport_failed", "A call of the message library failed."
 };
 
-} // namespace Toucandeck::RuntimeEvents
+/// All events of module runtime.
+inline constexpr std::array kRuntimeEvents{ &kMessageUndecodable, &kMessageDropped,        &kPeerRejected,    &kPeerLimit,
+                                            &kHttpListening,      &kHttpStopped,           &kHttpStopForced,  &kHttpStaleConnection,
+                                            &kTraceFileFailed,    &kComponentStarted,      &kComponentFailed, &kComponentStopped,
+                                            &kSupervisorGaveUp,   &kMessageTransportFailed };
+
+} // namespace Toucandeck::Events
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -115,7 +115,7 @@
             return connection;
         }
         ++m_stale;
-        m_logger.write(RuntimeEvents::kHttpStaleConnection, { field("target", pool.target) });
+        m_logger.write(Events::kHttpStaleConnection, { field("target", pool.target) });
         discard(pool, connection);
     }
     return nullptr;
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -131,7 +131,7 @@
     socklen_t size = sizeof address;
     getsockname(evconnlistener_get_fd(listener), reinterpret_cast<sockaddr *>(&address), &size);
     m_port = ntohs(address.sin_port);
-    m_logger.write(RuntimeEvents::kHttpListening, { field("address", this->address()) });
+    m_logger.write(Events::kHttpListening, { field("address", this->address()) });
     return {};
 }
 
@@ -308,9 +308,9 @@
     m_lingerTimer.cancel();
     m_stopTimer.cancel();
     if (forced) {
-        m_logger.write(RuntimeEvents::kHttpStopForced, { field("in_flight", m_inFlight) });
+        m_logger.write(Events::kHttpStopForced, { field("in_flight", m_inFlight) });
     } else {
-        m_logger.write(RuntimeEvents::kHttpStopped, { field("address", address()) });
+        m_logger.write(Events::kHttpStopped, { field("address", address()) });
     }
     // The callback usually destroys this server, which must not happen within a callback of the library.
     m_loop.runSoon([done = std::move(m_stopDone), alive = m_alive] {
--- a/src/runtime/message_socket.cpp
+++ b/src/runtime/message_socket.cpp
@@ -41,10 +41,10 @@
     internal::LogThrottle peerLimit;
 
     Parts(const Clock &clock, Logger &logger)
-        : undecodable(clock, logger, RuntimeEvents::kMessageUndecodable)
-        , dropped(clock, logger, RuntimeEvents::kMessageDropped)
-        , rejected(clock, logger, RuntimeEvents::kPeerRejected)
-        , peerLimit(clock, logger, RuntimeEvents::kPeerLimit)
+        : undecodable(clock, logger, Events::kMessageUndecodable)
+        , dropped(clock, logger, Events::kMessageDropped)
+        , rejected(clock, logger, Events::kPeerRejected)
+        , peerLimit(clock, logger, Events::kPeerLimit)
     {
     }
 };
@@ -112,7 +112,7 @@
     std::array<char, 256> endpoint{};
     std::size_t size = endpoint.size();
     zmq_getsockopt(socket.get(), ZMQ_LAST_ENDPOINT, endpoint.data(), &size);
-    m_address = endpoint.data();
+    m_address = m_options.advertisedAddress.empty() ? endpoint.data() : m_options.advertisedAddress;
     m_parts->readable = m_loop.onReadable(internal::descriptorOf(socket), [this] { receive(); });
     m_parts->idleTimer
         = m_loop.every(std::max<Duration>(m_options.peerIdle / 4, std::chrono::milliseconds(1)), [this] { closeIdlePeers(); });
--- a/src/runtime/message_socket.h
+++ b/src/runtime/message_socket.h
@@ -30,6 +30,7 @@
 struct MessageSocketOptions
 {
     std::string address; ///< "tcp://IP:PORT"; port 0 takes a free port.
+    std::string advertisedAddress; ///< Address that peers answer to, if it is not the one bound.
     std::optional<CurveOptions> curve;
     int highWaterMark = 4096; ///< Messages queued per peer and direction; bounds memory at a slow peer.
     std::size_t maxMessageBytes = 8U << 20U; ///< Larger messages close the connection. 1 MiB bodies and snapshot chunks fit.
--- a/src/runtime/supervisor.cpp
+++ b/src/runtime/supervisor.cpp
@@ -71,7 +71,7 @@
     handleError(
         [&]() -> Result<void> {
             BOOST_LEAF_CHECK(child.component->start(report));
-            m_logger.write(RuntimeEvents::kComponentStarted, { field("component", child.component->name()) });
+            m_logger.write(Events::kComponentStarted, { field("component", child.component->name()) });
             return {};
         },
         [&](const Error &error) { report(error.message); });
@@ -80,7 +80,7 @@
 void Supervisor::childFailed(Child &child, const std::string &reason)
 {
     const auto now = m_loop.clock().now();
-    m_logger.write(RuntimeEvents::kComponentFailed, { field("component", child.component->name()), field("reason", reason) });
+    m_logger.write(Events::kComponentFailed, { field("component", child.component->name()), field("reason", reason) });
     child.running = false;
     ++child.incarnation;
     child.component->abort();
@@ -92,7 +92,7 @@
     }
     child.failures.push_back(now);
     if (static_cast<int>(child.failures.size()) > m_policy.maxFailures) {
-        m_logger.write(RuntimeEvents::kSupervisorGaveUp, { field("supervisor", m_name), field("component", child.component->name()) });
+        m_logger.write(Events::kSupervisorGaveUp, { field("supervisor", m_name), field("component", child.component->name()) });
         if (m_onFailure) {
             m_onFailure(child.component->name() + ": " + reason);
         }
@@ -124,7 +124,7 @@
     ++child.incarnation;
     auto next = [this, alive = m_alive, remaining, done = std::move(done)] {
         if (*alive) {
-            m_logger.write(RuntimeEvents::kComponentStopped, { field("component", m_children[remaining - 1]->component->name()) });
+            m_logger.write(Events::kComponentStopped, { field("component", m_children[remaining - 1]->component->name()) });
             stopNext(remaining - 1, done);
         }
     };
--- a/src/runtime/tracer.cpp
+++ b/src/runtime/tracer.cpp
@@ -118,7 +118,7 @@
     if (!file.empty()) {
         m_file.open(file, std::ios::app);
         if (!m_file) {
-            m_logger.write(RuntimeEvents::kTraceFileFailed, { field("file", file) });
+            m_logger.write(Events::kTraceFileFailed, { field("file", file) });
         }
     }
 }
@@ -162,7 +162,7 @@
     m_file << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << std::endl;
     if (!m_file && !m_failed) {
         m_failed = true;
-        m_logger.write(RuntimeEvents::kTraceFileFailed, {});
+        m_logger.write(Events::kTraceFileFailed, {});
     }
 }
 
