--- a/standin/link_main.cpp
+++ b/standin/link_main.cpp
@@ -45,7 +45,7 @@
 {
     std::string buf;
     for (const auto &[port, relay] : links) {
-        buf += fmt::format("{} {}\n", port, relay->bytes());
+        buf += fmt::format("{} {} {}\n", port, relay->bytes(), relay->packets());
     }
     return buf;
 }
--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -60,6 +60,7 @@
     Duration delay{};
     bool cut = false;
     std::uint64_t bytes = 0;
+    std::uint64_t packets = 0;
     std::set<Connection *> connections;
 };
 
@@ -119,6 +120,7 @@
     auto *input = bufferevent_get_input(from);
     std::string bytes(evbuffer_get_length(input), '\0');
     evbuffer_remove(input, bytes.data(), bytes.size());
+    ++direction.connection->relay->packets;
     direction.waiting.push_back({ now() + direction.connection->relay->delay, std::move(bytes) });
     deliverDue(direction);
 }
@@ -233,4 +235,9 @@
     return d->bytes;
 }
 
+std::uint64_t LinkRelay::packets() const
+{
+    return d->packets;
+}
+
 } // namespace Toucandeck::Standin
--- a/standin/link_relay.h
+++ b/standin/link_relay.h
@@ -29,6 +29,8 @@
     void reset();
     std::uint16_t listenPort() const;
     std::uint64_t bytes() const;
+    /// Reads from a socket, each of which stands for at least one packet.
+    std::uint64_t packets() const;
 
     struct Private;
 
--- a/standin/local_cluster.cpp
+++ b/standin/local_cluster.cpp
@@ -414,22 +414,22 @@
     controlLink("state=open");
 }
 
-std::map<std::string, std::uint64_t> LocalCluster::linkBytes()
+std::map<std::string, LinkTraffic> LocalCluster::linkTraffic()
 {
-    std::map<std::string, std::uint64_t> bytes;
+    std::map<std::string, LinkTraffic> traffic;
     HttpRequest request;
     const auto result = call(loopback(m_linkControlPort), request, kCallTimeout);
     std::istringstream lines(result.response ? result.response->body : "");
     std::uint32_t port = 0;
-    std::uint64_t count = 0;
-    while (lines >> port >> count) {
+    LinkTraffic counted;
+    while (lines >> port >> counted.bytes >> counted.packets) {
         for (const auto &it : m_nodes) {
             if (it->linkPort == port) {
-                bytes[it->name] = count;
+                traffic[it->name] = counted;
             }
         }
     }
-    return bytes;
+    return traffic;
 }
 
 Result<json> LocalCluster::operate(const std::string &method, const std::string &target, const json &body, Duration limit)
@@ -504,12 +504,24 @@
     return m_layout;
 }
 
+std::vector<HttpResult> LocalCluster::callTogether(const std::vector<std::pair<std::string, HttpRequest>> &requests, Duration timeout)
+{
+    // Shared with the handlers, which may run after a wait that was given up.
+    auto results = std::make_shared<std::vector<HttpResult>>(requests.size());
+    auto open = std::make_shared<std::size_t>(requests.size());
+    for (std::size_t n = 0; n < requests.size(); ++n) {
+        m_client.send(requests[n].first, requests[n].second, timeout, [results, open, n](HttpResult it) {
+            (*results)[n] = std::move(it);
+            --*open;
+        });
+    }
+    m_loop.runUntil([open] { return *open == 0; }, timeout + std::chrono::seconds(5));
+    return *results;
+}
+
 HttpResult LocalCluster::call(const std::string &target, HttpRequest request, Duration timeout)
 {
-    std::optional<HttpResult> result;
-    m_client.send(target, std::move(request), timeout, [&result](HttpResult it) { result = std::move(it); });
-    m_loop.runUntil([&result] { return result.has_value(); }, timeout + std::chrono::seconds(5));
-    return result.value_or(HttpResult{});
+    return callTogether({ { target, std::move(request) } }, timeout).front();
 }
 
 LocalCluster::Node &LocalCluster::nodeOf(const std::string &name)
--- a/standin/local_cluster.h
+++ b/standin/local_cluster.h
@@ -25,6 +25,13 @@
     bool traces = false; ///< Write a span file per process.
 };
 
+/// Traffic over the link of one process.
+struct LinkTraffic
+{
+    std::uint64_t bytes = 0;
+    std::uint64_t packets = 0;
+};
+
 /// Starts the processes of a layout on loopback: controllers, a router and a stand-in backend server per instance, and the network
 /// link between them. Every process is ended by its id when the object goes.
 class LocalCluster
@@ -62,8 +69,8 @@
     /// Cuts or restores all messages to a process ("router-..." or "controller-...").
     void setCut(const std::string &name, bool cut);
     void openAllLinks();
-    /// Bytes that went over the links since the start, by process.
-    std::map<std::string, std::uint64_t> linkBytes();
+    /// What went over the links since the start, by receiving process.
+    std::map<std::string, LinkTraffic> linkTraffic();
 
     /// Sends an operators' request to the leader, following redirects, until an answer or @p limit.
     Result<nlohmann::json> operate(const std::string &method, const std::string &target, const nlohmann::json &body, Duration limit);
@@ -75,6 +82,10 @@
     /// All executions that the stand-ins have recorded.
     std::vector<Execution> executions() const;
     const Layout &layout() const;
+    /// Sends all requests at once and returns their results in the same order.
+    std::vector<HttpResult> callTogether(const std::vector<std::pair<std::string, HttpRequest>> &requests, Duration timeout);
+    /// A request with the operators' token.
+    HttpRequest operatorRequest(const std::string &method, const std::string &target, const std::string &body) const;
     /// One HTTP exchange, run to its end on the loop.
     HttpResult call(const std::string &target, HttpRequest request, Duration timeout);
 
@@ -92,7 +103,6 @@
     Result<void> writeServiceRows();
     bool allReady();
     Node &nodeOf(const std::string &name);
-    HttpRequest operatorRequest(const std::string &method, const std::string &target, const std::string &body) const;
     void controlLink(const std::string &query);
 
     EventLoop &m_loop;
