Add router role and the daemon toucandeckd

Cause: the request path of design section 3.8 had no process. Ruled out: cancelling work with an idempotency record when its caller goes away, because the resent request would then get may-have-run instead of the stored answer; one acknowledgement for several transfer messages, because a lost one could be covered.

--- /dev/null
+++ b/src/daemon/backend_presence.cpp
@@ -0,0 +1,135 @@
+#include "daemon/backend_presence.h"
+
+#include "config/settings.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+/// 3 announcements of 500 ms each.
+constexpr Duration kMissedAfter = std::chrono::milliseconds(1500);
+
+constexpr std::size_t kLongestName = 64;
+
+/// Names become parts of row keys, which separate them by '/' and use '*' for defaults.
+bool isName(const nlohmann::json &value)
+{
+    if (!value.is_string()) {
+        return false;
+    }
+    const auto &text = value.get_ref<const std::string &>();
+    return !text.empty() && text.size() <= kLongestName
+        && text.find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789._-") == std::string::npos;
+}
+
+bool isCount(const nlohmann::json &value)
+{
+    constexpr std::uint64_t kMost = 100'000;
+    return value.is_number_unsigned() && value.get<std::uint64_t>() >= 1 && value.get<std::uint64_t>() <= kMost;
+}
+
+bool isFlag(const nlohmann::json &value)
+{
+    return value.is_boolean();
+}
+
+bool isText(const nlohmann::json &value)
+{
+    return value.is_string();
+}
+
+struct FieldRule
+{
+    const char *name;
+    bool (*matches)(const nlohmann::json &);
+    const char *expected;
+};
+
+constexpr FieldRule kFields[] = {
+    { "service", isName, "a name of 1 to 64 letters, digits, '.', '_' or '-'" },
+    { "instance", isName, "a name of 1 to 64 letters, digits, '.', '_' or '-'" },
+    { "address", isText, "\"IP:PORT\"" },
+    { "slots", isCount, "an integer from 1 to 100000" },
+    { "connections", isCount, "an integer from 1 to 100000" },
+    { "fenced", isFlag, "true or false" },
+    { "cold", isFlag, "true or false" },
+};
+
+} // namespace
+
+Result<Announcement> parseAnnouncement(const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object()) {
+        return fail(ErrorCode::InvalidArgument, "the announcement must be a JSON object");
+    }
+    for (const auto &it : kFields) {
+        if (!json.contains(it.name) || !it.matches(json[it.name])) {
+            return fail(ErrorCode::InvalidArgument, fmt::format("{}: expected {}", it.name, it.expected));
+        }
+    }
+    Announcement it;
+    it.service = json["service"];
+    it.instance = json["instance"];
+    it.address = json["address"];
+    it.slots = json["slots"];
+    it.connections = json["connections"];
+    it.fenced = json["fenced"];
+    it.cold = json["cold"];
+    BOOST_LEAF_CHECK(splitHttpAddress(it.address));
+    return it;
+}
+
+BackendPresence::BackendPresence(const Clock &clock)
+    : m_clock(clock)
+{
+}
+
+bool BackendPresence::announced(Announcement announcement)
+{
+    const bool changed = m_state != State::Present || m_latest != announcement;
+    m_latest = std::move(announcement);
+    m_state = State::Present;
+    m_lastSeen = m_clock.now();
+    return changed;
+}
+
+bool BackendPresence::leaving()
+{
+    if (!m_latest || m_state == State::Absent) {
+        return false;
+    }
+    m_state = State::Leaving;
+    return true;
+}
+
+bool BackendPresence::refused()
+{
+    return std::exchange(m_state, State::Absent) != State::Absent;
+}
+
+bool BackendPresence::checkMissed()
+{
+    if (m_state != State::Present || m_clock.now() - m_lastSeen < kMissedAfter) {
+        return false;
+    }
+    m_state = State::Absent;
+    return true;
+}
+
+BackendPresence::State BackendPresence::state() const
+{
+    return m_state;
+}
+
+const std::optional<Announcement> &BackendPresence::latest() const
+{
+    return m_latest;
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/daemon/record_transfer.cpp
@@ -0,0 +1,193 @@
+#include "daemon/record_transfer.h"
+
+#include "common/key_hash.h"
+#include "daemon/events.h"
+#include "state/view.h"
+
+#include <algorithm>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+/// Records of one message; well below the limit on messages and small enough to pass between requests.
+constexpr std::size_t kMessageBytes = 256U << 10U;
+
+constexpr Duration kResendAfter = std::chrono::milliseconds(200);
+
+bool sameItems(const OwnedItems &a, const OwnedItems &b)
+{
+    return a.service == b.service && a.partitions == b.partitions && a.hotKeys == b.hotKeys;
+}
+
+/// Removes from @p items what @p gone names.
+void subtract(OwnedItems &items, const OwnedItems &gone)
+{
+    std::erase_if(items.partitions,
+                  [&gone](auto it) { return std::find(gone.partitions.begin(), gone.partitions.end(), it) != gone.partitions.end(); });
+    std::erase_if(items.hotKeys,
+                  [&gone](auto it) { return std::find(gone.hotKeys.begin(), gone.hotKeys.end(), it) != gone.hotKeys.end(); });
+}
+
+} // namespace
+
+RecordTransfer::RecordTransfer(const RouterParts &parts, RouterAgent &agent, RequestExecutor &executor)
+    : m_parts(parts)
+    , m_agent(agent)
+    , m_executor(executor)
+    , m_nextTransfer(parts.random.next())
+{
+}
+
+void RecordTransfer::begin(const OwnedItems &items, SessionId receiver)
+{
+    m_parts.logger.write(
+        Events::kReleaseBegun,
+        { field("service", items.service), field("partitions", items.partitions.size()), field("hot_keys", items.hotKeys.size()) });
+    std::erase_if(m_moves, [&items](const auto &it) { return sameItems(it.items, items); });
+    Move move;
+    move.items = items;
+    move.receiver = receiver;
+    m_moves.push_back(std::move(move));
+}
+
+void RecordTransfer::cancelled(const OwnedItems &items)
+{
+    m_parts.logger.write(Events::kReleaseCancelled, { field("service", items.service), field("partitions", items.partitions.size()) });
+    for (auto &it : m_moves) {
+        if (it.items.service == items.service) {
+            subtract(it.items, items);
+        }
+    }
+    std::erase_if(m_moves, [](const auto &it) { return it.items.empty(); });
+}
+
+void RecordTransfer::leaseLost()
+{
+    m_moves.clear();
+}
+
+void RecordTransfer::tick()
+{
+    for (auto &it : m_moves) {
+        advance(it);
+    }
+    std::erase_if(m_moves, [this](const auto &it) {
+        if (!it.released || !hasLeftView(it)) {
+            return false;
+        }
+        m_executor.records().drop(it.items.service, it.items.partitions);
+        return true;
+    });
+}
+
+void RecordTransfer::advance(Move &move)
+{
+    if (move.released || !m_executor.drain(move.items)) {
+        return;
+    }
+    if (!move.exported) {
+        exportRecords(move);
+    }
+    if (move.unacknowledged.empty()) {
+        move.released = true;
+        m_parts.logger.write(Events::kReleaseDone,
+                             { field("service", move.items.service), field("partitions", move.items.partitions.size()) });
+        const auto items = move.items;
+        m_agent.released(items);
+    } else if (m_parts.loop.clock().now() - move.lastSent >= kResendAfter) {
+        sendUnacknowledged(move);
+    }
+}
+
+std::vector<wire::IdempotencyRecord> RecordTransfer::recordsOf(const OwnedItems &items)
+{
+    auto records = m_executor.records().exportRecords(items.service, items.partitions);
+    const auto partitions = m_agent.view().serviceSettings(items.service).partitions;
+    for (const auto key : items.hotKeys) {
+        const auto partition = partitionOf(key, std::max(1U, partitions));
+        for (auto &it : m_executor.records().exportRecords(items.service, std::span(&partition, 1))) {
+            if (it.key_hash() == key.value) {
+                records.push_back(std::move(it));
+            }
+        }
+    }
+    return records;
+}
+
+void RecordTransfer::exportRecords(Move &move)
+{
+    move.exported = true;
+    // Each message is complete in itself and acknowledged alone, so that a lost one cannot be covered by the acknowledgement of
+    // a later one.
+    wire::TransferRecords message;
+    std::size_t bytes = 0;
+    const auto close = [&] {
+        message.set_transfer(m_nextTransfer++);
+        message.set_service(move.items.service);
+        message.set_last(true);
+        for (const auto it : move.items.partitions) {
+            message.add_partitions(it.value);
+        }
+        move.unacknowledged[message.transfer()] = std::move(message);
+        message.Clear();
+        bytes = 0;
+    };
+    for (auto &it : recordsOf(move.items)) {
+        bytes += it.ByteSizeLong();
+        *message.add_records() = std::move(it);
+        if (bytes >= kMessageBytes) {
+            close();
+        }
+    }
+    if (message.records_size() > 0) {
+        close();
+    }
+}
+
+void RecordTransfer::sendUnacknowledged(Move &move)
+{
+    move.lastSent = m_parts.loop.clock().now();
+    const auto *receiver = m_agent.view().session(move.receiver);
+    if (receiver == nullptr) {
+        return; // The controllers will notice and cancel the move.
+    }
+    for (const auto &it : move.unacknowledged) {
+        wire::Envelope envelope;
+        *envelope.mutable_transfer_records() = it.second;
+        m_parts.messages.send(receiver->message_address(), std::move(envelope));
+    }
+}
+
+bool RecordTransfer::hasLeftView(const Move &move) const
+{
+    const auto owns = [this, &move](PartitionId it) {
+        const auto owner = m_agent.view().ownerOf(move.items.service, it);
+        return owner && owner->session == m_agent.session();
+    };
+    return std::none_of(move.items.partitions.begin(), move.items.partitions.end(), owns);
+}
+
+void RecordTransfer::receive(const std::string &sender, const wire::TransferRecords &records)
+{
+    const auto partitions = m_agent.view().serviceSettings(records.service()).partitions;
+    if (partitions == 0) {
+        return; // This router's view does not know the service yet; the sender repeats the message.
+    }
+    const std::vector<wire::IdempotencyRecord> list(records.records().begin(), records.records().end());
+    m_executor.records().importRecords(list, partitions);
+    wire::Envelope envelope;
+    envelope.mutable_transfer_ack()->set_transfer(records.transfer());
+    m_parts.messages.send(sender, std::move(envelope));
+}
+
+void RecordTransfer::receive(const wire::TransferAck &ack)
+{
+    for (auto &it : m_moves) {
+        it.unacknowledged.erase(ack.transfer());
+    }
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/daemon/request_executor_end.cpp
@@ -0,0 +1,357 @@
+#include "daemon/request_work.h"
+
+#include "state/view.h"
+
+#include <algorithm>
+#include <numbers>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+/// Half-life of the sketch's counts; must equal HotKeyOptions::halfLife.
+const Duration kHotKeyHalfLife = HotKeyOptions().halfLife;
+
+/// The controllers move at most as many keys as are hot at once (design section 1).
+constexpr std::size_t kReportedHotKeys = 16;
+
+/// A key below this rate is not worth a move of its own.
+constexpr double kLeastHotRate = 1;
+
+ServingState toServingState(wire::RowState state)
+{
+    return state == wire::OUT ? ServingState::Out : state == wire::LEAVING ? ServingState::Leaving : ServingState::Serving;
+}
+
+bool contains(const OwnedItems &items, const Admission &admission)
+{
+    if (admission.hotKey) {
+        return std::find(items.hotKeys.begin(), items.hotKeys.end(), *admission.hotKey) != items.hotKeys.end();
+    }
+    return std::find(items.partitions.begin(), items.partitions.end(), admission.partition) != items.partitions.end();
+}
+
+} // namespace
+
+wire::ForwardReply internal::notOwner()
+{
+    auto reply = refusal(Verdict::NotRun, 503, "this router does not own the key", kOwnerRetryAfter);
+    reply.set_not_owner(true);
+    return reply;
+}
+
+wire::ForwardReply internal::replyOf(const StoredAnswer &answer)
+{
+    wire::ForwardReply reply;
+    reply.set_verdict(wire::RAN);
+    reply.set_status(answer.status);
+    for (const auto &[name, value] : answer.headers) {
+        auto &field = *reply.add_headers();
+        field.set_name(name);
+        field.set_value(value);
+    }
+    reply.set_body(answer.body);
+    return reply;
+}
+
+void RequestExecutor::timedOut(const WorkPtr &work)
+{
+    // A running request ends by the timeout of its HTTP request.
+    if (work->state == Work::State::WaitingForRecord) {
+        m_records.removeWaiter(work->recordId(), work->id);
+        finish(work, internal::refusal(Verdict::MayHaveRun, 504, "the same work did not end before the deadline"));
+    } else if (work->state == Work::State::Queued) {
+        m_admission.cancel(work->id);
+        work->offered = false;
+        finish(work, internal::refusal(Verdict::NotRun, 503, "no slot was free before the deadline", internal::kOwnerRetryAfter));
+    }
+}
+
+void RequestExecutor::answered(const WorkPtr &work, HttpResult result)
+{
+    if (work->state != Work::State::Running) {
+        return;
+    }
+    m_seconds.Observe(std::chrono::duration<double>(m_parts.loop.clock().now() - work->started).count());
+    if (!result.response) {
+        if (result.verdict == Verdict::NotRun && result.code == ErrorCode::Unavailable) {
+            m_onRefused();
+        }
+        endSlot(work, AnswerKind::Failed, false);
+        const int status = result.code == ErrorCode::DeadlineExceeded ? 504 : result.verdict == Verdict::NotRun ? 503 : 502;
+        finish(work, internal::refusal(result.verdict, status, "backend server: " + result.error, internal::kOwnerRetryAfter));
+        return;
+    }
+    m_executed.Increment();
+    auto &response = *result.response;
+    const bool shed = response.status == 429 || response.status == 503;
+    endSlot(work, shed ? AnswerKind::Shed : AnswerKind::Ok, true);
+    // A backend server may state the verdict. A shed request without one may have been started.
+    const auto stated = verdictFromString(response.header("Toucandeck-Verdict").value_or(""));
+    const auto verdict = stated.value_or(shed ? Verdict::MayHaveRun : Verdict::Ran);
+    wire::ForwardReply reply;
+    reply.set_verdict(internal::toWire(verdict));
+    // 429 and 503 promise not-run; any other verdict needs another status.
+    reply.set_status(static_cast<std::uint32_t>(shed && verdict != Verdict::NotRun ? 502 : response.status));
+    if (verdict == Verdict::NotRun && !shed) {
+        reply.set_status(503);
+    }
+    internal::copyHeaders(response.headers, *reply.mutable_headers());
+    reply.set_body(std::move(response.body));
+    finish(work, std::move(reply));
+}
+
+void RequestExecutor::endSlot(const WorkPtr &work, AnswerKind kind, bool connectionKept)
+{
+    if (std::exchange(work->offered, false)) {
+        m_admission.finished(work->id, { kind, m_parts.loop.clock().now() - work->started, connectionKept });
+        pollSoon();
+    }
+}
+
+void RequestExecutor::finish(const WorkPtr &work, wire::ForwardReply reply)
+{
+    if (work->state == Work::State::Ended) {
+        return;
+    }
+    work->state = Work::State::Ended;
+    work->timeout.cancel();
+    m_ids.erase(work->forward);
+    m_work.erase(work->id);
+    endRecord(work, reply);
+    work->span.tag("verdict", std::string(toString(internal::fromWire(reply.verdict()))));
+    work->span.finish();
+    reply.set_request(work->forward.request);
+    reply.set_in_flight(m_admission.inFlight());
+    reply.set_queued(static_cast<std::uint32_t>(m_admission.queued()));
+    if (const auto replyTo = std::exchange(work->reply, nullptr)) {
+        replyTo(std::move(reply));
+    }
+}
+
+void RequestExecutor::endRecord(const WorkPtr &work, const wire::ForwardReply &reply)
+{
+    if (!std::exchange(work->hasRecord, false)) {
+        return;
+    }
+    const auto verdict = internal::fromWire(reply.verdict());
+    std::vector<std::uint64_t> waiters;
+    if (verdict == Verdict::Ran) {
+        StoredAnswer answer{ reply.status(), {}, reply.body() };
+        for (const auto &it : reply.headers()) {
+            answer.headers.emplace_back(it.name(), it.value());
+        }
+        waiters = m_records.complete(work->recordId(), std::move(answer));
+    } else {
+        waiters = m_records.abandon(work->recordId(), verdict);
+    }
+    for (const auto it : waiters) {
+        const auto waiter = m_work.find(it);
+        if (waiter == m_work.end()) {
+            continue;
+        }
+        const auto other = waiter->second;
+        if (verdict == Verdict::NotRun) {
+            begin(other);
+        } else {
+            finish(other, reply);
+        }
+    }
+}
+
+Verdict RequestExecutor::cancel(const ForwardId &id)
+{
+    const auto it = m_ids.find(id);
+    if (it == m_ids.end()) {
+        return Verdict::MayHaveRun;
+    }
+    const auto work = m_work.at(it->second);
+    work->reply = nullptr;
+    switch (work->state) {
+    case Work::State::WaitingForRecord:
+        m_records.removeWaiter(work->recordId(), work->id);
+        finish(work, internal::refusal(Verdict::MayHaveRun, 499, "cancelled"));
+        return Verdict::MayHaveRun;
+    case Work::State::Queued:
+        m_admission.cancel(work->id);
+        work->offered = false;
+        finish(work, internal::refusal(Verdict::NotRun, 499, "cancelled"));
+        return Verdict::NotRun;
+    case Work::State::Running:
+        return work->hasRecord ? Verdict::MayHaveRun : cancelRunning(work);
+    case Work::State::Ended:
+        break;
+    }
+    return Verdict::MayHaveRun;
+}
+
+Verdict RequestExecutor::cancelRunning(const WorkPtr &work)
+{
+    const auto verdict = m_client.cancel(work->http) ? Verdict::MayHaveRun : Verdict::NotRun;
+    m_cancelled.Increment();
+    endSlot(work, AnswerKind::Cancelled, false);
+    finish(
+        work,
+        internal::refusal(verdict, verdict == Verdict::NotRun ? 503 : 502, "cancelled at the backend server", internal::kOwnerRetryAfter));
+    return verdict;
+}
+
+void RequestExecutor::leaseLost()
+{
+    const auto all = m_work;
+    for (const auto &[id, work] : all) {
+        if (work->state == Work::State::Running) {
+            cancelRunning(work);
+        } else if (work->state == Work::State::Queued) {
+            m_admission.cancel(id);
+            work->offered = false;
+            finish(work, internal::notOwner());
+        }
+    }
+}
+
+bool RequestExecutor::drain(const OwnedItems &items)
+{
+    bool drained = true;
+    const auto all = m_work;
+    for (const auto &[id, work] : all) {
+        if (!work->admission || !contains(items, *work->admission)) {
+            continue;
+        }
+        if (work->state == Work::State::Queued) {
+            m_admission.cancel(id);
+            work->offered = false;
+            finish(work, internal::notOwner());
+        } else if (work->state != Work::State::Ended) {
+            drained = false;
+        }
+    }
+    return drained;
+}
+
+void RequestExecutor::updateLimits()
+{
+    const auto &backend = m_presence.latest();
+    if (!backend) {
+        return;
+    }
+    const auto row = m_agent.view().effectiveRow(backend->service, m_parts.settings.failureDomain, backend->instance);
+    m_admission.setLimits(
+        { row.slotsFromTable ? row.slots : backend->slots, row.connectionsFromTable ? row.connections : backend->connections });
+    m_admission.setState(toServingState(row.stateAt(m_parts.loop.clock().wallNow())));
+    m_admission.setCold(backend->cold);
+    pollSoon();
+}
+
+void RequestExecutor::pollSoon()
+{
+    if (std::exchange(m_pollScheduled, true)) {
+        return;
+    }
+    m_parts.loop.runSoon([this, alive = m_alive] {
+        if (*alive) {
+            m_pollScheduled = false;
+            poll();
+        }
+    });
+}
+
+void RequestExecutor::poll()
+{
+    matchConnections();
+    const auto result = m_admission.poll();
+    for (const auto &it : result.refusals) {
+        refuse(it);
+    }
+    for (const auto &it : result.starts) {
+        const auto work = m_work.find(it.id);
+        if (work != m_work.end()) {
+            dispatch(WorkPtr(work->second));
+        } else {
+            m_admission.finished(it.id, { AnswerKind::Cancelled, {}, true });
+        }
+    }
+    scheduleWakeup();
+}
+
+void RequestExecutor::matchConnections()
+{
+    if (!m_presence.latest()) {
+        return;
+    }
+    const auto &target = m_presence.latest()->address;
+    m_client.closeIdle(target, m_admission.surplusConnections());
+    // The client closes idle connections, and so does the backend server. A started request counts as a connection on both sides.
+    while (m_admission.openConnections() > std::max<std::size_t>(m_client.connections(target), runningRequests())) {
+        m_admission.connectionClosed();
+    }
+}
+
+std::size_t RequestExecutor::runningRequests() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_work.begin(), m_work.end(), [](const auto &it) { return it.second->state == Work::State::Running; }));
+}
+
+void RequestExecutor::refuse(const Refusal &refusal)
+{
+    const auto it = m_work.find(refusal.id);
+    if (it == m_work.end()) {
+        return;
+    }
+    const WorkPtr work = it->second;
+    work->offered = false;
+    finish(work,
+           internal::refusal(refusal.verdict, refusal.code == ErrorCode::Overloaded ? 429 : 503, refusal.message, refusal.retryAfter));
+}
+
+void RequestExecutor::scheduleWakeup()
+{
+    const auto next = m_admission.nextWakeup();
+    if (next) {
+        m_wakeup = m_parts.loop.after(*next - m_parts.loop.clock().now(), [this] { poll(); });
+    } else {
+        m_wakeup.cancel();
+    }
+}
+
+IdempotencyTable &RequestExecutor::records()
+{
+    return m_records;
+}
+
+AgentLoad RequestExecutor::load()
+{
+    AgentLoad load;
+    load.inFlight = static_cast<std::uint32_t>(m_work.size());
+    if (!m_presence.latest()) {
+        return load;
+    }
+    load.loadPermille = m_admission.inFlight() * 1000 / std::max(1U, m_presence.latest()->slots);
+    // A steady rate r settles at a decayed count of r times the mean lifetime, which is the half-life divided by ln 2.
+    const double meanLife = std::chrono::duration<double>(kHotKeyHalfLife).count() / std::numbers::ln2;
+    for (const auto &it : m_hotKeys.top(kReportedHotKeys)) {
+        const double rate = (it.count - it.error) / meanLife;
+        if (rate >= kLeastHotRate) {
+            auto &key = load.hotKeys.emplace_back();
+            key.set_service(m_presence.latest()->service);
+            key.set_key_hash(it.key.value);
+            key.set_rate(rate);
+        }
+    }
+    return load;
+}
+
+bool RequestExecutor::isIdle() const
+{
+    return m_work.empty();
+}
+
+const AdmissionController &RequestExecutor::admission() const
+{
+    return m_admission;
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/daemon/request_router.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "daemon/forward_messages.h"
+#include "daemon/instance_stats.h"
+#include "daemon/request_executor.h"
+#include "routing/hedge_policy.h"
+#include "routing/instance_chooser.h"
+#include "routing/request_headers.h"
+#include "routing/retry_policy.h"
+#include "runtime/http_server.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace Toucandeck
+{
+
+/// Caller's side of the request path: takes callers' HTTP requests, finds the owner or chooses an instance, forwards, retries and
+/// hedges, and answers each request exactly once.
+class RequestRouter
+{
+public:
+    RequestRouter(const RouterParts &parts, RouterAgent &agent, RequestExecutor &executor);
+    ~RequestRouter();
+    RequestRouter(const RequestRouter &) = delete;
+    RequestRouter &operator=(const RequestRouter &) = delete;
+
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    /// Reply of another router; a late one is dropped and counted.
+    void receive(const wire::ForwardReply &reply);
+    /// The view may have changed: looks for owners again and gives up on routers whose session has ended.
+    void viewChanged();
+    bool isIdle() const;
+    std::size_t inFlight() const;
+
+private:
+    struct Call;
+    struct Attempt;
+    using CallPtr = std::shared_ptr<Call>;
+
+    Result<void> prepare(Call &call);
+    Result<void> readKey(Call &call, std::string_view path);
+    void start(const CallPtr &call);
+    void tryAttempt(const CallPtr &call);
+    std::optional<SessionId> chooseTarget(Call &call, bool hedge);
+    std::optional<SessionId> chooseInstance(Call &call, bool hedge);
+    void send(const CallPtr &call, SessionId target);
+    void waitForOwner(const CallPtr &call);
+    void scheduleHedge(const CallPtr &call);
+    void hedge(const CallPtr &call);
+    void attemptEnded(std::uint64_t id, wire::ForwardReply reply, bool replied);
+    void attemptFailed(const CallPtr &call, const wire::ForwardReply &reply);
+    void cancelAttempt(std::uint64_t id);
+    void cancelAll(const CallPtr &call);
+    void deadlinePassed(const CallPtr &call);
+    void answer(const CallPtr &call, const wire::ForwardReply &reply);
+    void drop(const CallPtr &call);
+
+    RouterParts m_parts;
+    RouterAgent &m_agent;
+    RequestExecutor &m_executor;
+    InstanceStats m_stats;
+    std::unique_ptr<InstanceChooser> m_chooser;
+    std::unique_ptr<RetryPolicy> m_retries;
+    std::unique_ptr<HedgePolicy> m_hedges;
+    std::uint64_t m_nextAttempt;
+    std::set<CallPtr> m_calls;
+    std::unordered_map<std::uint64_t, Attempt> m_attempts;
+    LogIndex m_seenVersion;
+    prometheus::Histogram &m_seconds;
+    prometheus::Counter &m_lateAnswers;
+    prometheus::Counter &m_retryCount;
+    prometheus::Counter &m_hedgeCount;
+    prometheus::Counter &m_forwards;
+    std::map<Verdict, prometheus::Counter *> m_answers;
+};
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/daemon/router_role.cpp
@@ -0,0 +1,305 @@
+#include "daemon/router_role.h"
+
+#include "daemon/events.h"
+#include "ownership/lease.h"
+#include "state/view.h"
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+/// Load and hot keys travel with each renewal; computing them more often has no use.
+constexpr Duration kLoadInterval = kRenewInterval;
+
+HttpResponse textAnswer(int status, const std::string &text)
+{
+    return { status, { { "Content-Type", "text/plain; charset=utf-8" }, { "Toucandeck-Verdict", "not-run" } }, text + "\n" };
+}
+
+} // namespace
+
+/// Everything that a restart of the role renews.
+struct RouterRole::Core
+{
+    ControllerLinks links;
+    BackendPresence presence;
+    RouterAgent agent;
+    RequestExecutor executor;
+    RequestRouter router;
+    RecordTransfer transfer;
+
+    Core(RouterRole &role, const RouterParts &parts, const wire::RouterSession &description)
+        : links(parts.messages, parts.settings.controllers)
+        , presence(parts.loop.clock())
+        , agent({ parts.loop.clock(), parts.random, links, role, parts.logger }, description)
+        , executor(parts, agent, presence, [&role] { role.backendLost("refused connection"); })
+        , router(parts, agent, executor)
+        , transfer(parts, agent, executor)
+    {
+    }
+};
+
+RouterRole::RouterRole(const RouterParts &parts)
+    : m_parts(parts)
+    , m_inFlight(parts.metrics.gauge("toucandeck_backend_in_flight", "Slots of the backend server in use."))
+    , m_queued(parts.metrics.gauge("toucandeck_backend_queued", "Requests that wait for a slot."))
+    , m_partitions(parts.metrics.gauge("toucandeck_owned_partitions", "Partitions that this router owns in its view."))
+    , m_viewVersion(parts.metrics.gauge("toucandeck_view_version", "Log index of the last change applied."))
+    , m_hasLease(parts.metrics.gauge("toucandeck_has_lease", "1 while this router holds a lease, otherwise 0."))
+    , m_leasesLost(parts.metrics.counter("toucandeck_leases_lost_total", "Leases that ended without a renewal."))
+{
+}
+
+RouterRole::~RouterRole()
+{
+    abort();
+}
+
+std::string RouterRole::name() const
+{
+    return "router";
+}
+
+Result<void> RouterRole::start(FailureHandler /*onFailure*/)
+{
+    m_core = std::make_unique<Core>(*this, m_parts, description());
+    m_tickTimer = m_parts.loop.every(kOwnershipTick, [this] { tick(); });
+    m_core->agent.tick();
+    return {};
+}
+
+void RouterRole::stop(std::function<void()> done)
+{
+    abort();
+    done();
+}
+
+void RouterRole::abort()
+{
+    m_tickTimer.cancel();
+    m_withdrawals.clear();
+    m_core.reset();
+}
+
+wire::RouterSession RouterRole::description() const
+{
+    const auto &settings = m_parts.settings;
+    wire::RouterSession session;
+    session.set_failure_domain(settings.failureDomain);
+    session.set_instance(settings.process);
+    session.set_message_address(m_parts.messages.address());
+    session.set_http_address(settings.httpAddress);
+    session.set_public_key(m_parts.messages.publicKey());
+    if (m_core && m_core->presence.latest()) {
+        const auto &backend = *m_core->presence.latest();
+        session.set_service(backend.service);
+        session.set_instance(backend.instance);
+        session.set_fenced(backend.fenced);
+        session.set_cold(backend.cold);
+        session.set_backend_ready(m_core->presence.state() == BackendPresence::State::Present);
+    }
+    return session;
+}
+
+void RouterRole::tick()
+{
+    auto &core = *m_core;
+    if (core.presence.checkMissed()) {
+        backendLost("missed announcements");
+    }
+    const auto now = m_parts.loop.clock().now();
+    if (now - m_lastLoad >= kLoadInterval) {
+        m_lastLoad = now;
+        core.agent.setLoad(core.executor.load());
+        core.executor.updateLimits();
+        updateGauges();
+    }
+    core.agent.tick();
+    core.transfer.tick();
+    core.executor.poll();
+    core.router.viewChanged();
+    answerWithdrawals();
+    if (m_leaveDone && core.agent.closed() && core.executor.isIdle()) {
+        m_parts.loop.runSoon(std::exchange(m_leaveDone, nullptr));
+    }
+}
+
+void RouterRole::receive(const wire::Envelope &envelope)
+{
+    if (!m_core) {
+        return;
+    }
+    auto &core = *m_core;
+    switch (envelope.body_case()) {
+    case wire::Envelope::kForwardRequest:
+        core.executor.execute({ envelope.sender(), envelope.forward_request().request() },
+                              envelope.forward_request(),
+                              [this, sender = envelope.sender()](wire::ForwardReply reply) {
+                                  wire::Envelope answer;
+                                  *answer.mutable_forward_reply() = std::move(reply);
+                                  m_parts.messages.send(sender, std::move(answer));
+                              });
+        break;
+    case wire::Envelope::kForwardReply:
+        core.router.receive(envelope.forward_reply());
+        break;
+    case wire::Envelope::kCancel:
+        core.executor.cancel({ envelope.sender(), envelope.cancel().request() });
+        break;
+    case wire::Envelope::kTransferRecords:
+        core.transfer.receive(envelope.sender(), envelope.transfer_records());
+        break;
+    case wire::Envelope::kTransferAck:
+        core.transfer.receive(envelope.transfer_ack());
+        break;
+    default:
+        core.agent.receive(envelope);
+        core.router.viewChanged();
+        break;
+    }
+}
+
+void RouterRole::handleHttp(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (!m_core) {
+        exchange->respond(textAnswer(503, "the router is restarting"));
+    } else if (exchange->request().path() != "/toucandeck/announce") {
+        m_core->router.handle(exchange);
+    } else if (!isBeside(*exchange)) {
+        exchange->respond(textAnswer(403, "only the backend server on the same VM may announce itself"));
+    } else if (exchange->request().method == "POST") {
+        announce(exchange);
+    } else if (exchange->request().method == "DELETE") {
+        withdraw(exchange);
+    } else {
+        exchange->respond(textAnswer(405, "use POST or DELETE"));
+    }
+}
+
+bool RouterRole::isBeside(const HttpExchange &exchange) const
+{
+    const auto own = m_parts.settings.httpAddress.substr(0, m_parts.settings.httpAddress.rfind(':'));
+    return exchange.peer() == own || exchange.peer().starts_with("127.");
+}
+
+void RouterRole::announce(const std::shared_ptr<HttpExchange> &exchange)
+{
+    auto &presence = m_core->presence;
+    handleError(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(announcement, parseAnnouncement(exchange->request().body));
+            const bool first = presence.state() != BackendPresence::State::Present;
+            const auto text = announcement.service + "/" + announcement.instance;
+            if (presence.announced(std::move(announcement))) {
+                backendChanged();
+            }
+            if (first) {
+                m_parts.logger.write(Events::kBackendAnnounced, { field("instance", text), field("address", presence.latest()->address) });
+            }
+            exchange->respond(textAnswer(200, "ok"));
+            return {};
+        },
+        [&](const Error &error) {
+            m_parts.logger.write(Events::kAnnouncementRefused, { field("reason", error.message) });
+            exchange->respond(textAnswer(400, error.message));
+        });
+}
+
+void RouterRole::backendChanged()
+{
+    m_core->agent.setDescription(description());
+    m_core->agent.setBackend(m_core->presence.state() == BackendPresence::State::Present, m_core->presence.latest()->cold);
+    m_core->executor.updateLimits();
+}
+
+void RouterRole::backendLost(const char *reason)
+{
+    if (m_core->presence.state() != BackendPresence::State::Absent) {
+        m_core->presence.refused();
+    }
+    if (m_core->presence.latest()) {
+        m_parts.logger.write(Events::kBackendLost, { field("instance", m_core->presence.latest()->instance), field("reason", reason) });
+        m_core->agent.setBackend(false, m_core->presence.latest()->cold);
+    }
+}
+
+void RouterRole::withdraw(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (!m_core->presence.leaving()) {
+        exchange->respond(textAnswer(404, "no backend server is announced"));
+        return;
+    }
+    m_parts.logger.write(Events::kBackendLeaving, { field("instance", m_core->presence.latest()->instance) });
+    m_core->agent.setBackend(false, m_core->presence.latest()->cold);
+    m_withdrawals.push_back(exchange);
+}
+
+bool RouterRole::isDrained() const
+{
+    return m_core->executor.isIdle() && m_core->agent.view().partitionsOf(m_core->agent.session()).empty();
+}
+
+void RouterRole::answerWithdrawals()
+{
+    if (!m_withdrawals.empty() && isDrained()) {
+        for (const auto &it : std::exchange(m_withdrawals, {})) {
+            it->respond(textAnswer(200, "nothing is left to do"));
+        }
+    }
+}
+
+void RouterRole::leave(std::function<void()> done)
+{
+    if (!m_core) {
+        done();
+        return;
+    }
+    m_leaveDone = std::move(done);
+    m_core->agent.close();
+}
+
+bool RouterRole::isReady()
+{
+    return m_core && !m_leaveDone && m_core->agent.leaseEnd() && m_core->agent.view().version() != LogIndex{};
+}
+
+void RouterRole::limitsChanged()
+{
+    if (m_core) {
+        m_core->executor.updateLimits();
+    }
+}
+
+void RouterRole::updateGauges()
+{
+    const auto &core = *m_core;
+    m_inFlight.Set(core.executor.admission().inFlight());
+    m_queued.Set(static_cast<double>(core.executor.admission().queued()));
+    m_partitions.Set(static_cast<double>(core.agent.view().partitionsOf(core.agent.session()).size()));
+    m_viewVersion.Set(static_cast<double>(core.agent.view().version().value));
+    m_hasLease.Set(m_core->agent.leaseEnd() ? 1 : 0);
+}
+
+void RouterRole::leaseLost()
+{
+    m_leasesLost.Increment();
+    m_parts.logger.write(Events::kLeaseLost, { field("in_flight", m_core ? m_core->executor.admission().inFlight() : 0) });
+    if (m_core) {
+        m_core->transfer.leaseLost();
+        m_core->executor.leaseLost();
+    }
+}
+
+void RouterRole::beginRelease(const OwnedItems &items, SessionId receiver)
+{
+    m_core->transfer.begin(items, receiver);
+}
+
+void RouterRole::releaseCancelled(const OwnedItems &items)
+{
+    m_core->transfer.cancelled(items);
+}
+
+} // namespace Toucandeck
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -48,7 +48,7 @@
     : m_loop(loop)
     , m_options(options)
     , m_logger(logger)
-    , m_sweep(loop.every(std::max<Duration>(options.idleClose / 4, std::chrono::milliseconds(1)), [this] { closeIdle(); }))
+    , m_sweep(loop.every(std::max<Duration>(options.idleClose / 4, std::chrono::milliseconds(1)), [this] { closeLongIdle(); }))
 {
 }
 
@@ -183,7 +183,7 @@
     });
 }
 
-void HttpClient::closeIdle()
+void HttpClient::closeLongIdle()
 {
     const auto oldest = m_loop.clock().now() - m_options.idleClose;
     for (auto &[target, pool] : m_pools) {
@@ -197,6 +197,16 @@
     std::erase_if(m_pools, [](const auto &it) { return it.second->all.empty(); });
 }
 
+void HttpClient::closeIdle(const std::string &target, std::size_t n)
+{
+    const auto it = m_pools.find(target);
+    for (; n > 0 && it != m_pools.end() && !it->second->idle.empty(); --n) {
+        auto *connection = it->second->idle.front();
+        it->second->idle.erase(it->second->idle.begin());
+        discard(*it->second, connection);
+    }
+}
+
 std::size_t HttpClient::connections(const std::string &target) const
 {
     const auto it = m_pools.find(target);
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -60,6 +60,8 @@
 
     std::size_t connections(const std::string &target) const;
     std::size_t idleConnections(const std::string &target) const;
+    /// Closes up to @p n idle connections, the longest idle first.
+    void closeIdle(const std::string &target, std::size_t n);
     std::size_t inFlight() const;
     /// Number of persistent connections found closed before reuse.
     std::uint64_t staleConnections() const;
@@ -81,7 +83,7 @@
     void finished(RequestId id, HttpResult result, bool reusable);
     void failSoon(RequestId id, Handler handler, ErrorCode code, std::string error);
     void deliverSoon(RequestId id, Handler handler, HttpResult result);
-    void closeIdle();
+    void closeLongIdle();
 
     EventLoop &m_loop;
     HttpClientOptions m_options;
--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -97,8 +97,7 @@
 Result<void> HttpServer::open()
 {
     m_http = evhttp_new(m_loop.base());
-    evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(m_options.maxHeaderBytes));
-    evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(m_options.maxBodyBytes));
+    setLimits(m_options.maxHeaderBytes, m_options.maxBodyBytes);
     evhttp_set_allowed_methods(m_http, internal::servedMethods());
     evhttp_set_default_content_type(m_http, nullptr);
     // A client that is still sending its body reads the 413 instead of a reset.
@@ -272,6 +271,12 @@
     checkStopped();
 }
 
+void HttpServer::setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
+{
+    evhttp_set_max_headers_size(m_http, static_cast<ev_ssize_t>(maxHeaderBytes));
+    evhttp_set_max_body_size(m_http, static_cast<ev_ssize_t>(maxBodyBytes));
+}
+
 void HttpServer::announceStop()
 {
     m_stopAnnounced = true;
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -84,6 +84,8 @@
     std::string address() const;
     /// Requests that wait for their answer.
     std::size_t inFlight() const;
+    /// Applies to connections accepted from now on.
+    void setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
     /// From now on each answer asks the client to close its connection.
     void announceStop();
     /// Accepts no new connections, finishes all answers, then calls @p done.
