--- a/prove/state/main.cpp
+++ b/prove/state/main.cpp
@@ -3,8 +3,33 @@
 
 #include <CLI/CLI.hpp>
 #include <chrono>
+#include <csignal>
+#include <cstdio>
 #include <fmt/format.h>
-#include <fmt/ranges.h>
+
+namespace
+{
+
+const Toucandeck::testing::StateRun *current = nullptr;
+std::uint64_t currentSeed = 0;
+
+void printResult(std::size_t violations)
+{
+    std::string faults;
+    for (const auto &[kind, n] : current->faults()) {
+        faults += fmt::format(" {}={}", kind, n);
+    }
+    fmt::print("state seed={} steps={}{} violations={}\n", currentSeed, current->steps(), faults, violations);
+    std::fflush(stdout);
+}
+
+/// A failed assertion counts as a violation; the line with the seed must not be lost with it.
+void onAbort(int)
+{
+    printResult(1);
+}
+
+} // namespace
 
 int main(int argc, char **argv)
 {
@@ -18,18 +43,17 @@
     CLI11_PARSE(app, argc, argv);
 
     Toucandeck::testing::StateRun run(seed);
+    current = &run;
+    currentSeed = seed;
+    std::signal(SIGABRT, onAbort);
     const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
     const auto isOver = [&] { return maxSteps > 0 ? run.steps() >= maxSteps : std::chrono::steady_clock::now() >= end; };
     while (!isOver() && run.violations().empty()) {
         run.step();
     }
-    std::string faults;
-    for (const auto &[kind, n] : run.faults()) {
-        faults += fmt::format(" {}={}", kind, n);
-    }
     for (const auto &it : run.violations()) {
         fmt::print(stderr, "{}\n", it);
     }
-    fmt::print("state seed={} steps={}{} violations={}\n", seed, run.steps(), faults, run.violations().size());
+    printResult(run.violations().size());
     return run.violations().empty() ? 0 : 1;
 }
--- /dev/null
+++ b/src/cli/command_line.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "common/time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Toucandeck
+{
+
+/// What the tool is asked to do.
+enum class CliAction {
+    TableShow,
+    TableExport,
+    TableImport,
+    TableSet,
+    TableWait,
+    Status,
+    Owners,
+    ControllersShow,
+    ControllersAdd,
+    ControllersRemove,
+    LeavePlan,
+    LeaveStatus,
+    Events,
+};
+
+/// A command line that has been read. Only the fields that the action needs are set.
+struct CommandLine
+{
+    CliAction action = CliAction::Status;
+    std::vector<std::string> controllers; ///< HTTP addresses, "IP:PORT".
+    std::string tokenFile; ///< Empty: no token is sent.
+    Duration timeout{};
+    bool json = false;
+    bool wait = false;
+    bool force = false;
+    std::string requestId; ///< Empty: a random one.
+    std::string file; ///< Of an import.
+    std::string row;
+    std::vector<std::string> assignments; ///< "COLUMN=VALUE".
+    std::uint64_t revision = 0;
+    std::string service; ///< Filter of owners; empty: all.
+    std::string replica; ///< Hexadecimal id of a controller.
+    std::string failureDomain;
+    std::string address;
+    std::string httpAddress;
+};
+
+/// The tool ends without a request: help was asked for, or the command line is wrong.
+struct CommandLineEnd
+{
+    int exitCode = 0;
+    std::string text; ///< For standard output if the exit code is 0, else for standard error.
+};
+
+/// Reads the arguments without the program name.
+std::variant<CommandLine, CommandLineEnd> parseCommandLine(const std::vector<std::string> &arguments);
+
+} // namespace Toucandeck
