--- a/prove/ownership/world.cpp
+++ b/prove/ownership/world.cpp
@@ -148,25 +148,6 @@
     const auto &[service, key] = worst->first;
     const auto owner = latestView().ownerOf(service, key).value_or(Owner());
     const auto *session = latestView().session(owner.session);
-    for (const auto &it : routers) {
-        if (session != nullptr && it->address() == session->instance()) {
-            const auto &r = it->agent().view().effectiveRow(it->service(), it->domain(), it->address());
-            fmt::print(stderr,
-                       "DBG {} up {} running {} session {:x} vs {:x} lease {} version {} latest {} state {} leave {} wall {} ready {}\n",
-                       it->address(),
-                       it->isUp(),
-                       it->isRunning(),
-                       it->agent().session().value,
-                       owner.session.value,
-                       it->agent().leaseEnd().has_value(),
-                       it->agent().view().version().value,
-                       latestView().version().value,
-                       (int)r.state,
-                       r.leaveTime ? r.leaveTime->time_since_epoch().count() : 0,
-                       it->clock().wallNow().time_since_epoch().count(),
-                       session->backend_ready());
-        }
-    }
     return fmt::format("{} key {:x} partition {} owner {} epoch {} moving to {:x} hot {} crashed {}",
                        service,
                        key.value,
