--- a/src/ownership/coordinator_core.cpp
+++ b/src/ownership/coordinator_core.cpp
@@ -106,10 +106,10 @@
     for (const auto &it : delta.sessions()) {
         addSession(it);
     }
-    m_publisher.publish(delta);
     for (const auto it : delta.removed_sessions()) {
         removeSession(SessionId{ it }, delta);
     }
+    m_publisher.publish(delta);
 }
 
 void CoordinatorCore::addSession(const wire::RouterSession &session)
