--- a/src/runtime/events.h
+++ b/src/runtime/events.h
@@ -2,7 +2,10 @@
 
 #include "log/event.h"
 
-namespace Toucandeck::RuntimeEvents
+#include <array>
+
+/// Events of module runtime, 6000 to 6999.
+namespace Toucandeck::Events
 {
 
 inline constexpr Event kMessageUndecodable{
@@ -11,7 +14,7 @@
 inline constexpr Event kMessageDropped{
     6002, LogLevel::Warning, "message_dropped", "A message to a peer was dropped because its queue is full or its peer unreachable."
 };
-inline constexpr Event kPeerRejected{ 6003, LogLevel::Warning, "peer_rejected", "A peer failed CURVE authentication." };
+inline constexpr Event kPeerRejected{ 6003, LogLevel::Warning, "peer_rejected", "A peer failed the handshake or CURVE authentication." };
 inline constexpr Event kPeerLimit{
     6004, LogLevel::Error, "peer_limit", "The limit on peers is reached; messages to further peers are dropped."
 };
@@ -39,4 +42,10 @@
     6040, LogLevel::Error, "message_transport_failed", "A call of the message library failed."
 };
 
-} // namespace Toucandeck::RuntimeEvents
+/// All events of module runtime.
+inline constexpr std::array kRuntimeEvents{ &kMessageUndecodable, &kMessageDropped,        &kPeerRejected,    &kPeerLimit,
+                                            &kHttpListening,      &kHttpStopped,           &kHttpStopForced,  &kHttpStaleConnection,
+                                            &kTraceFileFailed,    &kComponentStarted,      &kComponentFailed, &kComponentStopped,
+                                            &kSupervisorGaveUp,   &kMessageTransportFailed };
+
+} // namespace Toucandeck::Events
--- a/src/runtime/message_socket.h
+++ b/src/runtime/message_socket.h
@@ -4,7 +4,7 @@
 #include "log/logger.h"
 #include "runtime/event_loop.h"
 
-#include "wire/envelope.pb.h"
+#include "envelope.pb.h"
 
 #include <cstdint>
 #include <deque>
@@ -30,6 +30,7 @@
 struct MessageSocketOptions
 {
     std::string address; ///< "tcp://IP:PORT"; port 0 takes a free port.
+    std::string advertisedAddress; ///< Address that peers answer to, if it is not the one bound.
     std::optional<CurveOptions> curve;
     int highWaterMark = 4096; ///< Messages queued per peer and direction; bounds memory at a slow peer.
     std::size_t maxMessageBytes = 8U << 20U; ///< Larger messages close the connection. 1 MiB bodies and snapshot chunks fit.
@@ -46,7 +47,7 @@
     std::uint64_t receivedBytes = 0;
     std::uint64_t dropped = 0; ///< Not sent: queue full, too old, or peer unreachable.
     std::uint64_t undecodable = 0;
-    std::uint64_t rejectedPeers = 0; ///< Handshakes that failed authentication.
+    std::uint64_t rejectedPeers = 0; ///< Connections that failed the handshake or authentication.
 };
 
 namespace internal
