--- a/src/admission/admission_controller.cpp
+++ b/src/admission/admission_controller.cpp
@@ -74,7 +74,7 @@
 
 Decision AdmissionController::enqueue(const Offer &offer)
 {
-    if (m_clock.now() + expectedWait(offer.nested) + recentLatency() > offer.deadline) {
+    if (m_options.refuseHopeless && m_clock.now() + expectedWait(offer.nested) + recentLatency() > offer.deadline) {
         return refuse(offer.id, ErrorCode::DeadlineExceeded, "the queue is too long to meet the deadline");
     }
     if (!m_queue.push(offer, m_clock.now())) {
@@ -189,6 +189,9 @@
 
 TimePoint AdmissionController::latestStart(const QueuedOffer &queued) const
 {
+    if (!m_options.refuseHopeless) {
+        return TimePoint::max();
+    }
     const auto byDeadline = queued.offer.deadline - recentLatency();
     if (!queued.offer.nested || currentLimit() > kMaxDepth) {
         return byDeadline;
--- a/src/admission/admission_controller.h
+++ b/src/admission/admission_controller.h
@@ -31,6 +31,7 @@
     Duration nestedWaitWhenCold = std::chrono::milliseconds(50);
     Duration retryAfter = std::chrono::seconds(1); ///< Mean of the advice with a refusal.
     bool depthReserve = true; ///< False only for comparison: every depth may use every slot.
+    bool refuseHopeless = true; ///< False only for comparison: requests wait however late their answer will be.
 };
 
 /// Decides which requests one backend server gets and when. All work for the backend server passes here.
--- a/src/routing/outlier_detector.h
+++ b/src/routing/outlier_detector.h
@@ -18,7 +18,7 @@
 public:
     virtual ~OutlierPolicy() = default;
 
-    /// The instances of the service; others are forgotten.
+    /// The instances of the service that serve; others are forgotten, so that no probe goes to one that is leaving or lost.
     virtual void setInstances(std::span<const std::uint64_t> instances) = 0;
 
     /// An attempt ended. @p ok is false if it failed or was shed; the latency of such an attempt is not used.
