Send look-ups of services divided by Idempotency-Key to any instance

Change: such services use key header:Idempotency-Key; requests of idempotent methods without that header are not keyed. The leave plan takes the load of sessions without a renewal as unknown; leave status gets the controllers' hosts. segment:0 is refused by the table as by the router. Ruled out: partitions for services without a key, which would be a second kind of division.

--- a/prove/processes/main.cpp
+++ b/prove/processes/main.cpp
@@ -92,6 +92,7 @@
     loop->runUntil([&finished] { return finished; }, std::chrono::seconds(30));
     cluster->stop();
 
+    BOOST_LEAF_CHECK(writeCallerRecords(options.work + "/records", generator.records()));
     const auto executions = cluster->executions();
     const auto report = audit(generator.records(), executions);
     const auto late = workInDomainsOut(*cluster, executions, chaos.domainsOut());
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -316,6 +316,7 @@
         ControllerMember member;
         member.id = it.replica;
         member.failureDomain = it.failureDomain;
+        member.host = it.httpAddress.substr(0, it.httpAddress.find(':'));
         member.voter = it.role == ReplicaRole::Voter;
         member.reachable = replica.syncedIndexOf(it.replica) >= replica.commitIndex() || it.replica == replica.id();
         members.push_back(std::move(member));
@@ -328,7 +329,10 @@
 {
     LoadReports loads;
     for (const auto &it : m_coordinator.sessions()) {
-        loads[it.session] = it.loadPermille;
+        // The load of a session that has not renewed yet is unknown, which LeavePlan does not take for idle.
+        if (it.lastRenewal) {
+            loads[it.session] = it.loadPermille;
+        }
     }
     return loads;
 }
--- a/src/daemon/request_router.cpp
+++ b/src/daemon/request_router.cpp
@@ -130,6 +130,10 @@
     }
     BOOST_LEAF_AUTO(extractor, KeyExtractor::parse(keyText(view.serviceSettings(request.service()))));
     const auto &http = call.exchange->request();
+    // A service divided by Idempotency-Key has an owner for each submission; its look-ups carry no such key and go to any instance.
+    if (isIdempotent(http.method) && extractor.isByHeader(kIdempotencyKeyHeader) && !http.header(kIdempotencyKeyHeader)) {
+        return {};
+    }
     BOOST_LEAF_AUTO(key, extractor.extract(path, [&http](std::string_view name) { return http.header(name); }));
     request.set_keyed(key.has_value());
     request.set_key_hash(key ? hashKey(*key).value : 0);
--- a/src/routing/key_extractor.cpp
+++ b/src/routing/key_extractor.cpp
@@ -88,6 +88,11 @@
     return m_kind != Kind::None;
 }
 
+bool KeyExtractor::isByHeader(std::string_view name) const
+{
+    return m_kind == Kind::Header && m_header == name;
+}
+
 Result<std::optional<std::string>> KeyExtractor::extract(std::string_view path, const HeaderLookup &headers) const
 {
     if (m_kind == Kind::None) {
--- a/src/routing/key_extractor.h
+++ b/src/routing/key_extractor.h
@@ -16,6 +16,9 @@
 /// Header of the key unless the service row names another.
 constexpr std::string_view kDefaultKeyHeader = "Toucandeck-Key";
 
+/// A service whose key is "header:Idempotency-Key" gives each submission an owner, so that a resent one finds the first.
+constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
+
 /// Takes the key out of a request as the service row's column `key` says.
 class KeyExtractor
 {
@@ -26,6 +29,9 @@
     /// False for "none": any instance may serve any request.
     bool isKeyed() const;
 
+    /// True for "header:NAME" with this name.
+    bool isByHeader(std::string_view name) const;
+
     /// The key, percent-decoded if it is a path segment; nothing if the service is not keyed. @p path follows the service name
     /// and begins with '/'; segment 1 is the first one in it. Fails with InvalidArgument if the request has no key.
     Result<std::optional<std::string>> extract(std::string_view path, const HeaderLookup &headers) const;
--- a/src/state/effective_row.cpp
+++ b/src/state/effective_row.cpp
@@ -43,7 +43,7 @@
     settings.keySource = KeySource::Segment;
     const auto digits = text.substr(segmentPrefix.size());
     const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), settings.segment);
-    const bool valid = ec == std::errc() && end == digits.data() + digits.size() && settings.segment <= maxSegment;
+    const bool valid = ec == std::errc() && end == digits.data() + digits.size() && settings.segment >= 1 && settings.segment <= maxSegment;
     return valid ? std::optional(settings) : std::nullopt;
 }
 
--- a/standin/quickstart_main.cpp
+++ b/standin/quickstart_main.cpp
@@ -124,6 +124,7 @@
     loop->runUntil([&finished] { return finished; }, std::chrono::seconds(20));
     cluster->stop();
 
+    BOOST_LEAF_CHECK(writeCallerRecords(options.workFolder + "/records", generator.records()));
     const auto executions = cluster->executions();
     const auto report = audit(generator.records(), executions);
     const auto late = workAfterLeave(*cluster, executions, leave);
