Assert for leaders too that only synced entries are applied

Cause: the assertion in applyCommitted() excepted leaders, although flush() syncs before it commits on every replica. Change: the exception is gone. Ruled out: nothing else. Conclusion: a leader that applied before its sync would now stop at once.

--- a/src/consensus/core_follower.cpp
+++ b/src/consensus/core_follower.cpp
@@ -130,7 +130,7 @@
 
 void ReplicaCore::applyCommitted()
 {
-    TOUCANDECK_ASSERT(m_commitIndex <= m_syncedIndex || m_role == Role::Leader, "a follower commits only what is synced here");
+    TOUCANDECK_ASSERT(m_commitIndex <= m_syncedIndex, "only what is synced here is applied here");
     while (m_appliedIndex < m_commitIndex) {
         ++m_appliedIndex.value;
         applyEntry(m_log.at(m_appliedIndex));
