Break connections in the randomised run of the policies

Cause: a planted retry of a may-have-run submission was not caught, because the verdict reached the caller's router only at the deadline, too late for a retry. Ruled out: checking retries only in the unit test.

--- a/prove/policy/model_call.h
+++ b/prove/policy/model_call.h
@@ -69,6 +69,8 @@
     virtual std::optional<Call> nestedCall(const Call &outer) = 0;
     /// Delay of a message; nothing if it is lost.
     virtual std::optional<Duration> delay() = 0;
+    /// Whether the connection to the backend server breaks while the work that begins now runs.
+    virtual bool breaksConnection() = 0;
 };
 
 /// The strategies under test.
--- a/prove/policy/submitter.cpp
+++ b/prove/policy/submitter.cpp
@@ -120,7 +120,7 @@
     world.node(1 - call.service, domain).front->handle(call, [&world, call](const Reply &reply) {
         world.outcome(call, reply);
         ++world.counts[reply.verdict == Verdict::Ran ? "status_ran" : "status_refused"];
-        if (reply.verdict == Verdict::MayHaveRun && world.isQuiet()) {
+        if (reply.verdict != Verdict::Ran && world.simulator.now() >= call.deadline && world.isQuiet()) {
             world.violation("status_check_unanswered");
         }
     });
--- a/prove/policy/world.h
+++ b/prove/policy/world.h
@@ -28,6 +28,7 @@
     void replied(Attempt &attempt, const Reply &reply) override;
     std::optional<Call> nestedCall(const Call &outer) override;
     std::optional<Duration> delay() override;
+    bool breaksConnection() override;
 
     ModelNode &node(unsigned service, unsigned domain);
     ModelFront &anyFront();
