Log limits of the backend server only when they change, tag failed requests

Cause: a run of the quickstart logged limits_changed 3,182 times in 24 s from 14 routers; refusals left no reason in the traces. Change: RequestExecutor passes limits and state on only when they differ; the span of an answer without ran carries its message. Tests of announcements, backend presence and forwarded headers. Ruled out: comparing in AdmissionController, whose calls are documented as changes.

--- a/src/daemon/request_executor.h
+++ b/src/daemon/request_executor.h
@@ -92,6 +92,7 @@
     IdempotencyTable m_records;
     AdmissionController m_admission;
     HotKeySketch m_hotKeys;
+    std::optional<BackendLimits> m_limits;
     std::uint64_t m_nextWork = 1;
     std::map<std::uint64_t, WorkPtr> m_work;
     std::map<ForwardId, std::uint64_t> m_ids;
--- a/src/daemon/request_executor_end.cpp
+++ b/src/daemon/request_executor_end.cpp
@@ -238,9 +238,17 @@
         return;
     }
     const auto row = m_agent.view().effectiveRow(backend->service, m_parts.settings.failureDomain, backend->instance);
-    m_admission.setLimits(
-        { row.slotsFromTable ? row.slots : backend->slots, row.connectionsFromTable ? row.connections : backend->connections });
-    m_admission.setState(toServingState(row.stateAt(m_parts.loop.clock().wallNow())));
+    const BackendLimits limits{ row.slotsFromTable ? row.slots : backend->slots,
+                                row.connectionsFromTable ? row.connections : backend->connections };
+    // The admission controller logs each call as a change.
+    if (!m_limits || m_limits->slots != limits.slots || m_limits->connections != limits.connections) {
+        m_limits = limits;
+        m_admission.setLimits(limits);
+    }
+    const auto state = toServingState(row.stateAt(m_parts.loop.clock().wallNow()));
+    if (state != m_admission.state()) {
+        m_admission.setState(state);
+    }
     m_admission.setCold(backend->cold);
     pollSoon();
 }
--- a/src/daemon/request_router_end.cpp
+++ b/src/daemon/request_router_end.cpp
@@ -148,6 +148,9 @@
     m_seconds.Observe(std::chrono::duration<double>(m_parts.loop.clock().now() - call->received).count());
     call->span.tag("verdict", std::string(toString(verdict)));
     call->span.tag("status", std::to_string(reply.status()));
+    if (verdict != Verdict::Ran) {
+        call->span.tag("error", reply.body());
+    }
     drop(call);
     call->exchange->respond(internal::toResponse(reply));
 }
--- /dev/null
+++ b/test/daemon/test_router_parts.cpp
@@ -0,0 +1,104 @@
+// Guards against a backend server that is used after its loss, announcements that are half understood, and headers that must not
+// pass between caller and backend server.
+#include "daemon/backend_presence.h"
+#include "daemon/forward_messages.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+using namespace Toucandeck;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+nlohmann::json announcementJson()
+{
+    return { { "service", "clue-svc" }, { "instance", "clue-1" }, { "address", "127.0.0.1:80" }, { "slots", 9 }, { "connections", 130 },
+             { "fenced", true },        { "cold", false } };
+}
+
+std::string errorOf(const std::string &body)
+{
+    return handleError(
+        [&body]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(parseAnnouncement(body));
+            return std::string();
+        },
+        [](const Error &error) { return error.message; });
+}
+
+Announcement announcement()
+{
+    auto result = parseAnnouncement(announcementJson().dump());
+    EXPECT_TRUE(result);
+    return result.value();
+}
+
+} // namespace
+
+TEST(Announcement, NamesTheWrongField)
+{
+    EXPECT_EQ(errorOf(announcementJson().dump()), "");
+    for (const char *it : { "service", "instance", "address", "slots", "connections", "fenced", "cold" }) {
+        auto json = announcementJson();
+        json.erase(it);
+        EXPECT_TRUE(errorOf(json.dump()).starts_with(it));
+        json[it] = nullptr;
+        EXPECT_TRUE(errorOf(json.dump()).starts_with(it));
+    }
+    auto json = announcementJson();
+    json["instance"] = "a/b";
+    EXPECT_TRUE(errorOf(json.dump()).starts_with("instance"));
+    EXPECT_FALSE(errorOf("[").empty());
+}
+
+RC_GTEST_PROP(Announcement, AnyBytesAreRefusedOrParsed, (const std::string &body))
+{
+    errorOf(body);
+}
+
+TEST(BackendPresence, IsLostAfterThreeMissedAnnouncementsAndReturns)
+{
+    ManualClock clock;
+    BackendPresence presence(clock);
+    EXPECT_FALSE(presence.leaving());
+    EXPECT_TRUE(presence.announced(announcement()));
+    EXPECT_FALSE(presence.announced(announcement()));
+    clock.advance(1499ms);
+    EXPECT_FALSE(presence.checkMissed());
+    clock.advance(1ms);
+    EXPECT_TRUE(presence.checkMissed());
+    EXPECT_EQ(presence.state(), BackendPresence::State::Absent);
+    EXPECT_FALSE(presence.checkMissed());
+    EXPECT_TRUE(presence.announced(announcement()));
+    EXPECT_TRUE(presence.refused());
+    EXPECT_FALSE(presence.refused());
+    presence.announced(announcement());
+    EXPECT_TRUE(presence.leaving());
+    EXPECT_EQ(presence.state(), BackendPresence::State::Leaving);
+}
+
+TEST(ForwardMessages, GrantHeadersOfCallersNeverReachTheBackendServer)
+{
+    wire::ForwardRequest request;
+    internal::copyHeaders({ { "toucandeck-epoch", "99" },
+                            { "Toucandeck-Grant-Until", "9" },
+                            { "Toucandeck-Partition", "1" },
+                            { "Connection", "close" },
+                            { "Idempotency-Key", "k" } },
+                          *request.mutable_headers());
+    ASSERT_EQ(request.headers_size(), 1);
+    EXPECT_EQ(request.headers(0).name(), "Idempotency-Key");
+}
+
+TEST(ForwardMessages, EveryAnswerStatesItsVerdictAndRefusalsWhenToRetry)
+{
+    const auto response = internal::toResponse(internal::refusal(Verdict::NotRun, 503, "full", 1001ms));
+    EXPECT_EQ(response.header("Toucandeck-Verdict"), "not-run");
+    EXPECT_EQ(response.header("Retry-After"), "2");
+    EXPECT_EQ(internal::toResponse(internal::refusal(Verdict::NotRun, 429, "full")).header("Retry-After"), "1");
+    EXPECT_EQ(internal::toResponse(internal::refusal(Verdict::MayHaveRun, 504, "late")).header("Toucandeck-Verdict"), "may-have-run");
+    EXPECT_EQ(internal::fromWire(static_cast<wire::WireVerdict>(77)), Verdict::MayHaveRun);
+}
