--- a/src/cli/cli_run.cpp
+++ b/src/cli/cli_run.cpp
@@ -1,5 +1,6 @@
 #include "cli/cli_run.h"
 
+#include "cli/bootstrap.h"
 #include "cli/operator_client.h"
 #include "cli/output.h"
 
@@ -89,6 +90,10 @@
     Result<void> execute()
     {
         BOOST_LEAF_AUTO(token, readToken(m_line.tokenFile));
+        if (m_line.action == CliAction::ControllersBootstrap) {
+            BOOST_LEAF_ASSIGN(m_result.output, bootstrapControllers(m_transport, m_line.controllers, token, m_line.timeout));
+            return {};
+        }
         std::string content;
         if (m_line.action == CliAction::TableImport) {
             BOOST_LEAF_ASSIGN(content, readFile(m_line.file));
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -29,6 +29,7 @@
         : m_app("Operators' command-line tool of toucandeck", "toucandeck")
     {
         m_app.footer(exitCodeHelp());
+        m_app.set_version_flag("--version", "toucandeck " TOUCANDECK_VERSION);
         m_app.require_subcommand(1);
         m_app.fallthrough();
         m_app.add_option("--controllers", m_line.controllers, "HTTP addresses IP:PORT of the controllers, separated by commas")
@@ -119,6 +120,10 @@
         auto *controllers = m_app.add_subcommand("controllers", "Show and change the membership of the controllers");
         controllers->require_subcommand(1);
         read(controllers, "show", "Print the members", CliAction::ControllersShow);
+        command(controllers,
+                "bootstrap",
+                "Give the new controllers named by --controllers their first membership; once per deployment",
+                CliAction::ControllersBootstrap);
         auto *add = command(controllers, "add", "Add a controller; it votes once it has caught up", CliAction::ControllersAdd);
         add->add_option("REPLICA", m_line.replica, "Hexadecimal id, as the controller logs it")->required();
         add->add_option("--failure-domain", m_line.failureDomain, "Its failure domain")->required();
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -22,6 +22,7 @@
     ControllersShow,
     ControllersAdd,
     ControllersRemove,
+    ControllersBootstrap,
     LeavePlan,
     LeaveStatus,
     Events,
--- a/src/cli/operator_request.cpp
+++ b/src/cli/operator_request.cpp
@@ -110,6 +110,7 @@
     case CliAction::LeaveStatus:
         return get("/v1/leave/status");
     case CliAction::Events:
+    case CliAction::ControllersBootstrap: // sent by bootstrapControllers()
         break;
     }
     return get("/v1/events");
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -182,6 +182,7 @@
     case CliAction::TableExport:
     case CliAction::TableImport:
     case CliAction::TableSet:
+    case CliAction::ControllersBootstrap:
         break;
     }
     return editText;
--- a/src/daemon/controller_role.cpp
+++ b/src/daemon/controller_role.cpp
@@ -37,7 +37,8 @@
     const CoordinatorParts coordinator{ m_driver->state(), m_parts.loop.clock(), *m_driver, *this, *m_driver, m_placement, m_parts.events };
     m_coordinator = std::make_unique<Coordinator>(coordinator);
     m_driver->setApplied([this](LogIndex index, const wire::ViewDelta &delta) { m_coordinator->applied(index, delta); });
-    m_api = std::make_unique<OperatorApi>(*m_driver, *m_coordinator, m_parts.events, m_parts.loop.clock(), m_parts.events, m_parts.token);
+    m_api = std::make_unique<OperatorApi>(
+        *m_driver, *m_coordinator, m_parts.events, m_parts.loop.clock(), m_parts.events, m_parts.self, m_parts.token);
     if (m_driver->replica().membership().members.empty()) {
         m_parts.events.write(Events::kControllerWaits, { field("replica", internal::idText(m_driver->replica().id().value)) });
     }
@@ -128,10 +129,16 @@
 void ControllerRole::followLeadership()
 {
     const bool leads = m_driver->replica().isLeaderReady();
-    if (leads == m_leads) {
+    const auto currentTerm = m_driver->replica().term();
+    if (leads == m_leads && (!leads || currentTerm == m_ledTerm)) {
         return;
     }
+    if (leads && m_leads) {
+        // Lost and regained between two iterations: the leases of the earlier term are not known to hold.
+        m_coordinator->lostLeadership();
+    }
     m_leads = leads;
+    m_ledTerm = currentTerm;
     const auto term = field("term", m_driver->replica().term().value);
     if (leads) {
         m_parts.events.write(Events::kControllerLeads, { term });
--- a/src/daemon/controller_role.h
+++ b/src/daemon/controller_role.h
@@ -23,6 +23,7 @@
     EventRing &events; ///< Also the logger.
     Metrics &metrics;
     std::string dataFolder;
+    Member self; ///< Failure domain and addresses of this process; the replica id comes from the data folder.
     std::string token; ///< Operators' token; empty: none is asked for.
 };
 
@@ -63,6 +64,7 @@
     EventLoop::Watch m_endHook;
     FailureHandler m_onFailure;
     bool m_leads = false;
+    Term m_ledTerm; ///< Term for which the coordinator was built.
     prometheus::Gauge &m_leaderGauge;
     prometheus::Gauge &m_commitGauge;
     prometheus::Gauge &m_sessionsGauge;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -108,8 +108,9 @@
 {
     m_supervisor = std::make_unique<Supervisor>("daemon", *m_loop, RestartPolicy{}, m_logger);
     if (m_settings.controller) {
+        const Member self{ {}, ReplicaRole::Learner, m_settings.failureDomain, m_settings.messageAddress, m_settings.httpAddress };
         auto role = std::make_unique<ControllerRole>(
-            ControllerRoleParts{ *m_loop, *m_messages, m_random, m_logger, m_metrics, m_settings.dataDir, token });
+            ControllerRoleParts{ *m_loop, *m_messages, m_random, m_logger, m_metrics, m_settings.dataDir, self, token });
         m_controller = role.get();
         m_supervisor->add(std::move(role));
     }
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -112,13 +112,19 @@
     return it == std::end(kRoutes) ? nullptr : it;
 }
 
-OperatorApi::OperatorApi(
-    ReplicaDriver &driver, Coordinator &coordinator, const EventRing &events, const Clock &clock, Logger &logger, std::string token)
+OperatorApi::OperatorApi(ReplicaDriver &driver,
+                         Coordinator &coordinator,
+                         const EventRing &events,
+                         const Clock &clock,
+                         Logger &logger,
+                         Member self,
+                         std::string token)
     : m_driver(driver)
     , m_coordinator(coordinator)
     , m_events(events)
     , m_clock(clock)
     , m_logger(logger)
+    , m_self(std::move(self))
     , m_token(std::move(token))
 {
 }
@@ -391,8 +397,12 @@
 void OperatorApi::identity(const Exchange &exchange)
 {
     const auto &replica = m_driver.replica();
-    exchange->respond(jsonResponse(
-        200, { { "replica", internal::idText(replica.id().value) }, { "member", replica.membership().find(replica.id()) != nullptr } }));
+    exchange->respond(jsonResponse(200,
+                                   { { "replica", internal::idText(replica.id().value) },
+                                     { "member", replica.membership().find(replica.id()) != nullptr },
+                                     { "failure_domain", m_self.failureDomain },
+                                     { "address", m_self.address },
+                                     { "http_address", m_self.httpAddress } }));
 }
 
 void OperatorApi::bootstrap(const Exchange &exchange)
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -19,8 +19,13 @@
 {
 public:
     /// @param token secret that each request carries as "Authorization: Bearer TOKEN"; empty: none is asked for.
-    OperatorApi(
-        ReplicaDriver &driver, Coordinator &coordinator, const EventRing &events, const Clock &clock, Logger &logger, std::string token);
+    OperatorApi(ReplicaDriver &driver,
+                Coordinator &coordinator,
+                const EventRing &events,
+                const Clock &clock,
+                Logger &logger,
+                Member self,
+                std::string token);
 
     /// Answers the request if its path is under /v1/; returns false otherwise.
     bool handle(const std::shared_ptr<HttpExchange> &exchange);
@@ -64,6 +69,7 @@
     const EventRing &m_events;
     const Clock &m_clock;
     Logger &m_logger;
+    Member m_self;
     std::string m_token;
 };
 
--- a/src/daemon/replica_driver.cpp
+++ b/src/daemon/replica_driver.cpp
@@ -135,9 +135,8 @@
 
 void ReplicaDriver::propose(const wire::Command &command, Done done)
 {
-    proposeForAnswer(command, [done = std::move(done)](std::optional<LogIndex> index, const CommandAnswer &answer) {
-        done(index ? &answer : nullptr);
-    });
+    proposeForAnswer(
+        command, [done = std::move(done)](std::optional<LogIndex> index, const CommandAnswer &answer) { done(index ? &answer : nullptr); });
 }
 
 void ReplicaDriver::proposeForAnswer(const wire::Command &command, Answered answered)
--- a/src/state/cluster_state_partitions.cpp
+++ b/src/state/cluster_state_partitions.cpp
@@ -79,7 +79,7 @@
     if (present == nullptr || release.session() == 0 || present->owner() != release.session()) {
         return false;
     }
-    if (release.receiver() != 0 && present->moving_to() != 0 && release.receiver() != present->moving_to()) {
+    if (release.receiver() != 0 && release.receiver() != present->moving_to()) {
         return false;
     }
     auto changed = *present;
--- a/standin/quickstart_main.cpp
+++ b/standin/quickstart_main.cpp
@@ -4,6 +4,8 @@
 #include "local_cluster.h"
 
 #include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdio>
 #include <fmt/format.h>
 
 using namespace Toucandeck;
@@ -27,7 +29,7 @@
     std::string workFolder;
     double rate = 200;
     std::uint64_t seed = 1;
-    bool curve = false;
+    bool hold = false;
 };
 
 /// Result of taking the failure domain out and back.
@@ -86,6 +88,23 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+/// Prints how to reach the deployment and keeps it running until SIGINT or SIGTERM.
+int hold(EventLoop &loop, LocalCluster &cluster, const std::string &workFolder)
+{
+    std::string controllers;
+    for (const auto &it : cluster.controllerNames()) {
+        controllers += (controllers.empty() ? "" : ",") + cluster.controllerAddress(it);
+    }
+    fmt::print("export TOUCANDECK_CONTROLLERS={}\nexport TOUCANDECK_TOKEN_FILE={}/token\n", controllers, workFolder);
+    fmt::print("router: {}\n", cluster.routerAddresses().front());
+    std::fflush(stdout);
+    const auto interrupted = loop.onSignal(SIGINT, [&loop] { loop.stop(); });
+    const auto terminated = loop.onSignal(SIGTERM, [&loop] { loop.stop(); });
+    loop.run();
+    cluster.stop();
+    return 0;
+}
+
 Result<int> run(const QuickstartOptions &options)
 {
     SystemClock clock;
@@ -96,7 +115,6 @@
     LocalClusterOptions clusterOptions;
     clusterOptions.binaryFolder = options.binaryFolder;
     clusterOptions.workFolder = options.workFolder;
-    clusterOptions.curve = options.curve;
     clusterOptions.traces = true;
     BOOST_LEAF_AUTO(cluster, LocalCluster::create(*loop, logger, layout, clusterOptions));
     fmt::print("starting {} controllers, {} routers and {} backend servers of layout {}\n",
@@ -106,6 +124,9 @@
                layout.name);
     BOOST_LEAF_CHECK(cluster->start(kStartLimit));
 
+    if (options.hold) {
+        return hold(*loop, *cluster, options.workFolder);
+    }
     LoadOptions load;
     load.routers = cluster->routerAddresses();
     load.services = layout.services;
@@ -157,6 +178,7 @@
     app.add_option("--work", options.workFolder, "Folder for settings, data, logs and journals")->required();
     app.add_option("--rate", options.rate, "Requests per second")->capture_default_str();
     app.add_option("--seed", options.seed, "Seed of the load")->capture_default_str();
+    app.add_flag("--hold", options.hold, "Start the deployment, print its addresses and keep it running until interrupted");
     CLI11_PARSE(app, argc, argv);
     return handleError([&] { return run(options); },
                        [](const Error &error) {
