Give each VM of the local deployment an address of its own

Cause: leave status took all controllers for neighbours of every instance, since all had the address 127.0.0.1; nothing was ever safe. Change: the link listens on one loopback address per VM; leave status gets the controllers' message addresses. Ruled out: treating loopback addresses as different VMs in the program.

--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -65,6 +65,14 @@
     exchange->respond(handleError(std::forward<Block>(block), [](const Error &error) { return errorResponse(error); }));
 }
 
+/// IP of "tcp://IP:PORT".
+std::string hostOf(std::string_view address)
+{
+    const auto start = address.find("://");
+    const auto host = start == std::string_view::npos ? address : address.substr(start + 3);
+    return std::string(host.substr(0, host.rfind(':')));
+}
+
 /// True if both texts are equal; takes the same time for every wrong token of the same length.
 bool equalSecrets(std::string_view a, std::string_view b)
 {
@@ -322,7 +330,7 @@
         ControllerMember member;
         member.id = it.replica;
         member.failureDomain = it.failureDomain;
-        member.host = it.httpAddress.substr(0, it.httpAddress.find(':'));
+        member.host = hostOf(it.address);
         member.voter = it.role == ReplicaRole::Voter;
         member.reachable = replica.syncedIndexOf(it.replica) >= replica.commitIndex() || it.replica == replica.id();
         members.push_back(std::move(member));
--- a/standin/link_main.cpp
+++ b/standin/link_main.cpp
@@ -81,7 +81,7 @@
     std::vector<std::string> pairs;
     int delayMs = 0;
     std::uint16_t control = 0;
-    app.add_option("--link", pairs, "LISTEN_PORT:TARGET_PORT, may be repeated")->required();
+    app.add_option("--link", pairs, "IP:LISTEN_PORT:TARGET_PORT, may be repeated")->required();
     app.add_option("--delay-ms", delayMs, "One-way delay in ms")->capture_default_str();
     app.add_option("--control-port", control, "Port of the control interface on 127.0.0.1")->required();
     CLI11_PARSE(app, argc, argv);
@@ -90,13 +90,19 @@
     auto *base = event_base_new();
     Links links;
     for (const auto &it : pairs) {
-        const auto colon = it.find(':');
-        const auto listenPort = static_cast<std::uint16_t>(std::strtoul(it.c_str(), nullptr, 10));
-        const auto targetPort
-            = colon == std::string::npos ? 0 : static_cast<std::uint16_t>(std::strtoul(it.c_str() + colon + 1, nullptr, 10));
+        const auto first = it.find(':');
+        const auto second = it.find(':', first + 1);
+        if (first == std::string::npos || second == std::string::npos) {
+            fmt::print(stderr, "toucandeck-link: '{}' is not IP:LISTEN_PORT:TARGET_PORT\n", it);
+            return 2;
+        }
+        const auto listenPort = static_cast<std::uint16_t>(std::strtoul(it.c_str() + first + 1, nullptr, 10));
+        const auto targetPort = static_cast<std::uint16_t>(std::strtoul(it.c_str() + second + 1, nullptr, 10));
         const bool started = handleError(
             [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(relay, Standin::LinkRelay::create(base, listenPort, targetPort, std::chrono::milliseconds(delayMs)));
+                BOOST_LEAF_AUTO(
+                    relay,
+                    Standin::LinkRelay::create(base, it.substr(0, first), listenPort, targetPort, std::chrono::milliseconds(delayMs)));
                 links[listenPort] = std::move(relay);
                 return true;
             },
--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -171,20 +171,24 @@
 
 } // namespace
 
-Result<std::unique_ptr<LinkRelay>> LinkRelay::create(event_base *base, std::uint16_t listenPort, std::uint16_t targetPort, Duration delay)
+Result<std::unique_ptr<LinkRelay>>
+LinkRelay::create(event_base *base, const std::string &listenIp, std::uint16_t listenPort, std::uint16_t targetPort, Duration delay)
 {
     auto d = std::make_unique<Private>();
     d->base = base;
     d->listenPort = listenPort;
     d->targetPort = targetPort;
     d->delay = delay;
-    const auto address = loopback(listenPort);
+    auto address = loopback(listenPort);
+    if (inet_pton(AF_INET, listenIp.c_str(), &address.sin_addr) != 1) {
+        return fail(ErrorCode::InvalidArgument, fmt::format("'{}' is not an IP address", listenIp));
+    }
     constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
     constexpr int kBacklog = 256;
     d->listener = evconnlistener_new_bind(
         base, onAccept, d.get(), kOptions, kBacklog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
     if (!d->listener) {
-        return fail(ErrorCode::Io, fmt::format("cannot listen on 127.0.0.1:{}", listenPort));
+        return fail(ErrorCode::Io, fmt::format("cannot listen on {}:{}", listenIp, listenPort));
     }
     return std::unique_ptr<LinkRelay>(new LinkRelay(std::move(d)));
 }
--- a/standin/link_relay.h
+++ b/standin/link_relay.h
@@ -17,8 +17,9 @@
 class LinkRelay
 {
 public:
-    /// Listens on 127.0.0.1:@p listenPort and connects to 127.0.0.1:@p targetPort for each connection.
-    static Result<std::unique_ptr<LinkRelay>> create(event_base *base, std::uint16_t listenPort, std::uint16_t targetPort, Duration delay);
+    /// Listens on @p listenIp, an address of the loopback range, and connects to 127.0.0.1:@p targetPort for each connection.
+    static Result<std::unique_ptr<LinkRelay>>
+    create(event_base *base, const std::string &listenIp, std::uint16_t listenPort, std::uint16_t targetPort, Duration delay);
     ~LinkRelay();
     LinkRelay(const LinkRelay &) = delete;
     LinkRelay &operator=(const LinkRelay &) = delete;
--- a/standin/local_cluster.cpp
+++ b/standin/local_cluster.cpp
@@ -42,6 +42,7 @@
     std::string name;
     std::string failureDomain;
     const LayoutService *service = nullptr; ///< Of routers and backend servers.
+    std::string ip; ///< Stands for the VM in message addresses; a router and a backend server beside it share one.
     std::uint16_t messagePort = 0; ///< Where the process listens.
     std::uint16_t linkPort = 0; ///< Where others reach it, through the link.
     std::uint16_t httpPort = 0;
@@ -77,6 +78,8 @@
     }
     std::size_t n = 0;
     for (auto &it : m_nodes) {
+        constexpr std::size_t kPerNetwork = 250;
+        it->ip = fmt::format("127.1.{}.{}", n / kPerNetwork, n % kPerNetwork + 1);
         it->messagePort = ports[n++];
         it->linkPort = ports[n++];
         it->httpPort = ports[n++];
@@ -119,6 +122,11 @@
     }
 }
 
+std::string LocalCluster::messageAddress(const Node &node)
+{
+    return fmt::format("tcp://{}:{}", node.ip, node.linkPort);
+}
+
 Result<void> LocalCluster::writeSettings(const Node &node)
 {
     if (node.kind == NodeKind::Backend) {
@@ -127,14 +135,14 @@
     json controllers = json::array();
     for (const auto &it : m_nodes) {
         if (it->kind == NodeKind::Controller) {
-            controllers.push_back({ { "message_address", "tcp://" + loopback(it->linkPort) }, { "http_address", loopback(it->httpPort) } });
+            controllers.push_back({ { "message_address", messageAddress(*it) }, { "http_address", loopback(it->httpPort) } });
         }
     }
     json settings = {
         { "process", node.name },
         { "failure_domain", node.failureDomain },
         { "roles", json::array({ node.kind == NodeKind::Controller ? "controller" : "router" }) },
-        { "message_address", "tcp://" + loopback(node.linkPort) },
+        { "message_address", messageAddress(node) },
         { "message_bind", "tcp://" + loopback(node.messagePort) },
         { "http_address", loopback(node.httpPort) },
         { "controllers", controllers },
@@ -191,7 +199,7 @@
                                            fmt::format("--delay-ms={}", delay) };
     for (const auto &it : m_nodes) {
         if (it->kind != NodeKind::Backend) {
-            arguments.push_back(fmt::format("--link={}:{}", it->linkPort, it->messagePort));
+            arguments.push_back(fmt::format("--link={}:{}:{}", it->ip, it->linkPort, it->messagePort));
         }
     }
     BOOST_LEAF_ASSIGN(m_link, ChildProcess::start(arguments, m_options.workFolder + "/link.log"));
@@ -242,7 +250,7 @@
         }
         members.push_back({ { "replica", replica },
                             { "failure_domain", it->failureDomain },
-                            { "address", "tcp://" + loopback(it->linkPort) },
+                            { "address", messageAddress(*it) },
                             { "http_address", loopback(it->httpPort) } });
     }
     for (const auto &it : m_nodes) {
--- a/standin/local_cluster.h
+++ b/standin/local_cluster.h
@@ -97,6 +97,7 @@
     void addControllers();
     void addInstances();
     Result<void> writeSettings(const Node &node);
+    static std::string messageAddress(const Node &node);
     Result<void> launch(Node &node);
     Result<void> startLink();
     Result<void> bootstrap();
