Check in the randomised run that only the highest leader is sure of its leadership

Cause: leadsSurely() had no check of its own. Change: after each step of prove_consensus no replica but the leader of the highest term may be sure; three unit tests. Ruled out: nothing. Conclusion: the refusal after a start rests on the unit test alone.

--- a/prove/consensus/fake_cluster.cpp
+++ b/prove/consensus/fake_cluster.cpp
@@ -128,6 +128,20 @@
     }
 }
 
+void FakeCluster::checkSureLeader()
+{
+    const auto *highest = leader();
+    for (const auto &it : m_nodes) {
+        if (it->replica && it->replica->leadsSurely() && it.get() != highest) {
+            checker.violation(fmt::format("slot {} is sure to lead in term {} although slot {} leads in term {}",
+                                          it->slot,
+                                          it->replica->term().value,
+                                          highest->slot,
+                                          highest->replica->term().value));
+        }
+    }
+}
+
 void FakeCluster::step()
 {
     clock.advance(kStep);
@@ -138,6 +152,7 @@
             runNode(*it, steps % kStepsPerTick == 0);
         }
     }
+    checkSureLeader();
 }
 
 void FakeCluster::receive(int slot, const wire::ReplicaMessage &message)
--- a/prove/consensus/fake_cluster.h
+++ b/prove/consensus/fake_cluster.h
@@ -88,6 +88,7 @@
     bool holds(const StoredState &state, LogIndex index, const std::string &command) const;
 
     std::string domainOf(int slot) const;
+    void checkSureLeader();
 
     ReplicaOptions m_options;
     std::vector<std::string> m_domains;
--- /dev/null
+++ b/test/consensus/test_sure_leader.cpp
@@ -0,0 +1,49 @@
+// Guards against a deposed leader that still extends leases: leadsSurely() must end before another replica can be elected.
+#include "fake_cluster.h"
+
+#include <gtest/gtest.h>
+
+using namespace Toucandeck;
+using namespace std::chrono_literals;
+
+TEST(SureLeader, IsSureWhileAQuorumAnswers)
+{
+    FakeCluster cluster(11, 3);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != nullptr && cluster.leader()->replica->leadsSurely(); }, 10s));
+    for (int n = 0; n < 1000; ++n) {
+        cluster.step();
+        ASSERT_TRUE(cluster.leader()->replica->leadsSurely());
+    }
+}
+
+TEST(SureLeader, IsNoLongerSureBeforeAnotherReplicaLeads)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FakeCluster cluster(seed, 3);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != nullptr && cluster.leader()->replica->leadsSurely(); }, 10s));
+        auto *old = cluster.leader();
+        cluster.isolate(old->slot);
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != old && cluster.leader() != nullptr; }, 10s));
+        EXPECT_FALSE(old->replica->leadsSurely());
+        EXPECT_EQ(cluster.checker.violations().size(), 0U);
+    }
+}
+
+TEST(SureLeader, RestartedVoterRefusesVotesForAnElectionTimeout)
+{
+    FakeCluster cluster(5, 3);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != nullptr && cluster.leader()->replica->leadsSurely(); }, 10s));
+    auto *old = cluster.leader();
+    const int voter = (old->slot + 1) % 3;
+    const int candidate = (old->slot + 2) % 3;
+    // The candidate has heard nothing for long; only the restarted voter could elect it.
+    cluster.isolate(candidate);
+    cluster.run(1s);
+    cluster.isolate(old->slot);
+    cluster.crash(voter);
+    cluster.network.heal();
+    cluster.isolate(old->slot);
+    cluster.start(voter);
+    cluster.run(100ms);
+    EXPECT_FALSE(cluster.node(candidate).replica->isLeader());
+}
