--- a/src/routing/outlier_detector.h
+++ b/src/routing/outlier_detector.h
@@ -47,7 +47,7 @@
     unsigned failures = 5; ///< Consecutive failures that put an instance on probation.
     unsigned recentAnswers = 9; ///< Answers whose median is compared; odd.
     unsigned probesToReturn = 2; ///< Consecutive successful probes that end probation.
-    Duration probeInterval = std::chrono::milliseconds(100);
+    Duration probeInterval = std::chrono::milliseconds(500); ///< Each probe of a straggler is a slow request.
     double largestShare = 0.34; ///< Of the instances on probation at once; the rest must carry the load.
 };
 
