Free the model's open requests at the end of a run

Cause: the leak sanitizer reported requests of the model that are open when a run ends; each refers to its attempts and back. Change: ModelFront keeps its open requests and cuts the references when it is destroyed. Ruled out: weak references to the request, because late replies must still reach the checks. Conclusion: the run can be used under the sanitizers.

--- a/prove/policy/model_front.cpp
+++ b/prove/policy/model_front.cpp
@@ -30,6 +30,13 @@
 {
 }
 
+ModelFront::~ModelFront()
+{
+    for (const auto &it : m_open) {
+        it->attempts.clear(); // each of them refers to its request
+    }
+}
+
 ModelFront::Service &ModelFront::serviceOf(unsigned number)
 {
     auto &service = m_services[number];
@@ -57,6 +64,7 @@
     auto pending = std::make_shared<Pending>();
     pending->call = call;
     pending->done = std::move(done);
+    m_open.insert(pending);
     m_retry->countRequest();
     m_simulator.after(call.deadline - m_simulator.now(), [this, pending] { expire(pending); });
     // Only one instance may serve a keyed request, so there is no other one to hedge to.
@@ -224,6 +232,7 @@
         }
     }
     pending->attempts.clear(); // each of them refers to this request
+    m_open.erase(pending);
     auto answer = reply;
     if (answer.verdict == Verdict::NotRun && pending->mayHaveRun) {
         answer.verdict = Verdict::MayHaveRun;
--- a/prove/policy/model_front.h
+++ b/prove/policy/model_front.h
@@ -4,6 +4,7 @@
 #include "simulator.h"
 
 #include <map>
+#include <set>
 
 namespace Toucandeck::Model
 {
@@ -14,6 +15,10 @@
 public:
     ModelFront(unsigned domain, const Policies &policies, Simulator &simulator, Environment &environment);
 
+    ~ModelFront();
+    ModelFront(const ModelFront &) = delete;
+    ModelFront &operator=(const ModelFront &) = delete;
+
     /// @p done is called exactly once, at the deadline at the latest.
     void handle(const Call &call, std::function<void(const Reply &)> done);
 
@@ -67,6 +72,7 @@
     NullLogger m_logger;
     std::unique_ptr<RetryPolicy> m_retry;
     std::map<unsigned, Service> m_services;
+    std::set<PendingPtr> m_open;
 };
 
 /// Id that no other attempt of the process has.
