Show that timers do not use a cached time, fix lint findings

Cause: removing the flag against cached times failed no test; lint named parameter names and a copy in the router role. Change: the timer test sets its timer in a handler that runs for 15 ms; the findings are fixed. Ruled out: nothing.

--- a/src/daemon/instance_stats.h
+++ b/src/daemon/instance_stats.h
@@ -21,9 +21,9 @@
     /// Instances of the service that have a backend server, as candidates for a choice.
     std::vector<Candidate> candidates(const View &view, const std::string &service, const std::string &ownDomain);
 
-    void sent(SessionId instance);
+    void sent(SessionId id);
     /// @param ok false if the attempt failed or was shed. @param report nothing if there was no reply.
-    void ended(const std::string &service, SessionId instance, Duration latency, bool ok, std::optional<LoadReport> report);
+    void ended(const std::string &service, SessionId id, Duration latency, bool ok, std::optional<LoadReport> report);
 
     /// Forgets sessions that are no longer in the view.
     void prune(const View &view);
--- a/src/daemon/request_executor.h
+++ b/src/daemon/request_executor.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 
 namespace Toucandeck
 {
@@ -23,7 +24,10 @@
     std::string sender; ///< Empty: this process.
     std::uint64_t request = 0;
 
-    auto operator<=>(const ForwardId &) const = default;
+    bool operator<(const ForwardId &other) const
+    {
+        return std::tie(sender, request) < std::tie(other.sender, other.request);
+    }
 };
 
 /// Owner's side of the request path: takes forwarded requests through ownership, idempotency records and admission to the backend
--- a/src/daemon/request_router.cpp
+++ b/src/daemon/request_router.cpp
@@ -220,7 +220,7 @@
     m_attempts[id] = { call, target, local ? std::string() : session->message_address(), now };
     m_stats.sent(target);
     if (local) {
-        m_executor.execute({ "", id }, request, [this, id](wire::ForwardReply reply) { attemptEnded(id, std::move(reply), true); });
+        m_executor.execute({ "", id }, request, [this, id](const wire::ForwardReply &reply) { attemptEnded(id, reply, true); });
         return;
     }
     m_forwards.Increment();
--- a/src/daemon/request_router.h
+++ b/src/daemon/request_router.h
@@ -50,7 +50,7 @@
     void waitForOwner(const CallPtr &call);
     void scheduleHedge(const CallPtr &call);
     void hedge(const CallPtr &call);
-    void attemptEnded(std::uint64_t id, wire::ForwardReply reply, bool replied);
+    void attemptEnded(std::uint64_t id, const wire::ForwardReply &reply, bool replied);
     void attemptFailed(const CallPtr &call, const wire::ForwardReply &reply);
     void cancelAttempt(std::uint64_t id);
     void cancelAll(const CallPtr &call);
--- a/src/daemon/request_router_end.cpp
+++ b/src/daemon/request_router_end.cpp
@@ -36,7 +36,7 @@
     attemptEnded(reply.request(), reply, true);
 }
 
-void RequestRouter::attemptEnded(std::uint64_t id, wire::ForwardReply reply, bool replied)
+void RequestRouter::attemptEnded(std::uint64_t id, const wire::ForwardReply &reply, bool replied)
 {
     const auto it = m_attempts.find(id);
     if (it == m_attempts.end()) {
--- a/src/daemon/router_role.cpp
+++ b/src/daemon/router_role.cpp
@@ -216,12 +216,11 @@
 
 void RouterRole::backendLost(const char *reason)
 {
-    if (m_core->presence.state() != BackendPresence::State::Absent) {
-        m_core->presence.refused();
-    }
-    if (m_core->presence.latest()) {
-        m_parts.logger.write(Events::kBackendLost, { field("instance", m_core->presence.latest()->instance), field("reason", reason) });
-        m_core->agent.setBackend(false, m_core->presence.latest()->cold);
+    auto &core = *m_core;
+    core.presence.refused();
+    if (const auto &backend = core.presence.latest()) {
+        m_parts.logger.write(Events::kBackendLost, { field("instance", backend->instance), field("reason", reason) });
+        core.agent.setBackend(false, backend->cold);
     }
 }
 
--- a/test/runtime/test_event_loop.cpp
+++ b/test/runtime/test_event_loop.cpp
@@ -20,13 +20,18 @@
     EXPECT_TRUE(repeating.isActive());
 }
 
-TEST_F(EventLoopTest, TimerNeverFiresEarly)
+TEST_F(EventLoopTest, TimerNeverFiresEarlyEvenIfSetByALongHandler)
 {
-    const auto start = clock.now();
     bool fired = false;
-    const auto timer = loop->after(20ms, [&] {
-        fired = true;
-        EXPECT_GE(clock.now() - start, 20ms);
+    EventLoop::Watch timer;
+    const auto handler = loop->after(1ms, [&] {
+        const auto busyUntil = clock.now() + 15ms;
+        while (clock.now() < busyUntil) { }
+        const auto start = clock.now();
+        timer = loop->after(20ms, [&, start] {
+            fired = true;
+            EXPECT_GE(clock.now() - start, 20ms);
+        });
     });
     ASSERT_TRUE(runUntil([&] { return fired; }));
 }
