Measure added latency after partitions have settled

Cause: the key moved between the look-up of its owner and the measurement; one hop (0.217 ms) then seemed slower than two (0.075 ms). Change: wait 5 s after the start, fail if the owner changed; a folder of its own for each deployment of a process. Ruled out: nothing. Figures: the two values above are void.

--- a/bench/processes/main.cpp
+++ b/bench/processes/main.cpp
@@ -3,6 +3,7 @@
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
+#include <unistd.h>
 
 namespace Toucandeck::Bench
 {
@@ -15,7 +16,7 @@
     BOOST_LEAF_ASSIGN(deployment->loop, EventLoop::create(deployment->clock));
     Standin::LocalClusterOptions cluster;
     cluster.binaryFolder = options.binaryFolder;
-    cluster.workFolder = fmt::format("{}/{}", options.workFolder, ++number);
+    cluster.workFolder = fmt::format("{}/{}-{}", options.workFolder, ::getpid(), ++number);
     cluster.controllers = controllers;
     BOOST_LEAF_ASSIGN(deployment->cluster, Standin::LocalCluster::create(*deployment->loop, deployment->logger, layout, cluster));
     BOOST_LEAF_CHECK(deployment->cluster->start(std::chrono::seconds(60)));
--- a/bench/processes/path_latency.cpp
+++ b/bench/processes/path_latency.cpp
@@ -15,6 +15,7 @@
 using Standin::ProcessUsage;
 
 constexpr Duration kCallTimeout = std::chrono::seconds(5);
+constexpr Duration kSettle = std::chrono::seconds(5);
 constexpr int kWarmUpCalls = 200;
 constexpr int kCallsPerRun = 1000;
 constexpr std::size_t kConcurrency = 8;
@@ -109,6 +110,8 @@
     BOOST_LEAF_AUTO(deployment, Deployment::start(options, pathLayout()));
     auto &cluster = *deployment->cluster;
     const std::string key = "team-1";
+    // Partitions move while instances register one after the other.
+    runFor(*deployment->loop, kSettle);
     const auto owner = ownerOf(*deployment, key);
     if (owner.empty()) {
         return fail(ErrorCode::Unavailable, "no instance answered");
@@ -129,6 +132,9 @@
             times[name].insert(times[name].end(), some.begin(), some.end());
         }
     }
+    if (ownerOf(*deployment, key) != owner) {
+        return fail(ErrorCode::Unavailable, "the key moved during the measurement");
+    }
     for (const auto &[label, q] : { std::pair{ "p50", 0.5 }, std::pair{ "p99", 0.99 } }) {
         const auto direct = quantile(times["direct"], q);
         const auto naive = quantile(times["proxy"], q) - direct;
