--- a/src/consensus/events.h
+++ b/src/consensus/events.h
@@ -14,6 +14,6 @@
 inline constexpr Event kSnapshotTaken{ 1006, LogLevel::Info, "snapshot_taken", "The log is compacted up to a snapshot." };
 inline constexpr Event kSnapshotInstalled{ 1007, LogLevel::Info, "snapshot_installed", "The leader's snapshot replaces the log." };
 inline constexpr Event kReplicaStopped{ 1008, LogLevel::Error, "replica_stopped", "The store or state machine failed; the replica stops." };
-inline constexpr Event kMessageDropped{ 1009, LogLevel::Warning, "message_dropped", "A malformed replica message is dropped." };
+inline constexpr Event kMessageDropped{ 1009, LogLevel::Warning, "replica_message_dropped", "A malformed replica message is dropped." };
 
 } // namespace Toucandeck::ConsensusEvents
