--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -7,8 +7,11 @@
 
 using namespace Toucandeck;
 
-struct NoTransport : ReplicaTransport {
-    void send(ReplicaId, const wire::ReplicaMessage &) override { }
+struct NoTransport : ReplicaTransport
+{
+    void send(ReplicaId, const wire::ReplicaMessage &) override
+    {
+    }
 };
 
 int main()
@@ -17,9 +20,9 @@
     SeededRandom random(1);
     NoTransport transport;
     ClusterState state;
-    MemoryLogStore store(ReplicaId{1});
+    MemoryLogStore store(ReplicaId{ 1 });
     ReplicaOptions options;
-    options.initialMembership.members = {{ReplicaId{1}, ReplicaRole::Voter, "jm-a", "", ""}};
+    options.initialMembership.members = { { ReplicaId{ 1 }, ReplicaRole::Voter, "jm-a", "", "" } };
     auto replica = Replica::create(options, store, state, transport, clock, random);
     while (!(*replica)->isLeaderReady()) {
         clock.advance(std::chrono::milliseconds(10));
@@ -28,7 +31,7 @@
     }
     wire::Command command;
     command.mutable_edit_table()->set_request_id("example-1");
-    *command.mutable_edit_table()->add_edits() = *parseRowEdit("clue-svc/*/*", std::array{std::string("weight=50")}, Revision{0});
+    *command.mutable_edit_table()->add_edits() = *parseRowEdit("clue-svc/*/*", std::array{ std::string("weight=50") }, Revision{ 0 });
     (*replica)->propose(command.SerializeAsString()).value();
     (*replica)->flush();
     std::cout << "weight " << state.view().effectiveRow("clue-svc", "jm-a", "clue-1").weight << '\n';
