Use one reference to the role's parts where a backend server changes

Cause: clang-analyzer saw a null check of the same pointer in a function called before. Change: backendChanged() takes a reference first; no change of behaviour. Ruled out: nothing.

--- a/src/daemon/router_role.cpp
+++ b/src/daemon/router_role.cpp
@@ -209,9 +209,10 @@
 
 void RouterRole::backendChanged()
 {
-    m_core->agent.setDescription(description());
-    m_core->agent.setBackend(m_core->presence.state() == BackendPresence::State::Present, m_core->presence.latest()->cold);
-    m_core->executor.updateLimits();
+    auto &core = *m_core;
+    core.agent.setDescription(description());
+    core.agent.setBackend(core.presence.state() == BackendPresence::State::Present, core.presence.latest()->cold);
+    core.executor.updateLimits();
 }
 
 void RouterRole::backendLost(const char *reason)
