State the verdict in the stand-in's refusals and mend lint findings

Cause: a shed without the verdict header counts as may-have-run, and 412 and 504 as ran, since a router cannot know better. Change: the stand-in sends Toucandeck-Verdict: not-run with refusals before the work; lint findings in ids.h, child_process.cpp, link_relay.h and router_role.cpp mended; unavailability is also measured for a lost backend server alone. Conclusion: refusals of the stand-in may be retried elsewhere.

--- a/bench/processes/unavailability.cpp
+++ b/bench/processes/unavailability.cpp
@@ -162,6 +162,7 @@
     BOOST_LEAF_AUTO(deployment, Deployment::start(options, layout));
     auto &cluster = *deployment->cluster;
     std::vector<double> owner;
+    std::vector<double> backendOnly;
     std::vector<double> leader;
     std::vector<double> domain;
     std::vector<double> restart;
@@ -184,6 +185,11 @@
         owner.push_back(toMs(gapAfterKill(*deployment, observer, key, ownerProcesses)));
         BOOST_LEAF_CHECK(restartAll(*deployment, ownerProcesses));
 
+        const std::vector<std::string> backend = { ownerOf(*deployment, cluster.routerAddress("judge-svc-1"), key) };
+        observer = pick(cluster.failureDomainOf(backend.front()));
+        backendOnly.push_back(toMs(gapAfterKill(*deployment, observer, key, backend)));
+        BOOST_LEAF_CHECK(restartAll(*deployment, backend));
+
         const std::vector<std::string> leaders = { cluster.leader() };
         leader.push_back(toMs(gapAfterKill(*deployment, observer, key, leaders)));
         BOOST_LEAF_CHECK(restartAll(*deployment, leaders));
@@ -200,6 +206,7 @@
         restart.push_back(toMs(time));
     }
     print("owner", owner, quantile(restart, 0.5));
+    print("backend_server", backendOnly, quantile(restart, 0.5));
     print("leader", leader, quantile(restart, 0.5));
     print("failure_domain", domain, quantile(restart, 0.5));
     return {};
--- a/src/common/ids.h
+++ b/src/common/ids.h
@@ -42,7 +42,7 @@
 struct PartitionId
 {
     std::uint32_t value = 0;
-    auto operator<=>(const PartitionId &) const = default;
+    auto operator<=>(const PartitionId &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace Toucandeck
--- a/src/daemon/router_role.cpp
+++ b/src/daemon/router_role.cpp
@@ -211,7 +211,8 @@
 {
     auto &core = *m_core;
     core.agent.setDescription(description());
-    core.agent.setBackend(core.presence.state() == BackendPresence::State::Present, core.presence.latest()->cold);
+    const auto &latest = core.presence.latest();
+    core.agent.setBackend(core.presence.state() == BackendPresence::State::Present, latest && latest->cold);
     core.executor.updateLimits();
 }
 
--- a/standin/backend_server.cpp
+++ b/standin/backend_server.cpp
@@ -53,6 +53,14 @@
     return { status, { { "Content-Type", "text/plain" } }, std::move(body) };
 }
 
+/// Refusal before the work began; without the header a router must take the work as possibly run.
+HttpResponse notRun(int status, std::string body)
+{
+    auto response = textResponse(status, std::move(body));
+    setHeader(response.headers, "Toucandeck-Verdict", std::string(toString(Verdict::NotRun)));
+    return response;
+}
+
 HttpResponse jsonResponse(std::string body)
 {
     return { 200, { { "Content-Type", "application/json" } }, std::move(body) };
@@ -127,13 +135,13 @@
     const auto modelRequest = toModelRequest(request);
     switch (m_model.begin(modelRequest)) {
     case BackendDecision::Shed:
-        exchange->respond(textResponse(503, "shed\n"));
+        exchange->respond(notRun(503, "shed\n"));
         return;
     case BackendDecision::StaleGrant:
-        exchange->respond(textResponse(412, "stale grant\n"));
+        exchange->respond(notRun(412, "stale grant\n"));
         return;
     case BackendDecision::DeadlinePassed:
-        exchange->respond(textResponse(504, "deadline passed\n"));
+        exchange->respond(notRun(504, "deadline passed\n"));
         return;
     case BackendDecision::Run:
         break;
--- a/standin/child_process.cpp
+++ b/standin/child_process.cpp
@@ -15,6 +15,7 @@
 Result<std::unique_ptr<ChildProcess>> ChildProcess::start(const std::vector<std::string> &arguments, const std::string &logFile)
 {
     std::vector<char *> argv;
+    argv.reserve(arguments.size() + 1);
     for (const auto &it : arguments) {
         argv.push_back(const_cast<char *>(it.c_str()));
     }
--- a/standin/link_relay.h
+++ b/standin/link_relay.h
@@ -38,7 +38,7 @@
 private:
     explicit LinkRelay(std::unique_ptr<Private> d);
 
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace Toucandeck::Standin
