Send the verdict with a 413 on a reused connection; test the path through separate processes

Cause: the library's own answers (malformed, too large) carried no Toucandeck-Verdict from the second request of a connection on: after the first write libevent freezes the start of the output buffer, and evbuffer_copyout() fails. Change: the buffer is peeked at instead. test/processes runs a small deployment of real processes: one owner from every router, bad input, resent submission, one trace id over three processes, refused import, graceful shutdown under load. Ruled out: a wrong count of added bytes in the callback (first try, no effect); the counts were right. Conclusion: every refusal of the HTTP server states not-run.

--- a/src/runtime/http_server.cpp
+++ b/src/runtime/http_server.cpp
@@ -141,25 +141,29 @@
         bufferevent_get_output(bev),
         [](evbuffer *output, const evbuffer_cb_info *info, void *arg) {
             if (info->n_added > 0 && !static_cast<HttpServer *>(arg)->m_ownAnswer) {
-                addVerdict(output, info->n_added);
+                addVerdict(output);
             }
         },
         self);
     return bev;
 }
 
-void HttpServer::addVerdict(evbuffer *output, std::size_t added)
+void HttpServer::addVerdict(evbuffer *output)
 {
     // The library answers malformed and too large requests by itself and offers no way to add a header. It writes the status line
-    // first, so the verdict can follow it.
+    // first, so the verdict can follow it. The buffer is peeked at: after the first write on a connection libevent freezes its start,
+    // and evbuffer_copyout() then fails.
     constexpr std::size_t kLongestStatusLine = 128;
-    if (added > kLongestStatusLine) {
+    constexpr int kExtents = 4;
+    if (evbuffer_get_length(output) > kLongestStatusLine) {
         return;
     }
-    std::string text(added, '\0');
-    evbuffer_ptr start;
-    evbuffer_ptr_set(output, &start, evbuffer_get_length(output) - added, EVBUFFER_PTR_SET);
-    evbuffer_copyout_from(output, &start, text.data(), added);
+    evbuffer_iovec extents[kExtents];
+    const int used = evbuffer_peek(output, -1, nullptr, extents, kExtents);
+    std::string text;
+    for (int n = 0; n < std::min(used, kExtents); ++n) {
+        text.append(static_cast<const char *>(extents[n].iov_base), extents[n].iov_len);
+    }
     if (isStatusLine(text)) {
         evbuffer_add(output, kVerdictLine, std::strlen(kVerdictLine));
     }
--- a/src/runtime/http_server.h
+++ b/src/runtime/http_server.h
@@ -98,7 +98,7 @@
     HttpServer(EventLoop &loop, HttpServerOptions options, Logger &logger);
     Result<void> open();
     static bufferevent *newBufferevent(event_base *base, void *self);
-    static void addVerdict(evbuffer *output, std::size_t added);
+    static void addVerdict(evbuffer *output);
     Connection &connectionOf(evhttp_connection *connection);
     void handle(evhttp_request *request);
     void answered(HttpExchange &exchange, evhttp_request *request, HttpResponse response);
--- /dev/null
+++ b/test/processes/test_path.cpp
@@ -0,0 +1,235 @@
+// Guards against a path that works in parts but not through separate processes: bad input, resends, traces, graceful shutdown.
+// No assertion depends on how long something took; limits only end a run that would never succeed.
+#include "audit.h"
+#include "load_generator.h"
+#include "local_cluster.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <set>
+
+using namespace Toucandeck;
+using namespace Toucandeck::Standin;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace
+{
+
+constexpr Duration kHangLimit = 60s;
+constexpr Duration kCallTimeout = 10s;
+
+Layout smallLayout()
+{
+    Layout layout;
+    layout.name = "test";
+    layout.failureDomains = { "a", "b", "c" };
+    LayoutService clue;
+    clue.name = "clue-svc";
+    clue.instances = 2;
+    clue.key = "segment:1";
+    LayoutService judge;
+    judge.name = "judge-svc";
+    judge.instances = 2;
+    judge.key = "header:Idempotency-Key";
+    judge.calls = "clue-svc/team-1";
+    layout.services = { clue, judge };
+    return layout;
+}
+
+class PathTest : public testing::Test
+{
+protected:
+    static void SetUpTestSuite()
+    {
+        s_loop = handleError([] { return EventLoop::create(s_clock); }, [](const Error &) { return std::unique_ptr<EventLoop>(); });
+        std::string pattern = (std::filesystem::temp_directory_path() / "toucandeck-path-XXXXXX").string();
+        s_folder = mkdtemp(pattern.data());
+        LocalClusterOptions options;
+        options.binaryFolder = testing::internal::GetArgvs().back();
+        options.workFolder = s_folder;
+        options.traces = true;
+        handleError(
+            [&]() -> Result<void> {
+                BOOST_LEAF_ASSIGN(s_cluster, LocalCluster::create(*s_loop, s_logger, smallLayout(), options));
+                return s_cluster->start(kHangLimit);
+            },
+            [](const Error &error) { FAIL() << error.message; });
+    }
+
+    static void TearDownTestSuite()
+    {
+        s_cluster->stop();
+        s_cluster.reset();
+        std::filesystem::remove_all(s_folder);
+    }
+
+    static HttpResponse call(const HttpRequest &request, std::size_t router = 0)
+    {
+        const auto result = s_cluster->call(s_cluster->routerAddresses().at(router), request, kCallTimeout);
+        EXPECT_TRUE(result.response) << result.error;
+        return result.response.value_or(HttpResponse{});
+    }
+
+    static HttpRequest submission(const std::string &id)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/judge-svc/answers";
+        request.body = "answer of " + id;
+        request.headers = { { "Idempotency-Key", id }, { "Toucandeck-Load-Id", id } };
+        return request;
+    }
+
+    static void expectRefusal(const HttpResponse &response, int status, const std::string &text)
+    {
+        EXPECT_EQ(response.status, status);
+        EXPECT_EQ(response.header("Toucandeck-Verdict"), "not-run");
+        EXPECT_NE(response.body.find(text), std::string::npos) << response.body;
+    }
+
+    static std::size_t executionsOf(const std::string &id)
+    {
+        const auto all = s_cluster->executions();
+        return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const Execution &it) { return it.id == id; }));
+    }
+
+    static inline SystemClock s_clock;
+    static inline NullLogger s_logger;
+    static inline std::unique_ptr<EventLoop> s_loop;
+    static inline std::unique_ptr<LocalCluster> s_cluster;
+    static inline std::string s_folder;
+};
+
+} // namespace
+
+TEST_F(PathTest, EveryRouterReachesTheSameOwner)
+{
+    const auto ownersSeen = [] {
+        std::set<std::string> owners;
+        for (std::size_t n = 0; n < s_cluster->routerAddresses().size(); ++n) {
+            HttpRequest request;
+            request.target = "/clue-svc/team-1";
+            const auto response = call(request, n);
+            EXPECT_EQ(response.status, 200);
+            EXPECT_EQ(response.header("Toucandeck-Verdict"), "ran");
+            owners.emplace(response.header("Toucandeck-Load-Instance").value_or(""));
+        }
+        return owners.size();
+    };
+    // Partitions still move after the start, so the answers may differ at first.
+    EXPECT_TRUE(s_loop->runUntil([&] { return ownersSeen() == 1; }, kHangLimit));
+}
+
+TEST_F(PathTest, BadInputIsRefusedWithAClearMessage)
+{
+    HttpRequest request;
+    request.target = "/nosuch/x";
+    expectRefusal(call(request), 404, "no service 'nosuch'");
+    request.target = "/clue-svc/";
+    expectRefusal(call(request), 400, "no key");
+    request.target = "/clue-svc/team-1";
+    request.headers = { { "Toucandeck-Deadline-Ms", "soon" } };
+    expectRefusal(call(request), 400, "Toucandeck-Deadline-Ms");
+    request.headers.clear();
+    request.method = "PUT";
+    request.body = std::string((1U << 20U) + 1, 'x');
+    const auto large = call(request);
+    EXPECT_EQ(large.status, 413);
+    EXPECT_EQ(large.header("Toucandeck-Verdict"), "not-run");
+}
+
+TEST_F(PathTest, ResentSubmissionRunsOnceAndGetsTheFirstAnswer)
+{
+    const auto first = call(submission("once"), 0);
+    ASSERT_EQ(first.status, 200);
+    for (std::size_t n = 0; n < s_cluster->routerAddresses().size(); ++n) {
+        const auto again = call(submission("once"), n);
+        EXPECT_EQ(again.status, 200);
+        EXPECT_EQ(again.body, first.body);
+        EXPECT_EQ(again.header("Toucandeck-Load-Instance"), first.header("Toucandeck-Load-Instance"));
+    }
+    EXPECT_EQ(executionsOf("once"), 1U);
+}
+
+TEST_F(PathTest, OneTraceIdFollowsARequestOverThreeProcesses)
+{
+    const std::string traceId = "0af7651916cd43dd8448eb211c80319c";
+    // Every router forwards it once, so that the first router is not the owner's for at least one.
+    for (std::size_t n = 0; n < s_cluster->routerAddresses().size(); ++n) {
+        auto request = submission("traced");
+        setHeader(request.headers, "traceparent", "00-" + traceId + "-b7ad6b7169203331-01");
+        setHeader(request.headers, "Toucandeck-Load-Nested", "1");
+        ASSERT_EQ(call(request, n).status, 200);
+    }
+    const auto processesSeen = [&] {
+        std::set<std::string> processes;
+        for (const auto &file : std::filesystem::directory_iterator(s_folder)) {
+            if (file.path().extension() != ".jsonl") {
+                continue;
+            }
+            std::ifstream in(file.path());
+            std::string line;
+            while (std::getline(in, line)) {
+                const auto span = json::parse(line, nullptr, false);
+                if (span.is_object() && span.value("trace_id", "") == traceId) {
+                    processes.insert(span.value("process", ""));
+                }
+            }
+        }
+        return processes.size();
+    };
+    EXPECT_TRUE(s_loop->runUntil([&] { return processesSeen() >= 3; }, kHangLimit));
+}
+
+TEST_F(PathTest, ImportWithABadValueIsRefusedWithLineAndColumnAndChangesNothing)
+{
+    const auto limit = kCallTimeout;
+    const auto before
+        = handleError([&] { return s_cluster->operate("GET", "/v1/table", {}, limit); }, [](const Error &) { return json(); });
+    const std::string csv = "service,failure_domain,instance,weight,revision\nclue-svc,a,*,50,0\nclue-svc,b,*,heavy,0\n";
+    for (const auto &it : s_cluster->controllerNames()) {
+        auto request = s_cluster->operatorRequest("POST", "/v1/table/import?request_id=bad", csv);
+        const auto result = s_cluster->call(s_cluster->controllerAddress(it), request, limit);
+        ASSERT_TRUE(result.response);
+        if (result.response->status != 421) {
+            EXPECT_EQ(result.response->status, 400);
+            EXPECT_NE(result.response->body.find("line 3"), std::string::npos) << result.response->body;
+            EXPECT_NE(result.response->body.find("weight"), std::string::npos) << result.response->body;
+        }
+    }
+    const auto after = handleError([&] { return s_cluster->operate("GET", "/v1/table", {}, limit); }, [](const Error &) { return json(); });
+    EXPECT_EQ(before["rows"], after["rows"]);
+}
+
+TEST_F(PathTest, GracefulShutdownCutsNothingAndExitsWithSuccess)
+{
+    SeededRandom random(3);
+    LoadOptions load;
+    // The stopped router is reached by forwarding only: its callers would have to reconnect while it is away.
+    const std::string stopped = "clue-svc-1";
+    for (const auto &it : s_cluster->instanceNames()) {
+        if (it != stopped) {
+            load.routers.push_back(s_cluster->routerAddress(it));
+        }
+    }
+    load.services = s_cluster->layout().services;
+    load.requestsPerSecond = 100;
+    load.deadline = 10s;
+    LoadGenerator generator(*s_loop, load, random, s_logger);
+    generator.start();
+    s_loop->runUntil([&] { return generator.sent() > 100; }, kHangLimit);
+    auto *process = s_cluster->process("router-" + stopped);
+    process->signal(SIGTERM);
+    EXPECT_TRUE(s_loop->runUntil([&] { return !process->isRunning(); }, kHangLimit));
+    EXPECT_EQ(process->exitCode(), 0);
+    bool finished = false;
+    generator.stop([&finished] { finished = true; });
+    EXPECT_TRUE(s_loop->runUntil([&finished] { return finished; }, kHangLimit));
+    const auto report = audit(generator.records(), s_cluster->executions());
+    EXPECT_EQ(report.violations(), 0U) << report.firstViolation;
+    EXPECT_EQ(report.unknown, 0U) << formatReport(report);
+    EXPECT_TRUE(s_cluster->restart("router-" + stopped));
+}
--- a/test/runtime/test_http.cpp
+++ b/test/runtime/test_http.cpp
@@ -115,6 +115,19 @@
     EXPECT_TRUE(untilExchanges(1));
 }
 
+TEST_F(HttpTest, OversizedBodyGetsAVerdictAlsoOnAReusedConnection)
+{
+    send({ "GET", "/", {}, "" });
+    ASSERT_TRUE(untilExchanges(1));
+    exchanges[0]->respond({ 200, {}, "first" });
+    ASSERT_TRUE(untilResults(1));
+    send({ "POST", "/", {}, std::string(options.maxBodyBytes + 1, 'x') });
+    ASSERT_TRUE(untilResults(2));
+    ASSERT_TRUE(results[1].response);
+    EXPECT_EQ(results[1].response->status, 413);
+    EXPECT_EQ(results[1].response->header("Toucandeck-Verdict"), "not-run");
+}
+
 TEST_F(HttpTest, MalformedInputGets400WithVerdict)
 {
     const std::vector<std::string> inputs{ "nonsense\r\n\r\n",
