--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -1,12 +1,11 @@
 #include "daemon/operator_api.h"
 
 #include "daemon/controller_events.h"
+#include "daemon/operator_http.h"
 #include "daemon/operator_json.h"
 #include "state/table_csv.h"
 
 #include <algorithm>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 namespace Toucandeck
 {
@@ -14,57 +13,14 @@
 namespace
 {
 
+using internal::answerWith;
+using internal::errorResponse;
+using internal::jsonResponse;
+using internal::queryValue;
 using nlohmann::json;
 
 constexpr std::string_view kPrefix = "/v1/";
 
-HttpResponse jsonResponse(int status, const json &body)
-{
-    return { status, { { "Content-Type", "application/json" } }, body.dump() + '\n' };
-}
-
-int statusOf(ErrorCode code)
-{
-    switch (code) {
-    case ErrorCode::InvalidArgument:
-        return 400;
-    case ErrorCode::Unauthorized:
-        return 401;
-    case ErrorCode::NotFound:
-        return 404;
-    case ErrorCode::Conflict:
-    case ErrorCode::Refused:
-        return 409;
-    case ErrorCode::NotLeader:
-        return 421;
-    default:
-        return 503;
-    }
-}
-
-HttpResponse errorResponse(const Error &error)
-{
-    return jsonResponse(statusOf(error.code), { { "error", toString(error.code) }, { "message", error.message } });
-}
-
-/// Value of a query parameter, decoded; empty if it is missing.
-std::string queryValue(const HttpRequest &request, const char *name)
-{
-    evkeyvalq fields{};
-    evhttp_parse_query_str(std::string(request.query()).c_str(), &fields);
-    const char *value = evhttp_find_header(&fields, name);
-    std::string text = value ? value : "";
-    evhttp_clear_headers(&fields);
-    return text;
-}
-
-/// Answers with what @p block returns, or with its error.
-template<class Block>
-void answerWith(const std::shared_ptr<HttpExchange> &exchange, Block &&block)
-{
-    exchange->respond(handleError(std::forward<Block>(block), [](const Error &error) { return errorResponse(error); }));
-}
-
 /// IP of "tcp://IP:PORT".
 std::string hostOf(std::string_view address)
 {
@@ -351,78 +307,6 @@
     return loads;
 }
 
-void OperatorApi::controllers(const Exchange &exchange)
-{
-    exchange->respond(jsonResponse(200, internal::controllersToJson(m_driver.replica())));
-}
-
-void OperatorApi::addController(const Exchange &exchange)
-{
-    handleError(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(added, internal::membershipFromJson(exchange->request().body));
-            if (added.members.size() != 1) {
-                return fail(ErrorCode::InvalidArgument, "members must name the one controller to add");
-            }
-            added.members.front().role = ReplicaRole::Learner;
-            proposeMembership(exchange, m_driver.replica().membership().with(added.members.front()));
-            return {};
-        },
-        [&](const Error &error) { exchange->respond(errorResponse(error)); });
-}
-
-void OperatorApi::removeController(const Exchange &exchange)
-{
-    handleError(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(id, internal::idFromText(queryValue(exchange->request(), "replica")));
-            if (!m_driver.replica().membership().find(ReplicaId{ id })) {
-                return fail(ErrorCode::NotFound, fmt::format("controller {} is not a member", internal::idText(id)));
-            }
-            proposeMembership(exchange, m_driver.replica().membership().without(ReplicaId{ id }));
-            return {};
-        },
-        [&](const Error &error) { exchange->respond(errorResponse(error)); });
-}
-
-void OperatorApi::proposeMembership(const Exchange &exchange, const Membership &membership)
-{
-    handleError(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(index, m_driver.replica().proposeMembership(membership));
-            m_driver.replica().onOutcome(index, [this, exchange](ProposalOutcome outcome) {
-                if (outcome == ProposalOutcome::Applied) {
-                    controllers(exchange);
-                } else {
-                    answerNotLeader(exchange);
-                }
-            });
-            return {};
-        },
-        [&](const Error &error) { exchange->respond(errorResponse(error)); });
-}
-
-void OperatorApi::identity(const Exchange &exchange)
-{
-    const auto &replica = m_driver.replica();
-    exchange->respond(jsonResponse(200,
-                                   { { "replica", internal::idText(replica.id().value) },
-                                     { "member", replica.membership().find(replica.id()) != nullptr },
-                                     { "failure_domain", m_self.failureDomain },
-                                     { "address", m_self.address },
-                                     { "http_address", m_self.httpAddress } }));
-}
-
-void OperatorApi::bootstrap(const Exchange &exchange)
-{
-    answerWith(exchange, [&]() -> Result<HttpResponse> {
-        BOOST_LEAF_AUTO(membership, internal::membershipFromJson(exchange->request().body));
-        BOOST_LEAF_CHECK(m_driver.bootstrap(membership));
-        m_logger.write(Events::kControllerBootstrapped, { field("members", membership.members.size()) });
-        return jsonResponse(200, { { "members", membership.members.size() } });
-    });
-}
-
 void OperatorApi::events(const Exchange &exchange)
 {
     exchange->respond(jsonResponse(200, { { "events", m_events.lines() } }));
--- /dev/null
+++ b/src/daemon/operator_http.cpp
@@ -0,0 +1,53 @@
+#include "daemon/operator_http.h"
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace Toucandeck::internal
+{
+
+namespace
+{
+
+int statusOf(ErrorCode code)
+{
+    switch (code) {
+    case ErrorCode::InvalidArgument:
+        return 400;
+    case ErrorCode::Unauthorized:
+        return 401;
+    case ErrorCode::NotFound:
+        return 404;
+    case ErrorCode::Conflict:
+    case ErrorCode::Refused:
+        return 409;
+    case ErrorCode::NotLeader:
+        return 421;
+    default:
+        return 503;
+    }
+}
+
+} // namespace
+
+HttpResponse jsonResponse(int status, const nlohmann::json &body)
+{
+    return { status, { { "Content-Type", "application/json" } }, body.dump() + '\n' };
+}
+
+HttpResponse errorResponse(const Error &error)
+{
+    return jsonResponse(statusOf(error.code), { { "error", toString(error.code) }, { "message", error.message } });
+}
+
+std::string queryValue(const HttpRequest &request, const char *name)
+{
+    evkeyvalq fields{};
+    evhttp_parse_query_str(std::string(request.query()).c_str(), &fields);
+    const char *value = evhttp_find_header(&fields, name);
+    std::string text = value ? value : "";
+    evhttp_clear_headers(&fields);
+    return text;
+}
+
+} // namespace Toucandeck::internal
