Give the daemon's event of a lost lease a name of its own

Cause: the name lease_lost stood for two events, of the agent and of the daemon; Events.NumbersAndNamesAreUnique failed. Change: the daemon's is router_lease_lost. Ruled out: nothing. Figures: test_daemon passes. Conclusion: names identify events.

--- a/src/daemon/events.h
+++ b/src/daemon/events.h
@@ -28,7 +28,7 @@
     7013, LogLevel::Warning, "announcement_refused", "An announcement was refused; the reason says why."
 };
 inline constexpr Event kLeaseLost{
-    7020, LogLevel::Warning, "lease_lost", "The lease has ended; all requests in flight at the backend server are cancelled."
+    7020, LogLevel::Warning, "router_lease_lost", "The lease has ended; all requests in flight at the backend server are cancelled."
 };
 inline constexpr Event kReleaseBegun{
     7021, LogLevel::Info, "release_begun", "Partitions or hot keys are being handed over to another router."
