Void a release for a receiver when no move is in progress

Change: same rule for hot keys; the naive version follows; the unit test covers a cancelled move. Ruled out: nothing. Conclusion: only the receiver of the present move gets a partition.

--- a/prove/state/naive_state.cpp
+++ b/prove/state/naive_state.cpp
@@ -338,8 +338,7 @@
 
 void NaiveState::release(Holding *holding, std::uint64_t session, std::uint64_t receiver)
 {
-    if (holding == nullptr || session == 0 || holding->owner != session
-        || (receiver != 0 && holding->movingTo != 0 && receiver != holding->movingTo)) {
+    if (holding == nullptr || session == 0 || holding->owner != session || (receiver != 0 && receiver != holding->movingTo)) {
         return;
     }
     *holding = { holding->movingTo, m_nextEpoch++, 0, holding->crashMs, holding->movingTo == 0 };
--- a/src/state/cluster_state_hot_keys.cpp
+++ b/src/state/cluster_state_hot_keys.cpp
@@ -119,7 +119,7 @@
     const auto &all = m_view.hotKeys(release.service());
     const auto present = all.find(KeyHash{ release.key_hash() });
     if (present == all.end() || release.session() == 0 || present->second.owner() != release.session()
-        || (release.receiver() != 0 && present->second.moving_to() != 0 && release.receiver() != present->second.moving_to())) {
+        || (release.receiver() != 0 && release.receiver() != present->second.moving_to())) {
         count(false);
         return;
     }
--- a/test/state/test_assignments.cpp
+++ b/test/state/test_assignments.cpp
@@ -145,6 +145,8 @@
     refuse(releaseCommand(serviceName, 3, 11, 12));
     accept(moveCommand(serviceName, 3, 0, epoch(3)));
     EXPECT_FALSE(owner(3).isMoving());
+    refuse(releaseCommand(serviceName, 3, 11, 14));
+    EXPECT_EQ(owner(3).session, SessionId{ 11 });
 }
 
 TEST_F(Assignments, InstanceWithALiveSessionIsNotTakenOver)
