Name the shared parts of the process test as the linter wants

Cause: clang-tidy refuses names with the prefix s_. Change: sharedLoop, sharedCluster and so on. Ruled out: an exception in the linter's settings.

--- a/test/processes/test_path.cpp
+++ b/test/processes/test_path.cpp
@@ -44,31 +44,31 @@
 protected:
     static void SetUpTestSuite()
     {
-        s_loop = handleError([] { return EventLoop::create(s_clock); }, [](const Error &) { return std::unique_ptr<EventLoop>(); });
+        sharedLoop = handleError([] { return EventLoop::create(sharedClock); }, [](const Error &) { return std::unique_ptr<EventLoop>(); });
         std::string pattern = (std::filesystem::temp_directory_path() / "toucandeck-path-XXXXXX").string();
-        s_folder = mkdtemp(pattern.data());
+        sharedFolder = mkdtemp(pattern.data());
         LocalClusterOptions options;
         options.binaryFolder = testing::internal::GetArgvs().back();
-        options.workFolder = s_folder;
+        options.workFolder = sharedFolder;
         options.traces = true;
         handleError(
             [&]() -> Result<void> {
-                BOOST_LEAF_ASSIGN(s_cluster, LocalCluster::create(*s_loop, s_logger, smallLayout(), options));
-                return s_cluster->start(kHangLimit);
+                BOOST_LEAF_ASSIGN(sharedCluster, LocalCluster::create(*sharedLoop, sharedLogger, smallLayout(), options));
+                return sharedCluster->start(kHangLimit);
             },
             [](const Error &error) { FAIL() << error.message; });
     }
 
     static void TearDownTestSuite()
     {
-        s_cluster->stop();
-        s_cluster.reset();
-        std::filesystem::remove_all(s_folder);
+        sharedCluster->stop();
+        sharedCluster.reset();
+        std::filesystem::remove_all(sharedFolder);
     }
 
     static HttpResponse call(const HttpRequest &request, std::size_t router = 0)
     {
-        const auto result = s_cluster->call(s_cluster->routerAddresses().at(router), request, kCallTimeout);
+        const auto result = sharedCluster->call(sharedCluster->routerAddresses().at(router), request, kCallTimeout);
         EXPECT_TRUE(result.response) << result.error;
         return result.response.value_or(HttpResponse{});
     }
@@ -92,15 +92,15 @@
 
     static std::size_t executionsOf(const std::string &id)
     {
-        const auto all = s_cluster->executions();
+        const auto all = sharedCluster->executions();
         return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), [&](const Execution &it) { return it.id == id; }));
     }
 
-    static inline SystemClock s_clock;
-    static inline NullLogger s_logger;
-    static inline std::unique_ptr<EventLoop> s_loop;
-    static inline std::unique_ptr<LocalCluster> s_cluster;
-    static inline std::string s_folder;
+    static inline SystemClock sharedClock;
+    static inline NullLogger sharedLogger;
+    static inline std::unique_ptr<EventLoop> sharedLoop;
+    static inline std::unique_ptr<LocalCluster> sharedCluster;
+    static inline std::string sharedFolder;
 };
 
 } // namespace
@@ -109,7 +109,7 @@
 {
     const auto ownersSeen = [] {
         std::set<std::string> owners;
-        for (std::size_t n = 0; n < s_cluster->routerAddresses().size(); ++n) {
+        for (std::size_t n = 0; n < sharedCluster->routerAddresses().size(); ++n) {
             HttpRequest request;
             request.target = "/clue-svc/team-1";
             const auto response = call(request, n);
@@ -120,7 +120,7 @@
         return owners.size();
     };
     // Partitions still move after the start, so the answers may differ at first.
-    EXPECT_TRUE(s_loop->runUntil([&] { return ownersSeen() == 1; }, kHangLimit));
+    EXPECT_TRUE(sharedLoop->runUntil([&] { return ownersSeen() == 1; }, kHangLimit));
 }
 
 TEST_F(PathTest, BadInputIsRefusedWithAClearMessage)
@@ -145,7 +145,7 @@
 {
     const auto first = call(submission("once"), 0);
     ASSERT_EQ(first.status, 200);
-    for (std::size_t n = 0; n < s_cluster->routerAddresses().size(); ++n) {
+    for (std::size_t n = 0; n < sharedCluster->routerAddresses().size(); ++n) {
         const auto again = call(submission("once"), n);
         EXPECT_EQ(again.status, 200);
         EXPECT_EQ(again.body, first.body);
@@ -158,7 +158,7 @@
 {
     const std::string traceId = "0af7651916cd43dd8448eb211c80319c";
     // Every router forwards it once, so that the first router is not the owner's for at least one.
-    for (std::size_t n = 0; n < s_cluster->routerAddresses().size(); ++n) {
+    for (std::size_t n = 0; n < sharedCluster->routerAddresses().size(); ++n) {
         auto request = submission("traced");
         setHeader(request.headers, "traceparent", "00-" + traceId + "-b7ad6b7169203331-01");
         setHeader(request.headers, "Toucandeck-Load-Nested", "1");
@@ -166,7 +166,7 @@
     }
     const auto processesSeen = [&] {
         std::set<std::string> processes;
-        for (const auto &file : std::filesystem::directory_iterator(s_folder)) {
+        for (const auto &file : std::filesystem::directory_iterator(sharedFolder)) {
             if (file.path().extension() != ".jsonl") {
                 continue;
             }
@@ -181,18 +181,18 @@
         }
         return processes.size();
     };
-    EXPECT_TRUE(s_loop->runUntil([&] { return processesSeen() >= 3; }, kHangLimit));
+    EXPECT_TRUE(sharedLoop->runUntil([&] { return processesSeen() >= 3; }, kHangLimit));
 }
 
 TEST_F(PathTest, ImportWithABadValueIsRefusedWithLineAndColumnAndChangesNothing)
 {
     const auto limit = kCallTimeout;
     const auto before
-        = handleError([&] { return s_cluster->operate("GET", "/v1/table", {}, limit); }, [](const Error &) { return json(); });
+        = handleError([&] { return sharedCluster->operate("GET", "/v1/table", {}, limit); }, [](const Error &) { return json(); });
     const std::string csv = "service,failure_domain,instance,weight,revision\nclue-svc,a,*,50,0\nclue-svc,b,*,heavy,0\n";
-    for (const auto &it : s_cluster->controllerNames()) {
-        auto request = s_cluster->operatorRequest("POST", "/v1/table/import?request_id=bad", csv);
-        const auto result = s_cluster->call(s_cluster->controllerAddress(it), request, limit);
+    for (const auto &it : sharedCluster->controllerNames()) {
+        auto request = sharedCluster->operatorRequest("POST", "/v1/table/import?request_id=bad", csv);
+        const auto result = sharedCluster->call(sharedCluster->controllerAddress(it), request, limit);
         ASSERT_TRUE(result.response);
         if (result.response->status != 421) {
             EXPECT_EQ(result.response->status, 400);
@@ -200,7 +200,8 @@
             EXPECT_NE(result.response->body.find("weight"), std::string::npos) << result.response->body;
         }
     }
-    const auto after = handleError([&] { return s_cluster->operate("GET", "/v1/table", {}, limit); }, [](const Error &) { return json(); });
+    const auto after
+        = handleError([&] { return sharedCluster->operate("GET", "/v1/table", {}, limit); }, [](const Error &) { return json(); });
     EXPECT_EQ(before["rows"], after["rows"]);
 }
 
@@ -210,26 +211,26 @@
     LoadOptions load;
     // The stopped router is reached by forwarding only: its callers would have to reconnect while it is away.
     const std::string stopped = "clue-svc-1";
-    for (const auto &it : s_cluster->instanceNames()) {
+    for (const auto &it : sharedCluster->instanceNames()) {
         if (it != stopped) {
-            load.routers.push_back(s_cluster->routerAddress(it));
+            load.routers.push_back(sharedCluster->routerAddress(it));
         }
     }
-    load.services = s_cluster->layout().services;
+    load.services = sharedCluster->layout().services;
     load.requestsPerSecond = 100;
     load.deadline = 10s;
-    LoadGenerator generator(*s_loop, load, random, s_logger);
+    LoadGenerator generator(*sharedLoop, load, random, sharedLogger);
     generator.start();
-    s_loop->runUntil([&] { return generator.sent() > 100; }, kHangLimit);
-    auto *process = s_cluster->process("router-" + stopped);
+    sharedLoop->runUntil([&] { return generator.sent() > 100; }, kHangLimit);
+    auto *process = sharedCluster->process("router-" + stopped);
     process->signal(SIGTERM);
-    EXPECT_TRUE(s_loop->runUntil([&] { return !process->isRunning(); }, kHangLimit));
+    EXPECT_TRUE(sharedLoop->runUntil([&] { return !process->isRunning(); }, kHangLimit));
     EXPECT_EQ(process->exitCode(), 0);
     bool finished = false;
     generator.stop([&finished] { finished = true; });
-    EXPECT_TRUE(s_loop->runUntil([&finished] { return finished; }, kHangLimit));
-    const auto report = audit(generator.records(), s_cluster->executions());
+    EXPECT_TRUE(sharedLoop->runUntil([&finished] { return finished; }, kHangLimit));
+    const auto report = audit(generator.records(), sharedCluster->executions());
     EXPECT_EQ(report.violations(), 0U) << report.firstViolation;
     EXPECT_EQ(report.unknown, 0U) << formatReport(report);
-    EXPECT_TRUE(s_cluster->restart("router-" + stopped));
+    EXPECT_TRUE(sharedCluster->restart("router-" + stopped));
 }
