--- a/standin/local_cluster.h
+++ b/standin/local_cluster.h
@@ -21,7 +21,6 @@
     std::string binaryFolder; ///< Build folder with the programs.
     std::string workFolder; ///< Settings, data folders, logs and journals go here.
     std::uint32_t controllers = 3;
-    bool curve = false; ///< Encrypt and authenticate messages between processes.
     bool traces = false; ///< Write a span file per process.
 };
 
