--- a/src/common/clock.cpp
+++ b/src/common/clock.cpp
@@ -2,6 +2,8 @@
 
 #include "common/assert.h"
 
+#include <ctime>
+
 namespace Toucandeck
 {
 
@@ -15,6 +17,19 @@
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
 
+TimePoint BootClock::now() const
+{
+    timespec ts{};
+    const int ec = ::clock_gettime(CLOCK_BOOTTIME, &ts);
+    TOUCANDECK_ASSERT(ec == 0, "every Linux kernel in use has CLOCK_BOOTTIME");
+    return TimePoint(std::chrono::seconds(ts.tv_sec) + Duration(ts.tv_nsec));
+}
+
+WallTime BootClock::wallNow() const
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
 TimePoint ManualClock::now() const
 {
     return m_now;
--- a/src/common/clock.h
+++ b/src/common/clock.h
@@ -26,6 +26,15 @@
     WallTime wallNow() const override;
 };
 
+/// Clock of the operating system whose now() also counts the time during which the VM is suspended (CLOCK_BOOTTIME). A lease that
+/// is timed by the steady clock would outlast its grant on a VM that was suspended meanwhile.
+class BootClock : public Clock
+{
+public:
+    TimePoint now() const override;
+    WallTime wallNow() const override;
+};
+
 /// Clock that moves only when told to; for tests and randomised runs.
 class ManualClock : public Clock
 {
--- a/src/common/result.h
+++ b/src/common/result.h
@@ -58,4 +58,11 @@
         });
 }
 
+/// As handleError(), but @p onError returns a Result too, for example another error with more context.
+template<class Block, class OnError>
+auto replaceError(Block &&block, OnError &&onError)
+{
+    return boost::leaf::try_handle_some(std::forward<Block>(block), [&onError](const Error &error) { return onError(error); });
+}
+
 } // namespace Toucandeck
--- /dev/null
+++ b/src/fleet/fleet_controller.cpp
@@ -0,0 +1,336 @@
+#include "fleet/fleet_controller.h"
+
+#include "fleet/events.h"
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{ 50 };
+constexpr milliseconds kListComplete{ 2000 }; ///< After an election; by then each router in reach has announced itself.
+constexpr milliseconds kSilentAfter{ 3000 };
+constexpr std::chrono::seconds kForgottenAfter{ 30 }; ///< A router that the controllers cannot reach may still serve.
+
+bool sameRecord(const wire::RouterRecord &a, const wire::RouterRecord &b)
+{
+    return a.failure_domain() == b.failure_domain() && a.leaving() == b.leaving()
+        && a.instance().incarnation() == b.instance().incarnation() && a.instance().state() == b.instance().state()
+        && a.instance().service() == b.instance().service() && a.instance().slots() == b.instance().slots();
+}
+
+/// Requests per second that a backend server can run; slots alone while the time of work is unknown.
+double capacityOf(const wire::InstanceReport &instance)
+{
+    constexpr double kUnknownWorkUs = 100'000;
+    const double work = instance.work_us() == 0 ? kUnknownWorkUs : instance.work_us();
+    return std::max(1U, instance.slots()) * 1e6 / work;
+}
+
+} // namespace
+
+FleetController::FleetController(EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases)
+    : m_loop(loop)
+    , m_group(group)
+    , m_codec(codec)
+    , m_logger(logger)
+    , m_keys(loop.clock(),
+             logger,
+             group.state(),
+             leases,
+             [this](const wire::KeyTable &table, std::function<void(bool)> done) {
+                 wire::FleetCommand command;
+                 *command.mutable_set_keys() = table;
+                 m_group.propose(command,
+                                 [done = std::move(done)](std::optional<CommandOutcome> it) { done(it == CommandOutcome::Applied); });
+             })
+    , m_timer(loop.every(kTick, [this] { tick(); }))
+{
+    group.setApplied([this](LogIndex, const wire::FleetCommand &command, CommandOutcome outcome) { onApplied(command, outcome); });
+}
+
+void FleetController::onApplied(const wire::FleetCommand &command, CommandOutcome outcome)
+{
+    if (outcome != CommandOutcome::Applied) {
+        return;
+    }
+    if (command.has_change_manifest()) {
+        m_logger.write(FleetEvents::kManifestApplied, { field("version", m_group.state().manifest().version()) });
+    } else if (command.has_set_evacuation()) {
+        const auto &it = command.set_evacuation();
+        m_logger.write(FleetEvents::kEvacuationApplied, { field("failure_domain", it.failure_domain()), field("active", it.active()) });
+    }
+    if (m_leads) {
+        m_loop.runSoon([this] { pushChanges(); });
+    }
+}
+
+void FleetController::noteLeadership()
+{
+    const bool leads = m_group.isLeaderReady();
+    if (leads && !m_leads) {
+        m_leadsSince = m_loop.clock().now();
+        m_keys.leadershipGained();
+        m_routers.clear();
+        m_removed.clear();
+    }
+    if (!leads && m_leads) {
+        for (auto &[key, session] : m_sessions) {
+            refuse(session.channel);
+        }
+        m_sessions.clear();
+    }
+    m_leads = leads;
+}
+
+void FleetController::refuse(const std::shared_ptr<MessageChannel> &channel)
+{
+    wire::PeerMessage message;
+    auto &update = *message.mutable_update();
+    update.set_refused(true);
+    update.set_leader(m_group.leaderIp());
+    for (const auto &it : m_group.controllers()) {
+        update.add_controllers(it);
+    }
+    channel->send(message);
+}
+
+void FleetController::receive(const std::shared_ptr<MessageChannel> &channel, const wire::Announce &announce)
+{
+    noteLeadership();
+    if (!m_group.leadsSurely()) {
+        refuse(channel);
+        return;
+    }
+    auto &session = m_sessions[channel.get()];
+    if (!session.channel) {
+        session.channel = channel;
+        session.router = announce.router();
+        session.manifestVersion = announce.manifest_version();
+    }
+    noteRouter(announce);
+    for (const auto &it : announce.freed()) {
+        m_keys.freed(announce.instance().service(), it);
+    }
+    if (!announce.instance().ended().empty()) {
+        m_keys.ended(announce.instance().ended());
+    }
+    wire::PeerMessage message;
+    auto &update = *message.mutable_update();
+    update.set_term(m_group.term().value);
+    update.set_acknowledged(announce.sequence());
+    fillChanges(session, update);
+    if (announce.instance().state() != wire::ABSENT) {
+        *update.mutable_lease() = m_keys.grant(announce.instance().service(), announce.instance().incarnation());
+        update.mutable_lease()->set_sequence(announce.sequence());
+    }
+    channel->send(message);
+}
+
+void FleetController::noteRouter(const wire::Announce &announce)
+{
+    auto &entry = m_routers[announce.router()];
+    wire::RouterRecord record;
+    record.set_router(announce.router());
+    record.set_failure_domain(announce.failure_domain());
+    *record.mutable_instance() = announce.instance();
+    record.mutable_instance()->clear_ended();
+    record.set_leaving(announce.leaving());
+    if (entry.revision == 0 || !sameRecord(entry.record, record)) {
+        entry.revision = ++m_listRevision;
+        m_removed.erase(announce.router());
+        m_logger.write(FleetEvents::kRouterSeen,
+                       { field("router", announce.router()),
+                         field("service", announce.instance().service()),
+                         field("incarnation", announce.instance().incarnation()),
+                         field("state", wire::InstanceState_Name(announce.instance().state())),
+                         field("leaving", announce.leaving()),
+                         field("sequence", announce.sequence()) });
+    }
+    entry.record = std::move(record);
+    entry.demand = announce.demand();
+    entry.lastAnnounce = m_loop.clock().now();
+    entry.silent = false;
+}
+
+void FleetController::closed(const std::shared_ptr<MessageChannel> &channel)
+{
+    m_sessions.erase(channel.get());
+}
+
+std::size_t FleetController::routers() const
+{
+    return m_routers.size();
+}
+
+void FleetController::tick()
+{
+    noteLeadership();
+    if (!m_leads) {
+        return;
+    }
+    readManifest();
+    dropSilent();
+    if (m_group.leadsSurely()) {
+        m_keys.tick(m_keyedServices, keyHolders());
+    }
+    pushChanges();
+}
+
+void FleetController::readManifest()
+{
+    const auto &document = m_group.state().manifest();
+    if (document.version() == m_readVersion) {
+        return;
+    }
+    m_readVersion = document.version();
+    m_keyedServices.clear();
+    handleError(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(manifest, m_codec.decode(document));
+            for (const auto &[name, service] : manifest.services) {
+                if (service.keyed) {
+                    m_keyedServices.push_back(name);
+                }
+            }
+            return {};
+        },
+        [&](const Error &error) {
+            m_logger.write(FleetEvents::kManifestUnreadable, { field("version", document.version()), field("error", error.message) });
+        });
+}
+
+void FleetController::dropSilent()
+{
+    const auto now = m_loop.clock().now();
+    for (auto it = m_routers.begin(); it != m_routers.end();) {
+        auto &[ip, entry] = *it;
+        if (!entry.silent && now - entry.lastAnnounce > kSilentAfter) {
+            entry.silent = true;
+            m_logger.write(FleetEvents::kRouterSilent,
+                           { field("router", ip), field("incarnation", entry.record.instance().incarnation()) });
+        }
+        if (now - entry.lastAnnounce > kForgottenAfter) {
+            m_removed[ip] = ++m_listRevision;
+            it = m_routers.erase(it);
+        } else {
+            ++it;
+        }
+    }
+}
+
+std::vector<KeyHolder> FleetController::keyHolders() const
+{
+    std::vector<KeyHolder> holders;
+    const auto &evacuated = m_group.state().evacuated();
+    for (const auto &[ip, entry] : m_routers) {
+        const auto &instance = entry.record.instance();
+        if (entry.silent || instance.state() == wire::ABSENT) {
+            continue;
+        }
+        KeyHolder holder;
+        holder.incarnation = instance.incarnation();
+        holder.router = ip;
+        holder.service = instance.service();
+        holder.capacity = capacityOf(instance);
+        holder.mayHold = instance.state() == wire::READY && evacuated.count(entry.record.failure_domain()) == 0;
+        const auto points = static_cast<double>(entry.demand.points_size());
+        for (const auto it : entry.demand.points()) {
+            holder.demand.push_back({ it, static_cast<double>(entry.demand.rate_milli()) / 1000 / points });
+        }
+        holders.push_back(std::move(holder));
+    }
+    return holders;
+}
+
+bool FleetController::listIsComplete() const
+{
+    return m_loop.clock().now() - m_leadsSince >= kListComplete;
+}
+
+void FleetController::pushChanges()
+{
+    if (!m_group.leadsSurely()) {
+        return;
+    }
+    for (auto &[key, session] : m_sessions) {
+        wire::PeerMessage message;
+        auto &update = *message.mutable_update();
+        update.set_term(m_group.term().value);
+        if (fillChanges(session, update)) {
+            session.channel->send(message);
+        }
+    }
+}
+
+bool FleetController::fillChanges(Session &session, wire::FleetUpdate &update) const
+{
+    const auto &state = m_group.state();
+    bool changed = fillRouters(session, update);
+    if (state.manifest().version() > session.manifestVersion) {
+        session.manifestVersion = state.manifest().version();
+        *update.mutable_manifest() = state.manifest();
+        changed = true;
+    }
+    if (!session.evacuationsSent || session.evacuationRevision != state.evacuationRevision()) {
+        session.evacuationsSent = true;
+        session.evacuationRevision = state.evacuationRevision();
+        update.set_has_evacuations(true);
+        for (const auto &it : state.evacuated()) {
+            update.add_evacuated(it);
+        }
+        changed = true;
+    }
+    if (const auto controllers = m_group.controllers(); controllers != session.controllers) {
+        session.controllers = controllers;
+        update.mutable_controllers()->Add(controllers.begin(), controllers.end());
+        changed = true;
+    }
+    for (const auto &[service, table] : state.tables()) {
+        auto &sent = session.tableRevisions[service];
+        if (sent == table.revision) {
+            continue;
+        }
+        sent = table.revision;
+        auto *out = update.add_tables();
+        out->set_service(service);
+        out->set_revision(table.revision);
+        for (const auto &row : table.keys.rows()) {
+            auto *it = out->add_rows();
+            *it = toWire(row);
+            it->clear_handover(); // Of use to the new holder only, who has it from the lease.
+        }
+        changed = true;
+    }
+    return changed;
+}
+
+bool FleetController::fillRouters(Session &session, wire::FleetUpdate &update) const
+{
+    const bool whole = listIsComplete() && !session.listComplete;
+    if (!whole && session.listRevision == m_listRevision) {
+        return false;
+    }
+    for (const auto &[ip, entry] : m_routers) {
+        if (whole || entry.revision > session.listRevision) {
+            *update.add_routers() = entry.record;
+        }
+    }
+    if (whole) {
+        update.set_routers_complete(true);
+        session.listComplete = true;
+    } else if (listIsComplete()) {
+        for (const auto &[ip, revision] : m_removed) {
+            if (revision > session.listRevision) {
+                update.add_removed_routers(ip);
+            }
+        }
+    }
+    session.listRevision = m_listRevision;
+    return true;
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/fleet/fleet_state.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "consensus/state_machine.h"
+#include "fleet/key_rows.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace Toucandeck
+{
+
+/// What became of a command.
+enum class CommandOutcome {
+    Applied,
+    Repeated, ///< The same order was applied before; nothing changed.
+    Conflict, ///< The command builds on another version than the present one; nothing changed.
+};
+
+/// Keys of one service as committed.
+struct KeyTable
+{
+    std::uint64_t revision = 0; ///< Log index of the last change.
+    KeyRows keys;
+};
+
+/// Replicated state of the controllers: manifest, accepted orders, evacuated failure domains and key tables.
+class FleetState : public StateMachine
+{
+public:
+    /// Receives each command with its outcome, after it was applied.
+    using Listener = std::function<void(LogIndex, const wire::FleetCommand &, CommandOutcome)>;
+
+    void setListener(Listener listener);
+
+    void apply(LogIndex index, std::string_view command) override;
+    std::string snapshot() const override;
+    Result<void> restore(std::string_view data) override;
+
+    const wire::ManifestDocument &manifest() const;
+    /// The document after the change; the change must build on the present version.
+    wire::ManifestDocument manifestAfter(const wire::ChangeManifest &change) const;
+    /// True if the order was accepted before.
+    bool isAccepted(const std::string &order) const;
+
+    const std::set<std::string> &evacuated() const;
+    std::uint64_t evacuationRevision() const;
+
+    const std::map<std::string, KeyTable> &tables() const;
+
+private:
+    CommandOutcome applyChange(const wire::ChangeManifest &change);
+    CommandOutcome applyEvacuation(LogIndex index, const wire::SetEvacuation &evacuation);
+    CommandOutcome applyKeys(LogIndex index, const wire::KeyTable &table);
+    void remember(const std::string &order, std::uint64_t version);
+
+    Listener m_listener;
+    wire::ManifestDocument m_manifest;
+    std::map<std::string, std::uint64_t> m_orders; ///< Version by digest.
+    std::deque<std::string> m_orderAge; ///< Digests, oldest first.
+    std::set<std::string> m_evacuated;
+    std::uint64_t m_evacuationRevision = 0;
+    std::map<std::string, KeyTable> m_tables;
+};
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/fleet/manifest_orders.cpp
@@ -0,0 +1,152 @@
+#include "fleet/manifest_orders.h"
+
+#include "fleet/events.h"
+
+namespace Toucandeck
+{
+
+std::string_view toString(OrderVerdict verdict)
+{
+    switch (verdict) {
+    case OrderVerdict::Accepted:
+        return "accepted";
+    case OrderVerdict::Conflict:
+        return "conflict";
+    case OrderVerdict::Invalid:
+        return "invalid";
+    case OrderVerdict::NotLeader:
+        return "not_leader";
+    case OrderVerdict::Unavailable:
+        break;
+    }
+    return "unavailable";
+}
+
+ManifestOrders::ManifestOrders(ReplicaGroup &group, const ManifestCodec &codec, Logger &logger)
+    : m_group(group)
+    , m_codec(codec)
+    , m_logger(logger)
+{
+}
+
+void ManifestOrders::reply(const char *order, std::uint64_t version, const OrderResult &result, const Answer &answer)
+{
+    m_logger.write(FleetEvents::kOrderDecided,
+                   { field("order", order),
+                     field("version", version),
+                     field("verdict", toString(result.verdict)),
+                     field("reason", result.message),
+                     field("manifest_version", m_group.state().manifest().version()),
+                     field("term", m_group.term().value) });
+    answer(result);
+}
+
+bool ManifestOrders::canDecide(const char *order, const Answer &answer)
+{
+    if (!m_group.isLeaderReady()) {
+        reply(order, 0, { OrderVerdict::NotLeader, "this controller does not lead" }, answer);
+        return false;
+    }
+    if (!m_group.isDurable()) {
+        reply(order, 0, { OrderVerdict::Unavailable, "too few controllers would hold the order" }, answer);
+        return false;
+    }
+    return true;
+}
+
+void ManifestOrders::change(wire::ChangeManifest change, Answer answer)
+{
+    if (!canDecide("manifest", answer)) {
+        return;
+    }
+    // A controller that no longer leads would refuse by an old version what the present leader accepts.
+    m_group.confirmLeadership([this, change = std::move(change), answer = std::move(answer)](bool leads) {
+        if (!leads) {
+            reply("manifest", change.upsert().version(), { OrderVerdict::Unavailable, "leadership was lost" }, answer);
+            return;
+        }
+        decide(change, answer);
+    });
+}
+
+OrderResult ManifestOrders::check(const wire::ChangeManifest &change) const
+{
+    const auto &current = m_group.state().manifest();
+    if (change.base_version() != current.version()) {
+        return { OrderVerdict::Conflict, fmt::format("the current version is {}", current.version()) };
+    }
+    if (change.upsert().version() <= current.version()) {
+        return { OrderVerdict::Invalid,
+                 fmt::format("version {} is not above the current {}", change.upsert().version(), current.version()) };
+    }
+    return handleError(
+        [&]() -> Result<OrderResult> {
+            BOOST_LEAF_AUTO(manifest, m_codec.decode(m_group.state().manifestAfter(change)));
+            BOOST_LEAF_CHECK(checkManifest(manifest));
+            return OrderResult{ OrderVerdict::Accepted, {} };
+        },
+        [](const Error &error) {
+            return OrderResult{ OrderVerdict::Invalid, error.message };
+        });
+}
+
+void ManifestOrders::decide(const wire::ChangeManifest &change, const Answer &answer)
+{
+    const auto version = change.upsert().version();
+    if (m_group.state().isAccepted(change.order())) {
+        reply("manifest", version, { OrderVerdict::Accepted, "accepted before" }, answer);
+        return;
+    }
+    const auto checked = check(change);
+    if (checked.verdict != OrderVerdict::Accepted) {
+        reply("manifest", version, checked, answer);
+        return;
+    }
+    wire::FleetCommand command;
+    *command.mutable_change_manifest() = change;
+    m_group.propose(command, [this, version, answer](std::optional<CommandOutcome> outcome) {
+        OrderResult result{ OrderVerdict::Accepted, {} };
+        if (!outcome) {
+            result = { OrderVerdict::Unavailable, "leadership was lost before the commit was known" };
+        } else if (*outcome == CommandOutcome::Conflict) {
+            result = { OrderVerdict::Conflict, fmt::format("the current version is {}", m_group.state().manifest().version()) };
+        }
+        reply("manifest", version, result, answer);
+    });
+}
+
+void ManifestOrders::evacuate(const std::string &failureDomain, bool active, Answer answer)
+{
+    const char *order = active ? "evacuation_start" : "evacuation_end";
+    if (!canDecide(order, answer)) {
+        return;
+    }
+    wire::FleetCommand command;
+    command.mutable_set_evacuation()->set_failure_domain(failureDomain);
+    command.mutable_set_evacuation()->set_active(active);
+    m_group.propose(command, [this, order, answer = std::move(answer)](std::optional<CommandOutcome> outcome) {
+        const bool committed = outcome.has_value();
+        reply(order,
+              0,
+              committed ? OrderResult{ OrderVerdict::Accepted, {} }
+                        : OrderResult{ OrderVerdict::Unavailable, "leadership was lost before the commit was known" },
+              answer);
+    });
+}
+
+void ManifestOrders::read(Read answer)
+{
+    if (!m_group.isLeaderReady()) {
+        answer({ OrderVerdict::NotLeader, "this controller does not lead" }, {});
+        return;
+    }
+    m_group.confirmLeadership([this, answer = std::move(answer)](bool leads) {
+        if (leads) {
+            answer({ OrderVerdict::Accepted, {} }, m_group.state().manifest());
+        } else {
+            answer({ OrderVerdict::Unavailable, "leadership was lost" }, {});
+        }
+    });
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/gateway/backend_runner.cpp
@@ -0,0 +1,176 @@
+#include "gateway/backend_runner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// A kept connection is used only well before its backend server closes it: a request that crosses the close may have run.
+constexpr double kIdleShare = 0.6;
+constexpr milliseconds kMinDeadline{ 1 };
+
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+} // namespace
+
+BackendRunner::BackendRunner(EventLoop &loop, Logger &logger, const HeaderNames &headers, const SocketAddress &address)
+    : m_loop(loop)
+    , m_logger(logger)
+    , m_headers(headers)
+    , m_address(address)
+{
+}
+
+void BackendRunner::setInstance(std::string instance)
+{
+    m_instance = std::move(instance);
+}
+
+void BackendRunner::setRefused(Refused refused)
+{
+    m_refused = std::move(refused);
+}
+
+BackendRunner::Connection BackendRunner::takeIdle()
+{
+    const auto now = m_loop.clock().now();
+    while (!m_idle.empty()) {
+        auto connection = std::move(m_idle.front());
+        m_idle.pop_front();
+        const auto idle = now - connection->idleSince();
+        if (connection->isReusable() && idle < connection->idleLimit() * kIdleShare) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+void BackendRunner::run(std::uint64_t id, const Call &call, CallDone done)
+{
+    auto connection = takeIdle();
+    if (!connection) {
+        connection = std::make_unique<BackendConnection>(m_loop, m_address, m_headers.requestId);
+        ++m_opened;
+    }
+    auto *it = connection.get();
+    m_busy[id] = std::move(connection);
+    it->send(backendRequest(call), call.requestId, [this, id, call, done = std::move(done)](BackendResult result) {
+        finish(id, call, std::move(result), done);
+    });
+}
+
+HttpRequest BackendRunner::backendRequest(const Call &call) const
+{
+    auto request = call.request;
+    const auto left = std::max(duration_cast<milliseconds>(call.deadline - m_loop.clock().now()), kMinDeadline);
+    setHeader(request.headers, m_headers.deadlineMs, std::to_string(left.count()));
+    if (!m_instance.empty()) {
+        setHeader(request.headers, m_headers.expectedInstance, m_instance);
+    }
+    return request;
+}
+
+void BackendRunner::finish(std::uint64_t id, const Call &call, BackendResult result, const CallDone &done)
+{
+    const auto found = m_busy.find(id);
+    auto connection = std::move(found->second);
+    m_busy.erase(found);
+    const bool refused = result.error == BackendError::Refused;
+    auto interpreted = interpret(call, std::move(result));
+    if (connection->isReusable()) {
+        m_idle.push_front(std::move(connection));
+    } else {
+        // The connection is on the stack of this call.
+        m_loop.runSoon([closing = std::shared_ptr<BackendConnection>(std::move(connection))] {});
+    }
+    const auto callback = done;
+    callback(std::move(interpreted));
+    if (refused && m_refused) {
+        m_refused();
+    }
+}
+
+CallResult BackendRunner::interpret(const Call &call, BackendResult result) const
+{
+    CallResult out;
+    switch (result.error) {
+    case BackendError::None:
+        out = interpretAnswer(call, std::move(result.response));
+        break;
+    case BackendError::Refused:
+    case BackendError::ConnectFailed:
+        out = notRun(wire::CONNECT_FAILED);
+        break;
+    case BackendError::ConnectionLost:
+    case BackendError::BadAnswer:
+        out.outcome = wire::MAY_HAVE_RUN;
+        out.reason = result.error == BackendError::BadAnswer ? wire::BAD_ANSWER : wire::CONNECTION_LOST;
+        out.reached = true;
+        break;
+    }
+    out.instance = m_instance;
+    return out;
+}
+
+CallResult BackendRunner::interpretAnswer(const Call &call, HttpResponse response) const
+{
+    CallResult out;
+    out.reached = true;
+    if (response.header(m_headers.notExecuted) || response.status == 421) {
+        out.outcome = wire::NOT_RUN;
+        out.reason = wire::REFUSED_BY_INSTANCE;
+        out.response.status = response.status;
+        return out;
+    }
+    const auto echoed = response.header(m_headers.requestId);
+    const bool foreign = echoed && *echoed != call.requestId;
+    const bool unproven = isSuccess(response.status) && !response.header(m_headers.answerSeal);
+    if (foreign || unproven) {
+        out.outcome = wire::MAY_HAVE_RUN;
+        out.reason = wire::BAD_ANSWER;
+        return out;
+    }
+    out.outcome = wire::ANSWERED;
+    std::erase_if(response.headers, [](const auto &it) { return isHopByHop(it.name); });
+    out.response = std::move(response);
+    return out;
+}
+
+void BackendRunner::cancel(std::uint64_t id)
+{
+    m_busy.erase(id); // Closing the connection makes the backend server drop the request.
+}
+
+void BackendRunner::closeIdle()
+{
+    m_idle.clear();
+}
+
+void BackendRunner::probe()
+{
+    m_probe = std::make_unique<BackendConnection>(m_loop, m_address, std::string());
+    ++m_opened;
+    m_probe->awaitEstablished([this](bool established, BackendError error) {
+        m_loop.runSoon([this] { m_probe.reset(); });
+        if (!established && error == BackendError::Refused && m_refused) {
+            m_refused();
+        }
+    });
+}
+
+std::uint64_t BackendRunner::connectionsOpened() const
+{
+    return m_opened;
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/gateway/call.cpp
@@ -0,0 +1,113 @@
+#include "gateway/call.h"
+
+#include <algorithm>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+template<class Message>
+void addHeaders(Message &out, const HttpHeaders &headers)
+{
+    for (const auto &it : headers) {
+        auto *header = out.add_headers();
+        header->set_name(it.name);
+        header->set_value(it.value);
+    }
+}
+
+template<class Message>
+HttpHeaders readHeaders(const Message &in)
+{
+    HttpHeaders headers;
+    headers.reserve(static_cast<std::size_t>(in.headers_size()));
+    for (const auto &it : in.headers()) {
+        headers.push_back({ it.name(), it.value() });
+    }
+    return headers;
+}
+
+} // namespace
+
+CallResult notRun(wire::CallReason reason, Duration retryAfter)
+{
+    CallResult result;
+    result.reason = reason;
+    result.retryAfter = retryAfter;
+    return result;
+}
+
+wire::CallRequest toWire(const Call &call, TimePoint now)
+{
+    wire::CallRequest out;
+    out.set_service(call.service);
+    out.set_request_id(call.requestId);
+    out.set_method(call.request.method);
+    out.set_target(call.request.target);
+    addHeaders(out, call.request.headers);
+    out.set_body(call.request.body);
+    out.set_remaining_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, duration_cast<milliseconds>(call.deadline - now).count())));
+    out.set_aim_ms(static_cast<std::int32_t>(duration_cast<milliseconds>(call.aim - now).count()));
+    out.set_rank(call.rank);
+    out.set_idempotent(call.idempotent);
+    out.set_nested(call.nested);
+    out.set_returned(call.returned);
+    if (call.key) {
+        out.set_has_key(true);
+        out.set_key(*call.key);
+    }
+    return out;
+}
+
+Call fromWire(const wire::CallRequest &request, TimePoint now)
+{
+    Call call;
+    call.service = request.service();
+    call.requestId = request.request_id();
+    call.request = { request.method(), request.target(), readHeaders(request), request.body() };
+    call.deadline = now + milliseconds(request.remaining_ms());
+    call.aim = now + milliseconds(request.aim_ms());
+    call.rank = request.rank();
+    call.idempotent = request.idempotent();
+    call.nested = request.nested();
+    call.returned = request.returned();
+    if (request.has_key()) {
+        call.key = request.key();
+    }
+    return call;
+}
+
+wire::CallReply toWire(const CallResult &result)
+{
+    wire::CallReply out;
+    out.set_outcome(result.outcome);
+    out.set_reason(result.reason);
+    out.set_retry_after_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(result.retryAfter).count()));
+    out.set_status(static_cast<std::uint32_t>(result.response.status));
+    addHeaders(out, result.response.headers);
+    out.set_body(result.response.body);
+    out.set_instance(result.instance);
+    out.set_reached(result.reached);
+    *out.mutable_load() = result.load;
+    return out;
+}
+
+CallResult fromWire(const wire::CallReply &reply)
+{
+    CallResult result;
+    result.outcome = reply.outcome();
+    result.reason = reply.reason();
+    result.retryAfter = milliseconds(reply.retry_after_ms());
+    result.response = { static_cast<int>(reply.status()), readHeaders(reply), reply.body() };
+    result.instance = reply.instance();
+    result.reached = reply.reached();
+    result.load = reply.load();
+    return result;
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/gateway/fleet_view.cpp
@@ -0,0 +1,172 @@
+#include "gateway/fleet_view.h"
+
+#include "gateway/events.h"
+
+namespace Toucandeck
+{
+
+std::shared_ptr<const LoadedManifest> LoadedManifest::create(Manifest manifest)
+{
+    auto loaded = std::make_shared<LoadedManifest>();
+    loaded->manifest = std::move(manifest);
+    loaded->routes = RouteTable(loaded->manifest);
+    return loaded;
+}
+
+FleetView::FleetView(const Clock &clock, Logger &logger, const ManifestCodec &codec)
+    : m_clock(clock)
+    , m_logger(logger)
+    , m_codec(codec)
+    , m_updated(clock.now())
+{
+}
+
+void FleetView::setChanged(std::function<void()> changed)
+{
+    m_changed = std::move(changed);
+}
+
+void FleetView::apply(const wire::FleetUpdate &update)
+{
+    m_updated = m_clock.now();
+    if (update.has_manifest()) {
+        applyManifest(update.manifest());
+    }
+    if (update.has_evacuations()) {
+        m_evacuated = { update.evacuated().begin(), update.evacuated().end() };
+        m_logger.write(GatewayEvents::kEvacuations, { field("evacuated", m_evacuated.size()), field("term", update.term()) });
+    }
+    for (const auto &it : update.tables()) {
+        applyTable(it);
+    }
+    const bool listed = update.routers_size() > 0 || update.removed_routers_size() > 0 || update.routers_complete();
+    if (listed) {
+        applyGateways(update);
+    }
+    if (m_changed && (listed || update.has_manifest() || update.has_evacuations() || update.tables_size() > 0)) {
+        m_changed();
+    }
+}
+
+void FleetView::applyManifest(const wire::ManifestDocument &document)
+{
+    if (document.version() <= manifestVersion()) {
+        return;
+    }
+    handleError(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(manifest, m_codec.decode(document));
+            m_manifest = LoadedManifest::create(std::move(manifest));
+            m_logger.write(GatewayEvents::kManifestInForce,
+                           { field("version", document.version()),
+                             field("routes", document.routes_size()),
+                             field("services", document.services_size()) });
+            return {};
+        },
+        [&](const Error &error) {
+            m_logger.write(GatewayEvents::kManifestUnreadable, { field("version", document.version()), field("error", error.message) });
+        });
+}
+
+void FleetView::applyTable(const wire::KeyTable &table)
+{
+    auto &current = m_tables[table.service()];
+    if (table.revision() <= current.revision) {
+        return;
+    }
+    std::vector<KeyRow> rows;
+    for (const auto &it : table.rows()) {
+        rows.push_back(fromWire(it));
+    }
+    if (!KeyRows::isComplete(rows)) {
+        m_logger.write(GatewayEvents::kManifestUnreadable, { field("version", table.revision()), field("error", "a key table has gaps") });
+        return;
+    }
+    current = { table.revision(), KeyRows(std::move(rows)) };
+    m_logger.write(GatewayEvents::kKeyTable,
+                   { field("service", table.service()), field("revision", table.revision()), field("rows", table.rows_size()) });
+}
+
+void FleetView::applyGateways(const wire::FleetUpdate &update)
+{
+    if (update.routers_complete()) {
+        m_gateways.clear();
+    }
+    for (const auto &it : update.routers()) {
+        const auto &instance = it.instance();
+        m_gateways[it.router()] = {
+            it.router(),  it.failure_domain(), instance.service(), instance.incarnation(), instance.state() == wire::READY && !it.leaving(),
+            it.leaving(), instance.slots()
+        };
+    }
+    for (const auto &it : update.removed_routers()) {
+        m_gateways.erase(it);
+    }
+    indexGateways();
+}
+
+void FleetView::indexGateways()
+{
+    m_byService.clear();
+    for (const auto &[ip, gateway] : m_gateways) {
+        if (!gateway.service.empty()) {
+            m_byService[gateway.service].push_back(&gateway);
+        }
+    }
+}
+
+std::shared_ptr<const LoadedManifest> FleetView::manifest() const
+{
+    return m_manifest;
+}
+
+std::uint64_t FleetView::manifestVersion() const
+{
+    return m_manifest ? m_manifest->manifest.version : 0;
+}
+
+const ServiceSpec *FleetView::service(const std::string &name) const
+{
+    if (!m_manifest) {
+        return nullptr;
+    }
+    const auto it = m_manifest->manifest.services.find(name);
+    return it == m_manifest->manifest.services.end() ? nullptr : &it->second;
+}
+
+bool FleetView::isEvacuated(const std::string &failureDomain) const
+{
+    return m_evacuated.count(failureDomain) != 0;
+}
+
+const ListedGateway *FleetView::gateway(const std::string &ip) const
+{
+    const auto it = m_gateways.find(ip);
+    return it == m_gateways.end() ? nullptr : &it->second;
+}
+
+const std::vector<const ListedGateway *> &FleetView::gatewaysOf(const std::string &service) const
+{
+    static const std::vector<const ListedGateway *> none;
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? none : it->second;
+}
+
+const KeyRow *FleetView::holderOf(const std::string &service, std::uint32_t key) const
+{
+    const auto it = m_tables.find(service);
+    return it == m_tables.end() || it->second.revision == 0 ? nullptr : &it->second.keys.at(key);
+}
+
+std::uint64_t FleetView::tableRevision(const std::string &service) const
+{
+    const auto it = m_tables.find(service);
+    return it == m_tables.end() ? 0 : it->second.revision;
+}
+
+Duration FleetView::age() const
+{
+    return m_clock.now() - m_updated;
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/gateway/request_entry.cpp
@@ -0,0 +1,289 @@
+#include "gateway/request_entry.h"
+
+#include "gateway/events.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// A gateway that holds the request answers at its end; this long after it the answer is given up.
+constexpr milliseconds kAnswerGrace{ 120 };
+constexpr milliseconds kLeastReturn{ 60 };
+constexpr milliseconds kDefaultReturn{ 250 };
+constexpr double kLongestReturnShare = 0.31; ///< Clients come back within a third of the time that they have left.
+constexpr milliseconds kReturnedAfter{ 40 }; ///< Clients' deadlines differ by less between first attempts.
+
+std::optional<std::uint64_t> readNumber(std::optional<std::string_view> text)
+{
+    std::uint64_t n = 0;
+    if (!text) {
+        return std::nullopt;
+    }
+    const auto [end, ec] = std::from_chars(text->data(), text->data() + text->size(), n);
+    if (ec != std::errc() || end != text->data() + text->size()) {
+        return std::nullopt;
+    }
+    return n;
+}
+
+std::int64_t ms(Duration it)
+{
+    return duration_cast<milliseconds>(it).count();
+}
+
+/// True if a Connection header names this header as belonging to the connection.
+bool isNamedByConnection(const HttpHeaders &headers, std::string_view name)
+{
+    const auto connection = findHeader(headers, "Connection");
+    std::string_view rest = connection.value_or(std::string_view());
+    while (!rest.empty()) {
+        const auto comma = rest.find(',');
+        auto token = rest.substr(0, comma);
+        const auto first = token.find_first_not_of(" \t");
+        const auto last = token.find_last_not_of(" \t");
+        token = first == std::string_view::npos ? std::string_view() : token.substr(first, last - first + 1);
+        if (equalHeaderNames(token, name)) {
+            return true;
+        }
+        rest = comma == std::string_view::npos ? std::string_view() : rest.substr(comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+Duration AttemptAge::of(const std::string &route, Duration deadline)
+{
+    auto &longest = m_longest[route];
+    longest = std::max(longest, deadline);
+    return longest - deadline;
+}
+
+RequestEntry::RequestEntry(const RequestEntryParts &parts, std::function<std::string()> callerService)
+    : m_parts(parts)
+    , m_callerService(std::move(callerService))
+    , m_latency(parts.metrics.histogram("toucandeck_request_seconds", "Time to the answer, by the client", Metrics::latencyBuckets()))
+{
+}
+
+void RequestEntry::reject(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &reason)
+{
+    const auto &request = exchange->request();
+    const auto id = request.header(m_parts.headers.requestId);
+    m_parts.logger.write(GatewayEvents::kRequestInvalid,
+                         { field("request", id.value_or("")),
+                           field("status", status),
+                           field("reason", reason),
+                           field("manifest_version", m_parts.view.manifestVersion()) });
+    HttpResponse response;
+    response.status = status;
+    response.body = reason + "\n";
+    if (status == 503) {
+        response.headers.push_back({ "Retry-After", "0.3" });
+    }
+    exchange->respond(std::move(response));
+}
+
+void RequestEntry::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    const auto manifest = m_parts.view.manifest();
+    if (!manifest) {
+        reject(exchange, 503, "no manifest is known yet");
+        return;
+    }
+    const auto *route = manifest->routes.find(request.header("Host").value_or(""), request.path());
+    if (route == nullptr) {
+        reject(exchange, 404, "no route matches the host and path");
+        return;
+    }
+    const auto it = std::make_shared<Pending>();
+    it->exchange = exchange;
+    it->manifest = manifest;
+    it->route = route;
+    it->received = exchange->received();
+    it->requestId = request.header(m_parts.headers.requestId).value_or("");
+    auto call = makeCall(*it, request);
+    it->deadline = call.deadline;
+    m_pending.insert(it);
+    exchange->setAbandoned([this, it] { abandon(it); });
+    it->timer = m_parts.loop.after(it->deadline - m_parts.loop.clock().now() + kAnswerGrace, [this, it] { giveUp(it); });
+    const AttemptTerms terms{ route->kind == RequestKind::Idempotent, std::max(1U, route->maxAttempts) };
+    it->routed = m_parts.router.route(std::move(call), terms, [this, it](RoutedResult result) { onResult(it, std::move(result)); });
+}
+
+Call RequestEntry::makeCall(const Pending &pending, const HttpRequest &request)
+{
+    const auto &route = *pending.route;
+    Call call;
+    call.service = m_split.next(route);
+    call.requestId = pending.requestId;
+    call.request = { request.method, request.target, forwardedHeaders(request), request.body };
+    call.rank = route.rank;
+    call.idempotent = route.kind == RequestKind::Idempotent;
+    const auto sent = readNumber(request.header(m_parts.headers.deadlineMs));
+    const Duration wait = sent ? Duration(milliseconds(*sent)) : route.timeout;
+    call.deadline = pending.received + std::min(wait, route.timeout);
+    const auto age = sent ? m_ages.of(route.name, wait) : Duration::zero();
+    call.aim = pending.received + route.targetLatency - age;
+    call.returned = age > kReturnedAfter;
+    const auto key = readNumber(request.header(m_parts.headers.key));
+    if (key && *key < kKeyCount) {
+        call.key = static_cast<std::uint32_t>(*key);
+    }
+    return call;
+}
+
+HttpHeaders RequestEntry::forwardedHeaders(const HttpRequest &request) const
+{
+    const auto &names = m_parts.headers;
+    HttpHeaders headers;
+    for (const auto &it : request.headers) {
+        const bool host = equalHeaderNames(it.name, "Host");
+        const bool ours = equalHeaderNames(it.name, names.callerService) || equalHeaderNames(it.name, names.expectedInstance)
+            || equalHeaderNames(it.name, names.deadlineMs);
+        if (host || (!ours && !isHopByHop(it.name) && !isNamedByConnection(request.headers, it.name))) {
+            headers.push_back(it);
+        }
+    }
+    headers.push_back({ names.callerService, m_callerService() });
+    return headers;
+}
+
+void RequestEntry::onResult(const Entry &it, RoutedResult result)
+{
+    it->routed = 0;
+    switch (result.result.outcome) {
+    case wire::ANSWERED:
+        answer(it, std::move(result));
+        return;
+    case wire::NOT_RUN:
+        refuse(it, result);
+        return;
+    default:
+        failRequest(it, result, 502);
+    }
+}
+
+void RequestEntry::respond(const Entry &it, HttpResponse response, const char *outcome)
+{
+    it->timer.cancel();
+    m_pending.erase(it);
+    const auto took = m_parts.loop.clock().now() - it->received;
+    m_latency.Observe(std::chrono::duration<double>(took).count());
+    m_parts.metrics.counter("toucandeck_requests_total", "Requests of clients by route kind and outcome", { { "outcome", outcome } })
+        .Increment();
+    it->exchange->respond(std::move(response));
+}
+
+void RequestEntry::answer(const Entry &it, RoutedResult result)
+{
+    m_parts.logger.write(GatewayEvents::kRequestAnswered,
+                         { field("request", it->requestId),
+                           field("route", it->route->name),
+                           field("status", result.result.response.status),
+                           field("gateway", result.gateway),
+                           field("instance", result.result.instance),
+                           field("attempts", result.attempts),
+                           field("reached", result.reached),
+                           field("took_ms", ms(m_parts.loop.clock().now() - it->received)),
+                           field("manifest_version", it->manifest->manifest.version) });
+    respond(it, std::move(result.result.response), "answered");
+}
+
+Duration RequestEntry::returnTime(Duration hint, Duration left)
+{
+    // Spread, so that those who were refused together do not come back together.
+    const double spread = 0.8 + 0.6 * m_parts.random.unit();
+    const auto wanted = duration_cast<Duration>(std::max<Duration>(hint, kDefaultReturn) * spread);
+    const auto longest = duration_cast<Duration>(left * kLongestReturnShare);
+    return std::min(wanted, longest);
+}
+
+void RequestEntry::refuse(const Entry &it, const RoutedResult &result)
+{
+    const auto left = it->deadline - m_parts.loop.clock().now();
+    const auto back = returnTime(result.result.retryAfter, left);
+    m_parts.logger.write(GatewayEvents::kRequestRefused,
+                         { field("request", it->requestId),
+                           field("route", it->route->name),
+                           field("reason", wire::CallReason_Name(result.result.reason)),
+                           field("gateway", result.gateway),
+                           field("attempts", result.attempts),
+                           field("reached", result.reached),
+                           field("took_ms", ms(m_parts.loop.clock().now() - it->received)),
+                           field("left_ms", ms(left)),
+                           field("retry_after_ms", ms(back)),
+                           field("manifest_version", it->manifest->manifest.version),
+                           field("view_age_ms", ms(m_parts.view.age())) });
+    HttpResponse response;
+    response.status = 503;
+    response.headers.push_back({ m_parts.headers.requestId, it->requestId });
+    if (back >= kLeastReturn) {
+        response.headers.push_back({ "Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(back).count()) });
+    }
+    response.body = fmt::format("the request was not run: {}\n", wire::CallReason_Name(result.result.reason));
+    respond(it, std::move(response), "refused");
+}
+
+void RequestEntry::failRequest(const Entry &it, const RoutedResult &result, int status)
+{
+    m_parts.logger.write(GatewayEvents::kRequestFailed,
+                         { field("request", it->requestId),
+                           field("route", it->route->name),
+                           field("status", status),
+                           field("reason", wire::CallReason_Name(result.result.reason)),
+                           field("gateway", result.gateway),
+                           field("instance", result.result.instance),
+                           field("attempts", result.attempts),
+                           field("reached", result.reached),
+                           field("took_ms", ms(m_parts.loop.clock().now() - it->received)),
+                           field("manifest_version", it->manifest->manifest.version),
+                           field("view_age_ms", ms(m_parts.view.age())) });
+    HttpResponse response;
+    response.status = status;
+    response.headers.push_back({ m_parts.headers.requestId, it->requestId });
+    response.body = fmt::format("the request may have run: {}\n", wire::CallReason_Name(result.result.reason));
+    respond(it, std::move(response), "failed");
+}
+
+void RequestEntry::giveUp(const Entry &it)
+{
+    if (it->routed == 0) {
+        return;
+    }
+    m_parts.router.cancel(std::exchange(it->routed, 0));
+    RoutedResult result;
+    result.result.reason = wire::DEADLINE;
+    failRequest(it, result, 504);
+}
+
+void RequestEntry::abandon(const Entry &it)
+{
+    it->timer.cancel();
+    m_pending.erase(it);
+    m_parts.logger.write(GatewayEvents::kRequestAbandoned,
+                         { field("request", it->requestId),
+                           field("route", it->route->name),
+                           field("took_ms", ms(m_parts.loop.clock().now() - it->received)) });
+    m_parts.metrics.counter("toucandeck_requests_total", "Requests of clients by route kind and outcome", { { "outcome", "abandoned" } })
+        .Increment();
+    if (it->routed != 0) {
+        m_parts.router.cancel(std::exchange(it->routed, 0));
+    }
+}
+
+std::size_t RequestEntry::pending() const
+{
+    return m_pending.size();
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/gateway/wait_queue.cpp
@@ -0,0 +1,91 @@
+#include "gateway/wait_queue.h"
+
+#include <algorithm>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+constexpr std::uint32_t kLateRankPenalty = 1; ///< A late answer is worth a third, about the distance between two ranks.
+
+std::uint32_t effectiveRank(const WaitingCall &it, TimePoint now)
+{
+    const bool late = now + it.work > it.call.aim;
+    return it.call.rank + (late ? kLateRankPenalty : 0);
+}
+
+} // namespace
+
+bool ArrivalOrder::before(const WaitingCall &a, const WaitingCall &b, TimePoint /*now*/) const
+{
+    return a.id < b.id;
+}
+
+bool UrgencyOrder::before(const WaitingCall &a, const WaitingCall &b, TimePoint now) const
+{
+    if (a.call.nested != b.call.nested) {
+        return a.call.nested;
+    }
+    const auto rankA = effectiveRank(a, now);
+    const auto rankB = effectiveRank(b, now);
+    if (rankA != rankB) {
+        return rankA < rankB;
+    }
+    if (a.call.aim != b.call.aim) {
+        return a.call.aim < b.call.aim;
+    }
+    return a.id < b.id;
+}
+
+WaitQueue::WaitQueue(const QueueOrder &order)
+    : m_order(order)
+{
+}
+
+void WaitQueue::push(WaitingCall call)
+{
+    m_calls.push_back(std::move(call));
+}
+
+std::optional<WaitingCall> WaitQueue::popFirst(TimePoint now)
+{
+    const auto first = std::min_element(
+        m_calls.begin(), m_calls.end(), [&](const WaitingCall &a, const WaitingCall &b) { return m_order.before(a, b, now); });
+    if (first == m_calls.end()) {
+        return std::nullopt;
+    }
+    auto call = std::move(*first);
+    m_calls.erase(first);
+    return call;
+}
+
+std::optional<WaitingCall> WaitQueue::remove(std::uint64_t id)
+{
+    const auto it = std::find_if(m_calls.begin(), m_calls.end(), [id](const WaitingCall &call) { return call.id == id; });
+    if (it == m_calls.end()) {
+        return std::nullopt;
+    }
+    auto call = std::move(*it);
+    m_calls.erase(it);
+    return call;
+}
+
+Duration WaitQueue::workBefore(const WaitingCall &call, TimePoint now) const
+{
+    Duration work{};
+    for (const auto &it : m_calls) {
+        if (it.id != call.id && m_order.before(it, call, now)) {
+            work += it.work;
+        }
+    }
+    return work;
+}
+
+std::size_t WaitQueue::size() const
+{
+    return m_calls.size();
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/http/backend_connection.cpp
@@ -0,0 +1,238 @@
+#include "http/backend_connection.h"
+
+#include <cerrno>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <fmt/format.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+using std::chrono::seconds;
+
+constexpr std::chrono::milliseconds kConnectTimeout{ 500 }; ///< The backend server is on the same VM.
+constexpr seconds kDefaultIdleLimit{ 4 }; ///< For backend servers that do not state theirs.
+
+/// The limit in "Keep-Alive: timeout=N".
+std::optional<seconds> statedIdleLimit(const HttpResponse &response)
+{
+    constexpr std::string_view kName = "timeout=";
+    const auto value = response.header("Keep-Alive");
+    const auto at = value ? value->find(kName) : std::string_view::npos;
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = value->substr(at + kName.size());
+    int n = 0;
+    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), n);
+    return ec == std::errc() ? std::optional(seconds(n)) : std::nullopt;
+}
+
+} // namespace
+
+BackendConnection::BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader)
+    : m_loop(loop)
+    , m_echoHeader(std::move(echoHeader))
+    , m_parser(internal::MessageParser::Kind::Response)
+    , m_idleSince(loop.clock().now())
+    , m_idleLimit(kDefaultIdleLimit)
+    , m_alive(std::make_shared<bool>(true))
+{
+    connect(address);
+}
+
+BackendConnection::~BackendConnection()
+{
+    *m_alive = false;
+    close();
+}
+
+void BackendConnection::connect(const SocketAddress &address)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        m_keep = false;
+        return; // send() reports it.
+    }
+    const int on = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    m_stream = bufferevent_socket_new(m_loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(m_stream, &BackendConnection::onRead, nullptr, &BackendConnection::onEvent, this);
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+    const auto sa = address.toSockaddr();
+    m_connectTimer = m_loop.after(kConnectTimeout, [this] { fail(BackendError::ConnectFailed); });
+    bufferevent_socket_connect(m_stream, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa));
+}
+
+void BackendConnection::send(const HttpRequest &request, std::string id, Done done)
+{
+    m_done = std::move(done);
+    m_id = std::move(id);
+    if (m_stream == nullptr) {
+        m_loop.runSoon([this, alive = m_alive] {
+            if (*alive) {
+                fail(BackendError::ConnectFailed);
+            }
+        });
+        return;
+    }
+    m_parser.expectNoBody(request.method == "HEAD");
+    write(request);
+}
+
+void BackendConnection::awaitEstablished(std::function<void(bool, BackendError)> callback)
+{
+    m_awaited = std::move(callback);
+}
+
+void BackendConnection::write(const HttpRequest &request)
+{
+    std::string head = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+    for (const auto &it : request.headers) {
+        head += fmt::format("{}: {}\r\n", it.name, it.value);
+    }
+    const bool bodyless = request.body.empty() && (request.method == "GET" || request.method == "HEAD");
+    head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", request.body.size());
+    bufferevent_write(m_stream, head.data(), head.size());
+    bufferevent_write(m_stream, request.body.data(), request.body.size());
+}
+
+bool BackendConnection::isReusable() const
+{
+    return m_stream != nullptr && m_keep && !m_done;
+}
+
+bool BackendConnection::isEstablished() const
+{
+    return m_established;
+}
+
+TimePoint BackendConnection::idleSince() const
+{
+    return m_idleSince;
+}
+
+Duration BackendConnection::idleLimit() const
+{
+    return m_idleLimit;
+}
+
+void BackendConnection::onRead(bufferevent * /*stream*/, void *self)
+{
+    static_cast<BackendConnection *>(self)->readAnswer();
+}
+
+void BackendConnection::readAnswer()
+{
+    auto *in = bufferevent_get_input(m_stream);
+    if (!m_done) {
+        // Nothing was asked: an additional answer, or bytes that belong to none.
+        m_keep = false;
+        close();
+        return;
+    }
+    while (m_done) {
+        evbuffer_iovec chunk{};
+        if (evbuffer_peek(in, -1, nullptr, &chunk, 1) < 1 || chunk.iov_len == 0) {
+            return;
+        }
+        const auto n = m_parser.feed({ static_cast<const char *>(chunk.iov_base), chunk.iov_len });
+        evbuffer_drain(in, n);
+        if (m_parser.error()) {
+            fail(BackendError::BadAnswer);
+            return;
+        }
+        if (auto message = m_parser.take()) {
+            const auto alive = m_alive;
+            finish(std::move(*message));
+            if (!*alive) {
+                return;
+            }
+        }
+    }
+}
+
+void BackendConnection::finish(internal::ParsedMessage message)
+{
+    BackendResult result;
+    result.response = { message.status, std::move(message.headers), std::move(message.body) };
+    const auto echoed = result.response.header(m_echoHeader);
+    if (!m_id.empty() && echoed && *echoed != m_id) {
+        m_keep = false; // A late answer to an earlier request; the one that is due may still follow.
+        if (!message.keepAlive) {
+            fail(BackendError::BadAnswer);
+        }
+        return;
+    }
+    m_keep = m_keep && message.keepAlive;
+    // More than the answer has come, or the request has not left in full: the next answer could be misread.
+    const bool clean
+        = evbuffer_get_length(bufferevent_get_input(m_stream)) == 0 && evbuffer_get_length(bufferevent_get_output(m_stream)) == 0;
+    m_keep = m_keep && clean;
+    m_idleSince = m_loop.clock().now();
+    if (const auto limit = statedIdleLimit(result.response)) {
+        m_idleLimit = *limit;
+    }
+    std::exchange(m_done, nullptr)(std::move(result));
+}
+
+void BackendConnection::onEvent(bufferevent * /*stream*/, short what, void *self)
+{
+    auto &it = *static_cast<BackendConnection *>(self);
+    const int ec = EVUTIL_SOCKET_ERROR();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        it.m_established = true;
+        it.m_connectTimer.cancel();
+        if (it.m_awaited) {
+            std::exchange(it.m_awaited, nullptr)(true, BackendError::None);
+        }
+        return;
+    }
+    if (!it.m_established) {
+        it.fail(ec == ECONNREFUSED ? BackendError::Refused : BackendError::ConnectFailed);
+        return;
+    }
+    if ((what & BEV_EVENT_EOF) != 0 && it.m_done) {
+        it.m_keep = false;
+        it.m_parser.feedEnd(); // An answer without a length ends with the connection.
+        if (auto message = it.m_parser.take()) {
+            const auto alive = it.m_alive;
+            it.finish(std::move(*message));
+            if (!*alive || !it.m_done) {
+                return;
+            }
+        }
+    }
+    it.fail(it.m_parser.isInMessage() ? BackendError::BadAnswer : BackendError::ConnectionLost);
+}
+
+void BackendConnection::fail(BackendError error)
+{
+    m_keep = false;
+    m_connectTimer.cancel();
+    close();
+    if (m_awaited) {
+        std::exchange(m_awaited, nullptr)(false, error);
+        return;
+    }
+    if (m_done) {
+        std::exchange(m_done, nullptr)({ error, {} });
+    }
+}
+
+void BackendConnection::close()
+{
+    if (m_stream != nullptr) {
+        bufferevent_free(m_stream);
+        m_stream = nullptr;
+    }
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/http/message_parser.cpp
@@ -0,0 +1,202 @@
+#include "http/message_parser.h"
+
+#include <limits>
+#include <utility>
+
+namespace Toucandeck::internal
+{
+
+MessageParser::MessageParser(Kind kind)
+    : m_maxHeaderBytes(64U << 10U)
+    , m_maxBodyBytes(std::numeric_limits<std::size_t>::max())
+{
+    http_parser_init(&m_parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    m_parser.data = this;
+}
+
+void MessageParser::setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes)
+{
+    m_maxHeaderBytes = maxHeaderBytes;
+    m_maxBodyBytes = maxBodyBytes;
+}
+
+void MessageParser::expectNoBody(bool noBody)
+{
+    m_noBody = noBody;
+}
+
+std::size_t MessageParser::feed(std::string_view data)
+{
+    if (m_error || m_complete || data.empty()) {
+        return 0;
+    }
+    if (HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
+        http_parser_pause(&m_parser, 0);
+    }
+    const auto n = http_parser_execute(&m_parser, &callbacks(), data.data(), data.size());
+    noteResult();
+    return n;
+}
+
+void MessageParser::feedEnd()
+{
+    if (m_error || m_complete) {
+        return;
+    }
+    http_parser_execute(&m_parser, &callbacks(), nullptr, 0);
+    noteResult();
+}
+
+void MessageParser::noteResult()
+{
+    const auto ec = HTTP_PARSER_ERRNO(&m_parser);
+    if (ec == HPE_OK || ec == HPE_PAUSED || m_error) {
+        return;
+    }
+    m_error = ec == HPE_HEADER_OVERFLOW ? ParseError::HeadersTooLarge : ParseError::Malformed;
+}
+
+std::optional<ParsedMessage> MessageParser::take()
+{
+    if (!m_complete) {
+        return std::nullopt;
+    }
+    m_complete = false;
+    m_inMessage = false;
+    m_hasHeaders = false;
+    return std::exchange(m_message, {});
+}
+
+const std::optional<ParseError> &MessageParser::error() const
+{
+    return m_error;
+}
+
+bool MessageParser::isInMessage() const
+{
+    return m_inMessage;
+}
+
+bool MessageParser::hasHeaders() const
+{
+    return m_hasHeaders;
+}
+
+bool MessageParser::expectsContinue() const
+{
+    const auto expect = findHeader(m_message.headers, "Expect");
+    return m_hasHeaders && !m_complete && expect && equalHeaderNames(*expect, "100-continue");
+}
+
+MessageParser &MessageParser::self(http_parser *parser)
+{
+    return *static_cast<MessageParser *>(parser->data);
+}
+
+int MessageParser::countHeaderBytes(std::size_t n)
+{
+    m_headerBytes += n;
+    if (m_headerBytes <= m_maxHeaderBytes) {
+        return 0;
+    }
+    m_error = ParseError::HeadersTooLarge;
+    return 1;
+}
+
+int MessageParser::onBegin(http_parser *parser)
+{
+    auto &it = self(parser);
+    it.m_message = {};
+    it.m_headerBytes = 0;
+    it.m_inMessage = true;
+    it.m_hasHeaders = false;
+    it.m_inValue = false;
+    return 0;
+}
+
+int MessageParser::onUrl(http_parser *parser, const char *data, std::size_t n)
+{
+    auto &it = self(parser);
+    it.m_message.target.append(data, n);
+    return it.countHeaderBytes(n);
+}
+
+int MessageParser::onField(http_parser *parser, const char *data, std::size_t n)
+{
+    auto &it = self(parser);
+    if (it.m_hasHeaders) {
+        return 0; // A trailer field; nothing here uses trailers.
+    }
+    if (it.m_inValue || it.m_message.headers.empty()) {
+        it.m_message.headers.emplace_back();
+        it.m_inValue = false;
+    }
+    it.m_message.headers.back().name.append(data, n);
+    return it.countHeaderBytes(n);
+}
+
+int MessageParser::onValue(http_parser *parser, const char *data, std::size_t n)
+{
+    auto &it = self(parser);
+    if (it.m_hasHeaders) {
+        return 0;
+    }
+    it.m_inValue = true;
+    it.m_message.headers.back().value.append(data, n);
+    return it.countHeaderBytes(n);
+}
+
+int MessageParser::onHeadersComplete(http_parser *parser)
+{
+    auto &it = self(parser);
+    it.m_hasHeaders = true;
+    it.m_message.status = static_cast<int>(parser->status_code);
+    if (parser->type == HTTP_REQUEST) {
+        it.m_message.method = http_method_str(static_cast<http_method>(parser->method));
+        // A tunnel or another protocol would follow; neither is served here.
+        return parser->upgrade != 0 ? 2 : 0;
+    }
+    return it.m_noBody ? 1 : 0;
+}
+
+int MessageParser::onBody(http_parser *parser, const char *data, std::size_t n)
+{
+    auto &it = self(parser);
+    if (it.m_message.body.size() + n > it.m_maxBodyBytes) {
+        it.m_error = ParseError::BodyTooLarge;
+        return 1;
+    }
+    it.m_message.body.append(data, n);
+    return 0;
+}
+
+int MessageParser::onComplete(http_parser *parser)
+{
+    auto &it = self(parser);
+    const bool interim = parser->type == HTTP_RESPONSE && it.m_message.status >= 100 && it.m_message.status < 200;
+    if (interim) {
+        return 0;
+    }
+    it.m_complete = true;
+    it.m_message.keepAlive = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+const http_parser_settings &MessageParser::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings it{};
+        it.on_message_begin = &MessageParser::onBegin;
+        it.on_url = &MessageParser::onUrl;
+        it.on_header_field = &MessageParser::onField;
+        it.on_header_value = &MessageParser::onValue;
+        it.on_headers_complete = &MessageParser::onHeadersComplete;
+        it.on_body = &MessageParser::onBody;
+        it.on_message_complete = &MessageParser::onComplete;
+        return it;
+    }();
+    return settings;
+}
+
+} // namespace Toucandeck::internal
--- /dev/null
+++ b/src/http/pipelined_server.cpp
@@ -0,0 +1,124 @@
+#include "http/pipelined_server.h"
+
+#include "http/pipelined_connection.h"
+
+#include "common/assert.h"
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds kSweepInterval{ 200 };
+
+} // namespace
+
+HttpExchange::HttpExchange(std::weak_ptr<internal::PipelinedConnection> connection, HttpRequest request, TimePoint received)
+    : m_connection(std::move(connection))
+    , m_request(std::move(request))
+    , m_received(received)
+{
+}
+
+HttpExchange::~HttpExchange()
+{
+    const auto connection = m_connection.lock();
+    if (!m_answered && connection) {
+        connection->dropped(*this);
+    }
+}
+
+const HttpRequest &HttpExchange::request() const
+{
+    return m_request;
+}
+
+HttpRequest &HttpExchange::request()
+{
+    return m_request;
+}
+
+TimePoint HttpExchange::received() const
+{
+    return m_received;
+}
+
+void HttpExchange::respond(HttpResponse response)
+{
+    TOUCANDECK_ASSERT(!m_answered, "a request has one answer");
+    m_answered = true;
+    m_abandoned = nullptr;
+    if (const auto connection = m_connection.lock()) {
+        connection->respond(*this, std::move(response));
+    }
+}
+
+void HttpExchange::setAbandoned(std::function<void()> handler)
+{
+    m_abandoned = std::move(handler);
+}
+
+bool HttpExchange::isAnswered() const
+{
+    return m_answered;
+}
+
+Result<std::unique_ptr<PipelinedServer>>
+PipelinedServer::create(EventLoop &loop, const SocketAddress &address, Limits limits, Handler handler)
+{
+    std::unique_ptr<PipelinedServer> server(new PipelinedServer(loop, std::move(limits), std::move(handler)));
+    auto *it = server.get();
+    BOOST_LEAF_ASSIGN(server->m_listener,
+                      Listener::listen(loop, address, [it](int descriptor, const std::string &) { it->accept(descriptor); }));
+    return server;
+}
+
+PipelinedServer::PipelinedServer(EventLoop &loop, Limits limits, Handler handler)
+    : m_loop(loop)
+    , m_limits(std::move(limits))
+    , m_handler(std::move(handler))
+    , m_sweep(loop.every(kSweepInterval, [this] { sweep(); }))
+{
+}
+
+PipelinedServer::~PipelinedServer() = default;
+
+void PipelinedServer::accept(int descriptor)
+{
+    m_connections.push_back(std::make_shared<internal::PipelinedConnection>(*this, descriptor));
+}
+
+void PipelinedServer::sweep()
+{
+    const auto limits = m_limits();
+    const auto copy = m_connections;
+    for (const auto &it : copy) {
+        if (m_draining) {
+            it->drain();
+        }
+        it->checkTimeouts(limits);
+    }
+    m_connections.remove_if([](const auto &it) { return it->isClosed(); });
+}
+
+void PipelinedServer::drain()
+{
+    m_draining = true;
+}
+
+void PipelinedServer::stopListening()
+{
+    m_listener.reset();
+}
+
+std::size_t PipelinedServer::unfinished() const
+{
+    std::size_t n = 0;
+    for (const auto &it : m_connections) {
+        n += it->unfinished();
+    }
+    return n;
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/src/log/json_logger.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "log/logger.h"
+
+#include <map>
+#include <string>
+
+namespace Toucandeck
+{
+
+/// Writes a JSON object per event to a descriptor. Never blocks: lines wait in a bounded buffer until flush(), and what the
+/// descriptor does not take is dropped and counted. Of each kind of event a bounded number of lines is written per second; the
+/// next line of that kind carries the number left out as "suppressed".
+class JsonLogger : public Logger
+{
+public:
+    /// @param descriptor is set to non-blocking mode; @param process is written in each line.
+    JsonLogger(const Clock &clock, int descriptor, std::string process, LogLevel lowest);
+    ~JsonLogger() override;
+
+    void write(const Event &event, std::initializer_list<LogField> fields) override;
+
+    /// Hands the waiting lines to the descriptor; call it at the end of each iteration of the event loop.
+    void flush();
+
+    void setLowestLevel(LogLevel lowest);
+
+    /// Lines lost because the descriptor took no more.
+    std::uint64_t droppedLines() const;
+
+private:
+    struct Window
+    {
+        TimePoint start;
+        int lines = 0;
+        std::uint64_t suppressed = 0;
+    };
+
+    bool admit(const Event &event, std::uint64_t &suppressed);
+
+    const Clock &m_clock;
+    int m_descriptor;
+    std::string m_process;
+    LogLevel m_lowest;
+    std::map<int, Window> m_windows;
+    std::string m_buf;
+    std::uint64_t m_dropped = 0;
+};
+
+/// The line that JsonLogger writes, without the line end.
+std::string formatJsonLine(WallTime time, std::string_view process, const Event &event, std::initializer_list<LogField> fields);
+
+} // namespace Toucandeck
--- a/src/runtime/http_message.cpp
+++ b/src/runtime/http_message.cpp
@@ -18,7 +18,7 @@
 constexpr std::array<std::string_view, 10> kHopByHop{ "connection", "keep-alive", "proxy-connection",  "te",   "trailer",
                                                       "upgrade",    "expect",     "transfer-encoding", "host", "content-length" };
 
-constexpr std::array<std::pair<int, const char *>, 28> kReasons{ {
+constexpr std::array<std::pair<int, const char *>, 30> kReasons{ {
     { 200, "OK" },
     { 201, "Created" },
     { 202, "Accepted" },
@@ -35,12 +35,14 @@
     { 403, "Forbidden" },
     { 404, "Not Found" },
     { 405, "Method Not Allowed" },
+    { 408, "Request Timeout" },
     { 409, "Conflict" },
     { 412, "Precondition Failed" },
     { 413, "Content Too Large" },
     { 421, "Misdirected Request" },
     { 422, "Unprocessable Content" },
     { 429, "Too Many Requests" },
+    { 431, "Request Header Fields Too Large" },
     { 499, "Client Closed Request" },
     { 500, "Internal Server Error" },
     { 501, "Not Implemented" },
