Put calls of running work first and split released keys among receivers

Change: calls are recognised by the id of the request that the gate runs and go first; released ranges are split by receiver; demand and speed are measured over longer; a stopping gateway refuses after 3 s; only requests that reached a backend server earn repeats.

--- a/src/fleet/key_coordinator.cpp
+++ b/src/fleet/key_coordinator.cpp
@@ -191,24 +191,34 @@
     for (const auto &freed : state.freed) {
         const auto before = rows.rows();
         for (const auto &row : before) {
-            if (!concerns(freed, freed.incarnation, row)) {
-                continue;
-            }
-            const auto part = intersection(row.range, freed.range);
-            const auto release = std::find_if(state.releases.begin(), state.releases.end(), [&](const Release &it) {
-                return it.from == freed.incarnation && it.range.overlaps(part);
-            });
-            const auto *to = pickReceiver(usable, rows, release == state.releases.end() ? std::string() : release->to);
-            if (to == nullptr) {
-                continue;
+            if (concerns(freed, freed.incarnation, row)) {
+                changed = placeFreed(state, usable, rows, intersection(row.range, freed.range), freed) || changed;
             }
-            giveTo(rows, part, *to, freed.handover);
-            changed = true;
         }
     }
     return changed;
 }
 
+bool KeyCoordinator::placeFreed(const ServiceState &state, const Holders &usable, KeyRows &rows, KeyRange range, const Freed &freed) const
+{
+    if (usable.empty()) {
+        return false;
+    }
+    // One released range can hold the keys of several receivers.
+    for (const auto &release : state.releases) {
+        if (release.from != freed.incarnation || release.fence != freed.fence || !release.range.overlaps(range)) {
+            continue;
+        }
+        giveTo(rows, intersection(range, release.range), *pickReceiver(usable, rows, release.to), freed.handover);
+    }
+    for (const auto &row : rows.heldBy(freed.incarnation)) {
+        if (concerns(freed, freed.incarnation, row) && row.range.overlaps(range)) {
+            giveTo(rows, intersection(row.range, range), *pickReceiver(usable, rows, {}), freed.handover);
+        }
+    }
+    return true;
+}
+
 bool KeyCoordinator::takeExpired(ServiceState &state, const Holders &usable, KeyRows &rows)
 {
     bool changed = false;
@@ -358,6 +368,9 @@
     }
     const auto plan = partitionByDemand(demand, capacities);
     const double peak = peakUtilisation(present, demand, capacities);
+    if (!joins && peak < m_options.rebalanceUtilisation) {
+        return;
+    }
     if (demand.empty() || peakUtilisation(plan, demand, capacities) < m_options.rebalanceGain * peak) {
         state.lastRebalance = now;
         startReleases(state, plan, ordered, rows);
--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -21,8 +21,9 @@
     Duration lease = std::chrono::seconds(5); ///< Counts at the router from the sending of its announcement.
     double clockDrift = 0.03; ///< By which a holder's clock may run slow, with a margin.
     Duration settle = std::chrono::milliseconds(1200); ///< First keys are granted when no holder has joined for this long.
-    Duration rebalanceInterval = std::chrono::seconds(3);
-    double rebalanceGain = 0.8; ///< Keys move only if the peak utilisation falls below this share of the present one.
+    Duration rebalanceInterval = std::chrono::milliseconds(1500);
+    double rebalanceUtilisation = 0.6; ///< Of the busiest holder; below it no keys move.
+    double rebalanceGain = 0.75; ///< Keys move only if the peak utilisation falls below this share of the present one.
     double minimumRate = 10; ///< Requests per second below which demand says too little to move keys.
 };
 
@@ -110,6 +111,7 @@
     void tickService(const std::string &service, const Holders &announced);
     bool grantFirst(const KeyTable &table, ServiceState &state, const Holders &usable, KeyRows &rows);
     bool takeFreed(ServiceState &state, const Holders &usable, KeyRows &rows);
+    bool placeFreed(const ServiceState &state, const Holders &usable, KeyRows &rows, KeyRange range, const Freed &freed) const;
     bool takeExpired(ServiceState &state, const Holders &usable, KeyRows &rows);
     bool takeLost(ServiceState &state, const Holders &announced, const Holders &usable, KeyRows &rows);
     void releaseFromLeaving(ServiceState &state, const Holders &announced, const Holders &usable, const KeyRows &rows);
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t kMaxGatewaysAsked = 4; ///< A refusal at a gate reaches no backend server, so more may be asked than may run.
-constexpr milliseconds kHolderRetry{ 40 };
+constexpr milliseconds kHolderRetry{ 100 };
 constexpr milliseconds kHolderPatience{ 1500 }; ///< Keys that change hands are mostly served again within this time.
 constexpr double kHolderPatienceShare = 0.4; ///< Of the time that the call has left.
 constexpr double kRetryBurst = 4; ///< Repeats that one gateway can save up; all gateways share the slack of the budget.
@@ -40,7 +40,7 @@
     it->done = std::move(done);
     it->started = m_parts.loop.clock().now();
     m_routed[id] = it;
-    m_budgets.try_emplace(it->call.service, m_retryShare, kRetryBurst, 1).first->second.countRequest();
+    m_budgets.try_emplace(it->call.service, m_retryShare, kRetryBurst, 1);
     attempt(id, it);
     return id;
 }
@@ -117,7 +117,11 @@
 void CallRouter::onResult(std::uint64_t id, const Entry &it, CallResult result)
 {
     it->sentAs = 0;
-    it->reached += result.reached ? 1 : 0;
+    if (result.reached && it->reached++ == 0) {
+        // Requests that are refused before they reach a backend server earn no repeats: the calls that a repeated run makes count as
+        // repeats too, in proportion to the runs.
+        m_budgets.at(it->call.service).countRequest();
+    }
     m_loads.answered(it->gateway, result);
     switch (result.outcome) {
     case wire::ANSWERED:
--- a/src/gateway/demand_sampler.cpp
+++ b/src/gateway/demand_sampler.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr std::chrono::seconds kWindow{ 4 };
-constexpr std::chrono::milliseconds kLeastTime{ 500 }; ///< A rate over less time says little.
+constexpr std::chrono::seconds kWindow{ 2 };
+constexpr std::chrono::milliseconds kLeastTime{ 1000 }; ///< Demand over less time says little.
 constexpr std::size_t kPoints = 32;
 
 } // namespace
@@ -40,6 +40,9 @@
 std::vector<std::uint32_t> DemandSampler::points(TimePoint now)
 {
     forget(now);
+    if (now - m_since < kLeastTime) {
+        return {};
+    }
     std::vector<std::uint32_t> keys;
     keys.reserve(m_samples.size());
     for (const auto &it : m_samples) {
--- a/src/gateway/gate.cpp
+++ b/src/gateway/gate.cpp
@@ -205,6 +205,11 @@
     update();
 }
 
+bool Gate::runs(std::string_view requestId) const
+{
+    return std::any_of(m_running.begin(), m_running.end(), [requestId](const auto &it) { return it.second.call.requestId == requestId; });
+}
+
 wire::LoadReport Gate::load() const
 {
     wire::LoadReport load;
--- a/src/gateway/gate.h
+++ b/src/gateway/gate.h
@@ -50,6 +50,9 @@
     /// When update() is due again because the backend server is cold; none if not.
     std::optional<TimePoint> nextDispatch() const;
 
+    /// The backend server runs a request with this id.
+    bool runs(std::string_view requestId) const;
+
     wire::LoadReport load() const;
     std::size_t running() const;
     std::size_t waiting() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kDrainInterval{ 50 };
 /// For this long after the order to stop, clients are still sent here: two checks of the readiness must fail first.
 constexpr milliseconds kClientsLeave{ 2500 };
+/// Clients that still come after this are turned away: an answer could take longer than the gateway has left.
+constexpr milliseconds kRefuseClients{ 3000 };
 constexpr milliseconds kPeersLeave{ 1000 }; ///< By then the other gateways know that this one leaves.
 constexpr milliseconds kQuiet{ 150 };
 
@@ -44,7 +46,7 @@
     , m_calls(parts.loop, m_links, m_gate, m_options.ip)
     , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser }, m_options.failureDomain, m_options.retryShare)
     , m_fleet(parts.loop, m_links, parts.logger, m_view, m_instance, m_options.ip, m_options.failureDomain, m_options.seeds)
-    , m_entry({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_router },
+    , m_entry({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_gate, m_router },
               [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
 {
     m_instance.setStarted([this] { onInstanceStarted(); });
@@ -194,6 +196,9 @@
     if (since >= kPeersLeave) {
         m_instance.setLeaving();
     }
+    if (since >= kRefuseClients) {
+        m_entry.refuseNew();
+    }
     const bool busy = m_entry.pending() > 0 || m_peers->pending() > 0 || m_outbound->unfinished() > 0;
     m_lastBusy = busy ? now : m_lastBusy;
     const bool finished = since >= kClientsLeave && now - m_lastBusy >= kQuiet;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,7 +19,7 @@
     SocketAddress outbound; ///< Where clients and the backend server send their requests.
     std::uint16_t peerPort = 0; ///< Of all gateways and controllers.
     std::vector<std::string> seeds; ///< IP addresses of some controllers.
-    double retryShare = 0.1; ///< Repeats per request.
+    double retryShare = 0.08; ///< Repeats per request.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this, with work left.
 };
 
--- a/src/gateway/header_names.h
+++ b/src/gateway/header_names.h
@@ -16,6 +16,8 @@
     std::string notExecuted = "Toucandeck-Not-Executed"; ///< In an answer: the request was not run.
     std::string serverLoad = "Toucandeck-Server-Load"; ///< In an answer: running, waiting, slots, slowness in per cent.
     std::string answerSeal = "Toucandeck-Answer-Seal"; ///< Proves that an answer is a backend server's own.
+    /// A backend server's own call has the id of the request that it runs, followed by this and a part of its own.
+    char nestedIdSeparator = '.';
     std::string coldRemainingMs = "Toucandeck-Cold-Remaining-Ms"; ///< In an answer to a health check.
 };
 
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -17,7 +17,7 @@
 /// Below this an answer names no keys: they would end before the next heartbeat.
 constexpr milliseconds kLeastHold{ 300 };
 /// An answer may be delayed for this long to carry a change of the keys; backend servers give up on an answer after a second.
-constexpr milliseconds kAnswerDelay{ 600 };
+constexpr milliseconds kAnswerDelay{ 780 };
 constexpr int kRefusalsForEnd = 2;
 constexpr milliseconds kRefusalsApart{ 50 };
 constexpr milliseconds kHeartbeatAge{ 900 }; ///< What a heartbeat says of the cold time may be this old.
--- a/src/gateway/request_entry.cpp
+++ b/src/gateway/request_entry.cpp
@@ -94,6 +94,10 @@
 
 void RequestEntry::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
+    if (m_refusing) {
+        reject(exchange, 503, "the gateway is shutting down");
+        return;
+    }
     const auto &request = exchange->request();
     const auto manifest = m_parts.view.manifest();
     if (!manifest) {
@@ -132,7 +136,8 @@
     const auto sent = readNumber(request.header(m_parts.headers.deadlineMs));
     const Duration wait = sent ? Duration(milliseconds(*sent)) : route.timeout;
     call.deadline = pending.received + std::min(wait, route.timeout);
-    const auto age = sent ? m_ages.of(route.name, wait) : Duration::zero();
+    call.nested = isNested(pending.requestId);
+    const auto age = sent && !call.nested ? m_ages.of(route.name, wait) : Duration::zero();
     call.aim = pending.received + route.targetLatency - age;
     call.returned = age > kReturnedAfter;
     const auto key = readNumber(request.header(m_parts.headers.key));
@@ -142,6 +147,12 @@
     return call;
 }
 
+bool RequestEntry::isNested(const std::string &requestId) const
+{
+    const auto end = requestId.rfind(m_parts.headers.nestedIdSeparator);
+    return end != std::string::npos && m_parts.gate.runs(std::string_view(requestId).substr(0, end));
+}
+
 HttpHeaders RequestEntry::forwardedHeaders(const HttpRequest &request) const
 {
     const auto &names = m_parts.headers;
@@ -281,6 +292,11 @@
     }
 }
 
+void RequestEntry::refuseNew()
+{
+    m_refusing = true;
+}
+
 std::size_t RequestEntry::pending() const
 {
     return m_pending.size();
--- a/src/gateway/request_entry.h
+++ b/src/gateway/request_entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/call_router.h"
+#include "gateway/gate.h"
 #include "gateway/header_names.h"
 #include "http/pipelined_server.h"
 #include "runtime/metrics.h"
@@ -31,6 +32,7 @@
     Metrics &metrics;
     const HeaderNames &headers;
     const FleetView &view;
+    const Gate &gate;
     CallRouter &router;
 };
 
@@ -43,6 +45,9 @@
 
     void handle(const std::shared_ptr<HttpExchange> &exchange);
 
+    /// From now on each new request is refused at once: the gateway would end before its answer.
+    void refuseNew();
+
     std::size_t pending() const;
 
 private:
@@ -62,6 +67,7 @@
 
     void reject(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &reason);
     Call makeCall(const Pending &pending, const HttpRequest &request);
+    bool isNested(const std::string &requestId) const;
     HttpHeaders forwardedHeaders(const HttpRequest &request) const;
     void onResult(const Entry &it, RoutedResult result);
     void answer(const Entry &it, RoutedResult result);
@@ -77,6 +83,7 @@
     SplitCounter m_split;
     AttemptAge m_ages;
     std::set<Entry> m_pending;
+    bool m_refusing = false;
     prometheus::Histogram &m_latency;
 };
 
--- a/src/gateway/work_times.cpp
+++ b/src/gateway/work_times.cpp
@@ -8,13 +8,15 @@
 
 constexpr std::chrono::milliseconds kFirstGuess{ 80 };
 constexpr double kSmoothing = 0.08; ///< Weight of the latest call.
+/// The mean tells the speed of the backend server, beyond the changes from one moment to the next.
+constexpr double kMeanSmoothing = 0.02;
 
-Duration smoothed(Duration old, Duration latest)
+Duration smoothed(Duration old, Duration latest, double weight)
 {
     if (old == Duration::zero()) {
         return latest;
     }
-    return std::chrono::duration_cast<Duration>(old * (1 - kSmoothing) + latest * kSmoothing);
+    return std::chrono::duration_cast<Duration>(old * (1 - weight) + latest * weight);
 }
 
 } // namespace
@@ -27,8 +29,8 @@
 void WorkTimes::record(const Call &call, Duration work)
 {
     auto &it = m_byClass[classOf(call)];
-    it = smoothed(it, work);
-    m_mean = smoothed(m_mean, work);
+    it = smoothed(it, work, kSmoothing);
+    m_mean = smoothed(m_mean, work, kMeanSmoothing);
 }
 
 Duration WorkTimes::expected(const Call &call) const
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -79,7 +79,7 @@
     BOOST_LEAF_ASSIGN(out.backend, readAddress(fields, "backend"));
     BOOST_LEAF_ASSIGN(out.outbound, readAddress(fields, "outbound"));
     BOOST_LEAF_ASSIGN(out.ready, readAddress(fields, "ready"));
-    BOOST_LEAF_ASSIGN(out.retryShare, fields.fraction("retryShare", 0.1));
+    BOOST_LEAF_ASSIGN(out.retryShare, fields.fraction("retryShare", 0.08));
     BOOST_LEAF_ASSIGN(out.shutdownLimit, fields.time("shutdownLimit", std::chrono::seconds(6)));
     return {};
 }
