--- a/src/fleet/controller.cpp
+++ b/src/fleet/controller.cpp
@@ -16,7 +16,7 @@
     , m_links(
           parts.loop,
           parts.logger,
-          m_options.peerPort,
+          SocketAddress{ m_options.group.ip, m_options.peerPort },
           [this](const std::string &peer, const wire::PeerMessage &message) { receive(peer, message); },
           [](const std::string &, bool, const std::string &) {})
 {
--- a/src/fleet/replica_group.cpp
+++ b/src/fleet/replica_group.cpp
@@ -335,6 +335,11 @@
     return m_replica->membership().voterCount() / 2 + 1 > m_options.toleratedLosses;
 }
 
+std::size_t ReplicaGroup::voters() const
+{
+    return m_replica->membership().voterCount();
+}
+
 Term ReplicaGroup::term() const
 {
     return m_replica->term();
--- a/src/fleet/replica_group.h
+++ b/src/fleet/replica_group.h
@@ -70,6 +70,8 @@
     bool leadsSurely() const;
     /// Enough voters hold each committed entry that it survives the tolerated losses.
     bool isDurable() const;
+    /// Controllers that count for the quorum.
+    std::size_t voters() const;
     Term term() const;
     std::string leaderIp() const;
     std::string leaderOperatorAddress() const;
--- a/src/gateway/gate.cpp
+++ b/src/gateway/gate.cpp
@@ -14,7 +14,7 @@
 using std::chrono::milliseconds;
 
 /// A call that cannot make its aim waits at most this share of the time that it has left; a longer wait mostly ends in nothing.
-constexpr double kLateWaitShare = 0.3;
+constexpr double kLateWaitShare = 0.15;
 constexpr double kFailureSmoothing = 0.05; ///< Weight of the latest call in the share of failed ones.
 
 milliseconds inMs(Duration it)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,7 +36,7 @@
     , m_links(
           parts.loop,
           parts.logger,
-          m_options.peerPort,
+          SocketAddress{ m_options.ip, m_options.peerPort },
           [this](const std::string &peer, const wire::PeerMessage &message) { receive(peer, message); },
           [this](const std::string &peer, bool established, const std::string &) { peerClosed(peer, established); })
     , m_view(parts.loop.clock(), parts.logger, parts.codec)
--- a/src/link/message_channel.cpp
+++ b/src/link/message_channel.cpp
@@ -51,7 +51,8 @@
     return channel;
 }
 
-std::shared_ptr<MessageChannel> MessageChannel::connect(EventLoop &loop, const SocketAddress &address, Handlers handlers)
+std::shared_ptr<MessageChannel>
+MessageChannel::connect(EventLoop &loop, const SocketAddress &address, const std::string &source, Handlers handlers)
 {
     std::shared_ptr<MessageChannel> channel(new MessageChannel(loop, address.ip, std::move(handlers)));
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -65,6 +66,11 @@
         return channel;
     }
     setSocketOptions(descriptor);
+    if (!source.empty()) {
+        const auto own = SocketAddress{ source, 0 }.toSockaddr();
+        // If this fails, the connection has another source address, or cannot be established and is reported to onEvent().
+        ::bind(descriptor, reinterpret_cast<const sockaddr *>(&own), sizeof(own));
+    }
     channel->attach(descriptor);
     const auto sa = address.toSockaddr();
     // A failure is reported to onEvent(), also an immediate one.
--- a/src/link/message_channel.h
+++ b/src/link/message_channel.h
@@ -33,7 +33,9 @@
     /// Takes over an accepted descriptor.
     static std::shared_ptr<MessageChannel> accept(EventLoop &loop, int descriptor, const std::string &peer, Handlers handlers);
     /// Opens a connection; messages sent meanwhile wait for it.
-    static std::shared_ptr<MessageChannel> connect(EventLoop &loop, const SocketAddress &address, Handlers handlers);
+    /// @param source is the own IP address, by which the other side knows this process; empty: as the system chooses.
+    static std::shared_ptr<MessageChannel>
+    connect(EventLoop &loop, const SocketAddress &address, const std::string &source, Handlers handlers);
     ~MessageChannel();
 
     MessageChannel(const MessageChannel &) = delete;
--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(EventLoop &loop, Logger &logger, std::uint16_t port, Received received, Closed closed)
+PeerLinks::PeerLinks(EventLoop &loop, Logger &logger, SocketAddress own, Received received, Closed closed)
     : m_loop(loop)
     , m_logger(logger)
-    , m_port(port)
+    , m_own(std::move(own))
     , m_received(std::move(received))
     , m_closed(std::move(closed))
     , m_lastCheck(loop.clock().now())
@@ -49,7 +49,7 @@
     MessageChannel::Handlers handlers;
     handlers.received = [this, peer](const auto &, const wire::PeerMessage &message) { onReceived(peer, message); };
     handlers.closed = [this, peer](const auto &channel, const std::string &reason) { onClosed(peer, channel, reason); };
-    link.channel = MessageChannel::connect(m_loop, { peer, m_port }, std::move(handlers));
+    link.channel = MessageChannel::connect(m_loop, { peer, m_own.port }, m_own.ip, std::move(handlers));
 }
 
 void PeerLinks::awaitAnswer(const std::string &peer)
--- a/src/link/peer_links.h
+++ b/src/link/peer_links.h
@@ -18,8 +18,8 @@
     /// @param established tells whether anything that was sent may have arrived.
     using Closed = std::function<void(const std::string &peer, bool established, const std::string &reason)>;
 
-    /// @param port is the same on all VMs.
-    PeerLinks(EventLoop &loop, Logger &logger, std::uint16_t port, Received received, Closed closed);
+    /// @param own is the address of this process; the port is the same on all VMs.
+    PeerLinks(EventLoop &loop, Logger &logger, SocketAddress own, Received received, Closed closed);
     ~PeerLinks();
 
     /// Sends to the process at this address; false if the address has just failed and is not tried again yet.
@@ -55,7 +55,7 @@
 
     EventLoop &m_loop;
     Logger &m_logger;
-    std::uint16_t m_port;
+    SocketAddress m_own;
     Received m_received;
     Closed m_closed;
     std::map<std::string, Link> m_links;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -144,6 +144,7 @@
         m_metrics.gauge("toucandeck_term", "Election term").Set(static_cast<double>(group.term().value));
         m_metrics.gauge("toucandeck_manifest_version", "Version of the manifest in force")
             .Set(static_cast<double>(group.state().manifest().version()));
+        m_metrics.gauge("toucandeck_voters", "Controllers that count for the quorum").Set(static_cast<double>(group.voters()));
         m_metrics.gauge("toucandeck_routers", "Gateways that report").Set(static_cast<double>(m_controller->fleet().routers()));
     }
     m_metrics.gauge("toucandeck_log_lines_dropped", "Log lines that standard output did not take")
--- /dev/null
+++ b/test/fleet/test_key_coordinator.cpp
@@ -0,0 +1,293 @@
+// Guards against two holders of a key, keys that a lost holder keeps for ever, and released keys that go to the wrong holder.
+#include "fleet/key_coordinator.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+const std::string kService = "svc";
+
+/// A coordinator whose proposals commit at once, and holders that obey their leases.
+class Fixture
+{
+public:
+    Fixture()
+        : m_coordinator(m_clock, m_logger, m_state, options(), [this](const wire::KeyTable &table, std::function<void(bool)> done) {
+            wire::FleetCommand command;
+            *command.mutable_set_keys() = table;
+            const auto before = revision();
+            m_state.apply(LogIndex{ ++m_index }, command.SerializeAsString());
+            done(revision() != before);
+        })
+    {
+    }
+
+    static KeyLeaseOptions options()
+    {
+        KeyLeaseOptions it;
+        it.lease = seconds(5);
+        it.settle = milliseconds(0);
+        return it;
+    }
+
+    void add(const std::string &name, double capacity = 50)
+    {
+        m_holders.push_back({ name, "ip-" + name, kService, capacity, {}, true });
+    }
+
+    KeyHolder &holder(const std::string &name)
+    {
+        return *std::find_if(m_holders.begin(), m_holders.end(), [&](const auto &it) { return it.incarnation == name; });
+    }
+
+    void remove(const std::string &name)
+    {
+        std::erase_if(m_holders, [&](const auto &it) { return it.incarnation == name; });
+    }
+
+    void tick(milliseconds time = milliseconds(100))
+    {
+        m_clock.advance(time);
+        m_coordinator.tick({ kService }, m_holders);
+    }
+
+    std::vector<KeyRow> granted(const std::string &name)
+    {
+        std::vector<KeyRow> rows;
+        const auto grant = m_coordinator.grant(kService, name);
+        for (const auto &it : grant.rows()) {
+            rows.push_back(fromWire(it));
+        }
+        return rows;
+    }
+
+    const KeyRow &at(std::uint32_t key) const
+    {
+        return m_state.tables().at(kService).keys.at(key);
+    }
+
+    std::uint64_t revision() const
+    {
+        const auto it = m_state.tables().find(kService);
+        return it == m_state.tables().end() ? 0 : it->second.revision;
+    }
+
+    void free(const KeyRow &row, const std::string &token)
+    {
+        wire::FreedKeys keys;
+        keys.set_incarnation(row.holder);
+        keys.set_fence(row.fence);
+        keys.set_from(row.range.from);
+        keys.set_to(row.range.to);
+        keys.set_handover(token);
+        m_coordinator.freed(kService, keys);
+    }
+
+    ManualClock m_clock;
+    NullLogger m_logger;
+    FleetState m_state;
+    std::uint64_t m_index = 0;
+    std::vector<KeyHolder> m_holders;
+    KeyCoordinator m_coordinator;
+};
+
+} // namespace
+
+TEST(KeyCoordinator, PartsTheFirstKeysAmongAllHolders)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    EXPECT_EQ(it.at(0).holder, "a");
+    EXPECT_EQ(it.at(kKeyCount - 1).holder, "b");
+}
+
+TEST(KeyCoordinator, KeepsALostHoldersKeysUntilItsLeaseHasSurelyEnded)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    it.m_clock.advance(seconds(20)); // The leases that an earlier leader may have given have ended.
+    it.granted("a");
+    it.remove("a");
+    it.tick(milliseconds(5100)); // Within the drift of the holder's clock.
+    EXPECT_EQ(it.at(0).holder, "a");
+    it.tick(milliseconds(200));
+    EXPECT_EQ(it.at(0).holder, "b");
+    EXPECT_EQ(it.at(0).handover, "");
+}
+
+TEST(KeyCoordinator, FreesTheKeysOfAnEndedProcessAtOnce)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    it.granted("a");
+    it.m_coordinator.ended("a");
+    it.tick();
+    EXPECT_EQ(it.at(0).holder, "b");
+}
+
+TEST(KeyCoordinator, ANewLeaderWaitsOutLeasesThatItDoesNotKnow)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    it.m_clock.advance(seconds(20));
+    it.m_coordinator.leadershipGained();
+    it.remove("a");
+    it.tick(milliseconds(5000));
+    EXPECT_EQ(it.at(0).holder, "a");
+    it.tick(milliseconds(300));
+    EXPECT_EQ(it.at(0).holder, "b");
+}
+
+TEST(KeyCoordinator, MovesTheKeysOfADrainingHolderWithItsHandover)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    const auto row = it.at(0);
+    it.holder("a").mayHold = false;
+    it.tick();
+    EXPECT_TRUE(it.granted("a").empty());
+    EXPECT_EQ(it.at(0).holder, "a");
+    it.free(row, "token");
+    it.tick();
+    EXPECT_EQ(it.at(0).holder, "b");
+    EXPECT_EQ(it.at(0).handover, "token");
+    EXPECT_GT(it.at(0).fence, row.fence);
+}
+
+TEST(KeyCoordinator, GivesEachPartOfAReleasedRangeToItsReceiver)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.add("c");
+    it.tick();
+    // All demand is within the keys of one holder.
+    const auto row = it.at(0);
+    for (std::uint32_t key = row.range.from; key <= row.range.to; key += 200) {
+        it.holder("a").demand.push_back({ key, 1 });
+    }
+    it.tick(seconds(3));
+    const auto kept = it.granted("a");
+    ASSERT_EQ(kept.size(), 1U);
+    KeyRow released = row;
+    released.range = { kept[0].range.to + 1, row.range.to };
+    it.free(released, "token");
+    it.tick();
+    EXPECT_EQ(it.at(released.range.from).holder, "b");
+    EXPECT_EQ(it.at(released.range.to).holder, "c");
+}
+
+TEST(KeyCoordinator, AnOldReleaseSaysNothingAboutKeysThatWereGrantedAgain)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    const auto row = it.at(0);
+    it.holder("a").mayHold = false;
+    it.tick();
+    it.free(row, "token");
+    it.tick();
+    it.holder("a").mayHold = true;
+    it.holder("b").mayHold = false;
+    it.tick();
+    it.free(it.at(0), "back");
+    it.tick();
+    ASSERT_EQ(it.at(0).holder, "a");
+    it.free(row, "token"); // A delayed announcement.
+    EXPECT_FALSE(it.granted("a").empty());
+    it.holder("b").mayHold = true;
+    it.tick();
+    EXPECT_EQ(it.at(0).holder, "a");
+}
+
+TEST(KeyCoordinator, LeavesKeysInPlaceWhileNoHolderIsBusy)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    it.holder("a").demand = { { 0, 12 } };
+    it.tick(seconds(10));
+    EXPECT_EQ(it.m_coordinator.releasing(), 0U);
+}
+
+RC_GTEST_PROP(KeyCoordinator, GrantsNeverNameAKeyTwiceWithinALease, ())
+{
+    Fixture it;
+    const std::vector<std::string> names{ "a", "b", "c", "d" };
+    for (const auto &name : names) {
+        it.add(name);
+    }
+    // When each holder's grant of a key ends, by the slowest clock that is allowed.
+    std::map<std::string, std::pair<TimePoint, std::vector<KeyRow>>> held;
+    const auto steps = *rc::gen::inRange(20, 120);
+    for (int i = 0; i < steps; ++i) {
+        const auto &name = names[*rc::gen::inRange<std::size_t>(0, names.size())];
+        const auto known = std::any_of(it.m_holders.begin(), it.m_holders.end(), [&](const auto &h) { return h.incarnation == name; });
+        switch (*rc::gen::inRange(0, 7)) {
+        case 0:
+            it.m_coordinator.leadershipGained();
+            break;
+        case 1:
+            if (known) {
+                it.remove(name);
+            } else {
+                it.add(name);
+            }
+            break;
+        case 2:
+            if (known) {
+                it.holder(name).mayHold = !it.holder(name).mayHold;
+            }
+            break;
+        case 3: // The holder releases everything that its grant no longer names.
+            if (known) {
+                const auto rows = it.granted(name);
+                for (const auto &row : held[name].second) {
+                    const bool kept = std::any_of(rows.begin(), rows.end(), [&](const auto &r) { return r.range.overlaps(row.range); });
+                    if (!kept) {
+                        it.free(row, "t");
+                    }
+                }
+                held[name] = { it.m_clock.now() + milliseconds(5100), rows };
+            }
+            break;
+        default:
+            if (known) {
+                const auto rows = it.granted(name);
+                for (const auto &[other, grant] : held) {
+                    if (other == name || it.m_clock.now() >= grant.first) {
+                        continue;
+                    }
+                    for (const auto &mine : rows) {
+                        for (const auto &theirs : grant.second) {
+                            RC_ASSERT(!mine.range.overlaps(theirs.range));
+                        }
+                    }
+                }
+                auto &entry = held[name];
+                if (rows.size() >= entry.second.size() || it.m_clock.now() >= entry.first) {
+                    entry = { it.m_clock.now() + milliseconds(5100), rows };
+                }
+            }
+        }
+        it.tick(milliseconds(*rc::gen::inRange(10, 2000)));
+    }
+}
--- /dev/null
+++ b/test/gateway/test_call_router.cpp
@@ -0,0 +1,223 @@
+// Guards against requests that run twice, refusals that are not true, and more attempts than the manifest allows.
+#include "gateway/call_router.h"
+
+#include "fakes.h"
+
+#include <gtest/gtest.h>
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+class FixedCodec : public ManifestCodec
+{
+public:
+    Result<Manifest> decode(const wire::ManifestDocument &document) const override
+    {
+        Manifest manifest;
+        manifest.version = document.version();
+        manifest.services["svc"] = { "svc" };
+        manifest.services["keyed"] = { "keyed" };
+        manifest.services["keyed"].keyed = true;
+        return manifest;
+    }
+};
+
+class FakePort : public CallPort
+{
+public:
+    std::uint64_t send(const std::string &ip, const Call & /*call*/, CallDone done) override
+    {
+        m_sent.push_back(ip);
+        m_done = std::move(done);
+        return ++m_id;
+    }
+
+    void cancel(std::uint64_t id) override
+    {
+        m_cancelled.push_back(id);
+    }
+
+    void reply(wire::CallOutcome outcome, wire::CallReason reason, bool reached, int status = 200)
+    {
+        CallResult result;
+        result.outcome = outcome;
+        result.reason = reason;
+        result.reached = reached;
+        result.response.status = status;
+        const auto done = std::exchange(m_done, nullptr);
+        done(std::move(result));
+    }
+
+    std::vector<std::string> m_sent;
+    std::vector<std::uint64_t> m_cancelled;
+    CallDone m_done;
+    std::uint64_t m_id = 0;
+};
+
+class CallRouterTest : public testing::Test
+{
+protected:
+    CallRouterTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_random(1)
+        , m_view(m_clock, m_logger, m_codec)
+        , m_router({ *m_loop, m_logger, m_random, m_port, m_view, m_chooser }, "fd-a", 1.0)
+    {
+        wire::FleetUpdate update;
+        update.mutable_manifest()->set_version(1);
+        update.set_routers_complete(true);
+        for (const auto *ip : { "10.0.0.1", "10.0.0.2", "10.0.0.3" }) {
+            addGateway(update, ip, "svc");
+        }
+        addGateway(update, "10.0.0.9", "keyed");
+        m_view.apply(update);
+    }
+
+    static void addGateway(wire::FleetUpdate &update, const std::string &ip, const std::string &service)
+    {
+        auto *it = update.add_routers();
+        it->set_router(ip);
+        it->set_failure_domain("fd-a");
+        it->mutable_instance()->set_service(service);
+        it->mutable_instance()->set_state(wire::READY);
+        it->mutable_instance()->set_slots(9);
+    }
+
+    void setHolder(const std::string &ip, std::uint64_t revision)
+    {
+        wire::FleetUpdate update;
+        auto *table = update.add_tables();
+        table->set_service("keyed");
+        table->set_revision(revision);
+        *table->add_rows() = toWire(KeyRow{ { 0, kKeyCount - 1 }, "x", ip, revision, {} });
+        m_view.apply(update);
+    }
+
+    std::uint64_t route(bool idempotent, std::uint32_t maxAttempts, const std::string &service = "svc")
+    {
+        auto call = callNamed("r", m_clock);
+        call.service = service;
+        call.key = 5;
+        return m_router.route(std::move(call), { idempotent, maxAttempts }, [this](RoutedResult result) { m_result = std::move(result); });
+    }
+
+    void runOnce()
+    {
+        m_loop->runUntil([] { return false; }, milliseconds(150));
+    }
+
+    SystemClock m_clock;
+    NullLogger m_logger;
+    std::unique_ptr<EventLoop> m_loop;
+    SeededRandom m_random;
+    FixedCodec m_codec;
+    FleetView m_view;
+    FakePort m_port;
+    LeastTimeChooser m_chooser;
+    CallRouter m_router;
+    std::optional<RoutedResult> m_result;
+};
+
+} // namespace
+
+TEST_F(CallRouterTest, AsksAnotherGatewayAfterARefusalAtAGate)
+{
+    route(false, 1);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    ASSERT_EQ(m_port.m_sent.size(), 2U);
+    EXPECT_NE(m_port.m_sent[0], m_port.m_sent[1]);
+    m_port.reply(wire::ANSWERED, wire::NONE, true);
+    EXPECT_EQ(m_result->result.outcome, wire::ANSWERED);
+    EXPECT_EQ(m_result->reached, 1U);
+}
+
+TEST_F(CallRouterTest, NeverRepeatsWhatMayHaveRunUnlessItIsIdempotent)
+{
+    route(false, 3);
+    m_port.reply(wire::MAY_HAVE_RUN, wire::LINK_LOST, true);
+    EXPECT_EQ(m_port.m_sent.size(), 1U);
+    EXPECT_EQ(m_result->result.outcome, wire::MAY_HAVE_RUN);
+}
+
+TEST_F(CallRouterTest, RepeatsAnIdempotentRequestElsewhere)
+{
+    route(true, 2);
+    m_port.reply(wire::MAY_HAVE_RUN, wire::LINK_LOST, true);
+    ASSERT_EQ(m_port.m_sent.size(), 2U);
+    EXPECT_NE(m_port.m_sent[0], m_port.m_sent[1]);
+}
+
+TEST_F(CallRouterTest, ReachesNoMoreBackendServersThanTheRouteAllows)
+{
+    route(true, 2);
+    m_port.reply(wire::MAY_HAVE_RUN, wire::LINK_LOST, true);
+    m_port.reply(wire::MAY_HAVE_RUN, wire::LINK_LOST, true);
+    EXPECT_EQ(m_port.m_sent.size(), 2U);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->reached, 2U);
+}
+
+TEST_F(CallRouterTest, ARefusalAfterAnAttemptThatMayHaveRunIsNotCalledNotRun)
+{
+    route(true, 3);
+    m_port.reply(wire::MAY_HAVE_RUN, wire::LINK_LOST, true);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::MAY_HAVE_RUN);
+}
+
+TEST_F(CallRouterTest, RefusesOnceAllGatewaysRefused)
+{
+    route(false, 1);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::NOT_RUN);
+    EXPECT_EQ(m_result->reached, 0U);
+}
+
+TEST_F(CallRouterTest, SendsAKeyedCallToTheHolderAndFollowsAMove)
+{
+    setHolder("10.0.0.9", 5);
+    route(true, 2, "keyed");
+    EXPECT_EQ(m_port.m_sent.back(), "10.0.0.9");
+    m_port.reply(wire::NOT_RUN, wire::NOT_HOLDER, false);
+    EXPECT_FALSE(m_result);
+    setHolder("10.0.0.3", 6);
+    m_router.viewChanged();
+    EXPECT_EQ(m_port.m_sent.back(), "10.0.0.3");
+}
+
+TEST_F(CallRouterTest, ACancelledCallIsBrokenOffAtItsGateway)
+{
+    const auto id = route(false, 1);
+    m_router.cancel(id);
+    EXPECT_EQ(m_port.m_cancelled.size(), 1U);
+    EXPECT_EQ(m_router.pending(), 0U);
+}
+
+TEST_F(CallRouterTest, RefusesWithoutWaitingWhenNoBackendServerServes)
+{
+    route(false, 1, "nobody");
+    runOnce();
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.reason, wire::NO_INSTANCE);
+}
+
+TEST_F(CallRouterTest, EvacuatedFailureDomainsGetNothing)
+{
+    wire::FleetUpdate update;
+    update.set_has_evacuations(true);
+    update.add_evacuated("fd-a");
+    m_view.apply(update);
+    route(false, 1);
+    runOnce();
+    EXPECT_TRUE(m_port.m_sent.empty());
+    EXPECT_EQ(m_result->result.reason, wire::NO_INSTANCE);
+}
--- /dev/null
+++ b/test/gateway/test_gate.cpp
@@ -0,0 +1,165 @@
+// Guards against more calls at a backend server than it has slots, cold servers that get too much, and waits that end in nothing.
+#include "fakes.h"
+
+#include <gtest/gtest.h>
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+class GateTest : public testing::Test
+{
+protected:
+    GateTest()
+        : m_gate(m_clock, m_logger, m_keeper, m_backend, m_order)
+    {
+    }
+
+    std::uint64_t submit(Call call)
+    {
+        const auto name = call.requestId;
+        return m_gate.submit(std::move(call), [this, name](CallResult result) { m_results[name] = std::move(result); });
+    }
+
+    ManualClock m_clock;
+    NullLogger m_logger;
+    FakeKeeper m_keeper;
+    FakeBackend m_backend;
+    UrgencyOrder m_order;
+    Gate m_gate;
+    std::map<std::string, CallResult> m_results;
+};
+
+} // namespace
+
+TEST_F(GateTest, NeverExceedsTheSlots)
+{
+    for (int i = 0; i < 5; ++i) {
+        submit(callNamed(std::to_string(i), m_clock));
+    }
+    EXPECT_EQ(m_backend.m_running.size(), 2U);
+    EXPECT_EQ(m_gate.waiting(), 3U);
+    m_backend.answerFirst();
+    EXPECT_EQ(m_backend.m_running.size(), 2U);
+}
+
+TEST_F(GateTest, RefusesAtOnceWhatItsBackendServerMayNotGet)
+{
+    m_keeper.m_refusal = wire::INSTANCE_DRAINING;
+    submit(callNamed("a", m_clock));
+    EXPECT_EQ(m_results.at("a").outcome, wire::NOT_RUN);
+    EXPECT_EQ(m_results.at("a").reason, wire::INSTANCE_DRAINING);
+    EXPECT_TRUE(m_backend.m_order.empty());
+}
+
+TEST_F(GateTest, RefusesWhatWaitsWhenTheBackendServerBeginsToDrain)
+{
+    submit(callNamed("a", m_clock));
+    submit(callNamed("b", m_clock));
+    submit(callNamed("c", m_clock));
+    m_keeper.m_refusal = wire::INSTANCE_DRAINING;
+    m_gate.update();
+    EXPECT_EQ(m_results.at("c").reason, wire::INSTANCE_DRAINING);
+    EXPECT_EQ(m_gate.running(), 2U);
+}
+
+TEST_F(GateTest, CallsOfRunningWorkGoFirst)
+{
+    submit(callNamed("a", m_clock));
+    submit(callNamed("b", m_clock));
+    submit(callNamed("urgent", m_clock, 0));
+    auto nested = callNamed("nested", m_clock, 2);
+    nested.nested = true;
+    submit(nested);
+    m_backend.answerFirst();
+    EXPECT_EQ(m_backend.m_order.back(), "nested");
+}
+
+TEST_F(GateTest, MoreUrgentRanksGoFirst)
+{
+    submit(callNamed("a", m_clock));
+    submit(callNamed("b", m_clock));
+    submit(callNamed("low", m_clock, 2));
+    submit(callNamed("high", m_clock, 0));
+    m_backend.answerFirst();
+    EXPECT_EQ(m_backend.m_order.back(), "high");
+}
+
+TEST_F(GateTest, RefusesAtOnceACallThatCannotMakeItsDeadline)
+{
+    submit(callNamed("a", m_clock));
+    submit(callNamed("b", m_clock));
+    auto hurried = callNamed("hurried", m_clock);
+    hurried.deadline = m_clock.now() + milliseconds(50);
+    submit(hurried);
+    EXPECT_EQ(m_results.at("hurried").reason, wire::OVERLOADED);
+}
+
+TEST_F(GateTest, RefusesLateCallsOnceTheirWaitHasNoUse)
+{
+    for (int i = 0; i < 4; ++i) {
+        submit(callNamed(std::to_string(i), m_clock));
+    }
+    m_clock.advance(milliseconds(1000)); // The aim has passed.
+    m_gate.update();
+    EXPECT_EQ(m_results.at("3").outcome, wire::NOT_RUN);
+}
+
+TEST_F(GateTest, ACancelledCallIsNeverSent)
+{
+    submit(callNamed("a", m_clock));
+    submit(callNamed("b", m_clock));
+    const auto id = submit(callNamed("c", m_clock));
+    m_gate.cancel(id);
+    m_backend.answerFirst();
+    m_backend.answerFirst();
+    EXPECT_EQ(m_backend.m_order, std::vector<std::string>({ "a", "b" }));
+    EXPECT_EQ(m_results.count("c"), 0U);
+}
+
+TEST_F(GateTest, ACancelledRunIsBrokenOffAndFreesItsSlot)
+{
+    const auto id = submit(callNamed("a", m_clock));
+    submit(callNamed("b", m_clock));
+    submit(callNamed("c", m_clock));
+    m_gate.cancel(id);
+    EXPECT_EQ(m_backend.m_cancelled, 1);
+    EXPECT_EQ(m_backend.m_order.back(), "c");
+}
+
+TEST_F(GateTest, AColdBackendServerGetsNoMoreThanItBearsInAnySecond)
+{
+    m_keeper.m_slots = 100;
+    m_keeper.m_cold = true;
+    std::deque<TimePoint> sent;
+    std::size_t most = 0;
+    for (int ms = 0; ms < 4000; ms += 5) {
+        m_clock.advance(milliseconds(5));
+        submit(callNamed(std::to_string(ms), m_clock));
+        const auto before = m_backend.m_order.size();
+        m_gate.update();
+        const auto now = m_backend.m_order.size();
+        (void)before;
+        while (sent.size() < now) {
+            sent.push_back(m_clock.now());
+        }
+        std::size_t within = 0;
+        for (const auto &it : sent) {
+            within += m_clock.now() - it < seconds(1) ? 1 : 0;
+        }
+        most = std::max(most, within);
+    }
+    EXPECT_LE(most, 17U);
+    EXPECT_GE(m_backend.m_order.size(), 40U);
+}
+
+TEST_F(GateTest, ReportsWhetherItRunsARequest)
+{
+    submit(callNamed("a", m_clock));
+    EXPECT_TRUE(m_gate.runs("a"));
+    m_backend.answerFirst();
+    EXPECT_FALSE(m_gate.runs("a"));
+}
--- /dev/null
+++ b/test/gateway/test_load_patterns.cpp
@@ -0,0 +1,199 @@
+// Guards against decisions that waste slots under the load patterns of the heaviest days. A model of one backend server with slots,
+// in virtual time, without network: each decision is compared with the naive one.
+#include "fakes.h"
+
+#include <gtest/gtest.h>
+
+#include "common/random_source.h"
+#include "gateway/gateway_chooser.h"
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// What the answers of a run are worth: one for an answer in time, a third for a late one, by weight of the kind.
+struct Tally
+{
+    double worth = 0;
+    int refused = 0;
+    Duration heldInVain{};
+};
+
+struct Kind
+{
+    std::uint32_t rank;
+    double worth;
+    milliseconds work;
+    milliseconds aim;
+    milliseconds deadline;
+    double perSecond;
+};
+
+/// Plays requests of some kinds against one gate for ten seconds.
+class LoadModel
+{
+public:
+    explicit LoadModel(const QueueOrder &order)
+        : m_random(20261204)
+        , m_gate(m_clock, m_logger, m_keeper, m_backend, order)
+    {
+        m_keeper.m_slots = 9;
+    }
+
+    Tally play(const std::vector<Kind> &kinds)
+    {
+        for (int ms = 0; ms < 10'000; ++ms) {
+            m_clock.advance(milliseconds(1));
+            for (const auto &kind : kinds) {
+                if (m_random.unit() < kind.perSecond / 1000) {
+                    arrive(kind);
+                }
+            }
+            finishWork();
+            if (ms % 20 == 0) {
+                m_gate.update();
+            }
+        }
+        return m_tally;
+    }
+
+private:
+    void arrive(const Kind &kind)
+    {
+        Call call = callNamed(std::to_string(++m_requests), m_clock, kind.rank);
+        const auto arrived = m_clock.now();
+        call.aim = arrived + kind.aim;
+        call.deadline = arrived + kind.deadline;
+        m_works[call.requestId] = std::chrono::duration_cast<Duration>(kind.work * (0.5 + m_random.unit()));
+        m_gate.submit(call, [this, kind, arrived](const CallResult &result) {
+            const auto took = m_clock.now() - arrived;
+            if (result.outcome != wire::ANSWERED) {
+                ++m_tally.refused;
+                m_tally.heldInVain += took;
+                return;
+            }
+            m_tally.worth += took <= kind.aim ? kind.worth : took <= kind.deadline ? kind.worth * 0.3 : 0;
+        });
+    }
+
+    void finishWork()
+    {
+        for (const auto &[id, running] : m_backend.m_running) {
+            m_started.try_emplace(id, m_clock.now());
+        }
+        for (auto it = m_started.begin(); it != m_started.end();) {
+            const auto running = m_backend.m_running.find(it->first);
+            if (running == m_backend.m_running.end()) {
+                it = m_started.erase(it);
+                continue;
+            }
+            if (m_clock.now() - it->second < m_works[running->second.first.requestId]) {
+                ++it;
+                continue;
+            }
+            auto node = m_backend.m_running.extract(running);
+            it = m_started.erase(it);
+            CallResult result;
+            result.outcome = wire::ANSWERED;
+            result.reached = true;
+            node.mapped().second(std::move(result));
+        }
+    }
+
+    ManualClock m_clock;
+    NullLogger m_logger;
+    FakeKeeper m_keeper;
+    FakeBackend m_backend;
+    SeededRandom m_random;
+    Gate m_gate;
+    int m_requests = 0;
+    std::map<std::string, Duration> m_works;
+    std::map<std::uint64_t, TimePoint> m_started;
+    Tally m_tally;
+};
+
+const Kind kUrgent{ 0, 3, milliseconds(84), milliseconds(300), milliseconds(1500), 60 };
+const Kind kCommon{ 1, 2, milliseconds(48), milliseconds(200), milliseconds(1000), 90 };
+
+Tally playWith(const QueueOrder &order, const std::vector<Kind> &kinds)
+{
+    return LoadModel(order).play(kinds);
+}
+
+GatewayCandidate candidate(const std::string &ip, std::uint32_t pending, milliseconds work, double failed = 0)
+{
+    GatewayCandidate it;
+    it.ip = ip;
+    it.slots = 9;
+    it.pending = pending;
+    it.work = work;
+    it.failedShare = failed;
+    return it;
+}
+
+} // namespace
+
+TEST(LoadPatterns, BurstTwiceTheSlots)
+{
+    auto urgent = kUrgent;
+    auto common = kCommon;
+    urgent.perSecond *= 2;
+    common.perSecond *= 2;
+    const auto ours = playWith(UrgencyOrder(), { urgent, common });
+    const auto naive = playWith(ArrivalOrder(), { urgent, common });
+    EXPECT_GT(ours.worth, naive.worth);
+}
+
+TEST(LoadPatterns, UrgentKindIsServedBeforeACommonOne)
+{
+    auto common = kCommon;
+    common.perSecond = 400;
+    const auto urgentAlone = playWith(UrgencyOrder(), { kUrgent });
+    const auto both = playWith(UrgencyOrder(), { kUrgent, common });
+    EXPECT_GT(both.worth, urgentAlone.worth);
+}
+
+TEST(LoadPatterns, RefusalsComeEarlyUnderASteadyOverload)
+{
+    auto common = kCommon;
+    common.perSecond = 400;
+    const auto ours = playWith(UrgencyOrder(), { common });
+    ASSERT_GT(ours.refused, 0);
+    EXPECT_LT(ours.heldInVain / ours.refused, common.deadline / 2);
+}
+
+TEST(LoadPatterns, SlowInstanceGetsLess)
+{
+    SeededRandom random(1);
+    const LeastTimeChooser chooser;
+    const std::vector<GatewayCandidate> candidates{ candidate("slow", 4, milliseconds(400)), candidate("fast", 4, milliseconds(80)) };
+    EXPECT_EQ(candidates[chooser.choose(candidates, random)].ip, "fast");
+}
+
+TEST(LoadPatterns, GreyInstanceThatShedsDoesNotAttractWorkByItsEmptyQueue)
+{
+    SeededRandom random(1);
+    const LeastTimeChooser chooser;
+    const std::vector<GatewayCandidate> candidates{ candidate("grey", 0, milliseconds(80), 0.45), candidate("sound", 6, milliseconds(80)) };
+    EXPECT_EQ(candidates[chooser.choose(candidates, random)].ip, "sound");
+}
+
+TEST(LoadPatterns, ColdInstanceGetsAFewRequestsOnly)
+{
+    SeededRandom random(1);
+    const LeastTimeChooser chooser;
+    std::vector<GatewayCandidate> candidates{ candidate("cold", 1, milliseconds(80)), candidate("warm", 8, milliseconds(80)) };
+    candidates[0].cold = true;
+    EXPECT_EQ(candidates[chooser.choose(candidates, random)].ip, "warm");
+}
+
+TEST(LoadPatterns, EqualInstancesOfTheOwnFailureDomainAreNear)
+{
+    SeededRandom random(1);
+    const LeastTimeChooser chooser;
+    std::vector<GatewayCandidate> candidates{ candidate("far", 3, milliseconds(80)), candidate("near", 3, milliseconds(80)) };
+    candidates[1].sameDomain = true;
+    EXPECT_EQ(candidates[chooser.choose(candidates, random)].ip, "near");
+}
--- /dev/null
+++ b/test/gateway/test_local_instance.cpp
@@ -0,0 +1,244 @@
+// Guards against keys that are granted longer than their lease, late heartbeats of an earlier incarnation, and work for a backend
+// server that leaves.
+#include "gateway/local_instance.h"
+
+#include <gtest/gtest.h>
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+class LocalInstanceTest : public testing::Test
+{
+protected:
+    LocalInstanceTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_instance(*m_loop, m_logger, "10.0.0.1:80")
+    {
+        LocalTerms terms;
+        terms.known = true;
+        terms.keyed = true;
+        m_instance.setTerms(terms);
+    }
+
+    static Heartbeat beat(std::int64_t born, std::uint64_t sequence)
+    {
+        Heartbeat it;
+        it.instance = "i";
+        it.bornMs = born;
+        it.sequence = sequence;
+        it.service = "svc";
+        it.address = "10.0.0.1:80";
+        it.slots = 9;
+        return it;
+    }
+
+    /// The answer, if it came at once.
+    std::optional<std::optional<HeartbeatAnswer>> send(const Heartbeat &it)
+    {
+        m_answer.reset();
+        m_instance.heartbeat(it, [this](std::optional<HeartbeatAnswer> answer) { m_answer = std::move(answer); });
+        return m_answer;
+    }
+
+    void lease(std::uint32_t from, std::uint32_t to, std::uint64_t fence, milliseconds duration = seconds(5))
+    {
+        wire::LeaseGrant grant;
+        grant.set_incarnation(m_instance.report().incarnation());
+        grant.set_duration_ms(static_cast<std::uint32_t>(duration.count()));
+        auto *row = grant.add_rows();
+        row->set_from(from);
+        row->set_to(to);
+        row->set_holder(grant.incarnation());
+        row->set_fence(fence);
+        m_instance.applyLease(grant, m_clock.now());
+    }
+
+    wire::CallReason refusalOf(std::uint32_t key) const
+    {
+        Call call;
+        call.service = "svc";
+        call.key = key;
+        return m_instance.refusal(call);
+    }
+
+    ManualClock m_clock;
+    RecordingLogger m_logger;
+    std::unique_ptr<EventLoop> m_loop;
+    LocalInstance m_instance;
+    std::optional<std::optional<HeartbeatAnswer>> m_answer;
+};
+
+} // namespace
+
+TEST_F(LocalInstanceTest, AnswersAWaitingHeartbeatWhenTheLeaseComes)
+{
+    EXPECT_FALSE(send(beat(1, 1)));
+    lease(0, 99, 7);
+    ASSERT_TRUE(m_answer && *m_answer);
+    EXPECT_EQ((*m_answer)->rows.front().fence, 7U);
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+    EXPECT_EQ(refusalOf(100), wire::NOT_HOLDER);
+}
+
+TEST_F(LocalInstanceTest, GrantsHoldsThatEndBeforeTheLeaseByASlowClock)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    m_clock.advance(seconds(2));
+    const auto answer = send(beat(1, 2));
+    ASSERT_TRUE(answer && *answer);
+    EXPECT_LT((*answer)->holdTime * 1.02, seconds(3));
+}
+
+TEST_F(LocalInstanceTest, RenewsNothingWithoutALease)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    m_clock.advance(seconds(6));
+    auto it = beat(1, 2);
+    it.holds = { { { 0, 99 }, 6 } };
+    const auto answer = send(it);
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(*answer);
+    EXPECT_EQ(refusalOf(50), wire::NOT_HOLDER);
+}
+
+TEST_F(LocalInstanceTest, IgnoresLateHeartbeats)
+{
+    send(beat(5, 3));
+    send(beat(5, 2));
+    send(beat(4, 9));
+    EXPECT_EQ(m_instance.report().incarnation(), "i@5");
+    EXPECT_EQ(
+        std::count_if(m_logger.entries().begin(), m_logger.entries().end(), [](const auto &it) { return it.name == "heartbeat_ignored"; }),
+        2);
+}
+
+TEST_F(LocalInstanceTest, IgnoresHeartbeatsForAnotherAddress)
+{
+    auto it = beat(1, 1);
+    it.address = "10.0.0.2:80";
+    send(it);
+    EXPECT_FALSE(m_instance.isPresent());
+}
+
+TEST_F(LocalInstanceTest, ANewIncarnationHoldsNothingAndEndsTheOneBefore)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    send(beat(2, 1));
+    EXPECT_EQ(m_instance.report().ended(), "i@1");
+    EXPECT_EQ(refusalOf(50), wire::NOT_HOLDER);
+}
+
+TEST_F(LocalInstanceTest, ALeaseOfAnEarlierIncarnationIsIgnored)
+{
+    send(beat(1, 1));
+    wire::LeaseGrant grant;
+    grant.set_incarnation("i@1");
+    grant.set_duration_ms(5000);
+    send(beat(2, 1));
+    m_instance.applyLease(grant, m_clock.now());
+    EXPECT_EQ(refusalOf(50), wire::NOT_HOLDER);
+}
+
+TEST_F(LocalInstanceTest, ADrainingBackendServerReleasesItsKeysAndGetsNothingMore)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    auto it = beat(1, 2);
+    it.holds = { { { 0, 99 }, 7 } };
+    it.draining = true;
+    const auto answer = send(it);
+    ASSERT_TRUE(answer && *answer);
+    EXPECT_TRUE((*answer)->rows.empty());
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+}
+
+TEST_F(LocalInstanceTest, ADeregisteredBackendServerGetsNothingMore)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    m_instance.deregister("i");
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+    send(beat(1, 2));
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+}
+
+TEST_F(LocalInstanceTest, AnEvacuatedBackendServerGetsNothing)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    LocalTerms terms;
+    terms.keyed = true;
+    terms.evacuated = true;
+    m_instance.setTerms(terms);
+    EXPECT_EQ(refusalOf(50), wire::EVACUATED);
+}
+
+TEST_F(LocalInstanceTest, CountsAsColdJustAfterItsFailureDomainWasTakenBack)
+{
+    send(beat(1, 1));
+    LocalTerms terms;
+    terms.evacuated = true;
+    m_instance.setTerms(terms);
+    m_clock.advance(seconds(5));
+    terms.evacuated = false;
+    m_instance.setTerms(terms);
+    EXPECT_TRUE(m_instance.isCold());
+    m_clock.advance(seconds(2));
+    EXPECT_FALSE(m_instance.isCold());
+}
+
+TEST_F(LocalInstanceTest, TakesTwoRefusedConnectionsForTheEndOfTheProcess)
+{
+    send(beat(1, 1));
+    m_instance.connectionRefused();
+    EXPECT_TRUE(m_instance.isPresent());
+    m_clock.advance(milliseconds(100));
+    m_instance.connectionRefused();
+    EXPECT_FALSE(m_instance.isPresent());
+    EXPECT_EQ(m_instance.report().ended(), "i@1");
+    send(beat(1, 1)); // A delayed heartbeat of the ended process.
+    EXPECT_FALSE(m_instance.isPresent());
+}
+
+TEST_F(LocalInstanceTest, ABackendServerThatComesBackAfterRefusalsIsAnotherIncarnation)
+{
+    send(beat(1, 1));
+    m_instance.connectionRefused();
+    m_clock.advance(milliseconds(100));
+    m_instance.connectionRefused();
+    send(beat(1, 2));
+    EXPECT_EQ(m_instance.report().incarnation(), "i@1#1");
+}
+
+TEST_F(LocalInstanceTest, ReportsReleasedKeysWithTheirFencingTokenUntilTheyAreRecorded)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    auto held = beat(1, 2);
+    held.holds = { { { 0, 99 }, 7 } };
+    send(held);
+    auto freed = beat(1, 3);
+    freed.released = { { { 50, 99 }, "token" } };
+    send(freed);
+    wire::Announce first;
+    first.set_sequence(4);
+    m_instance.fillReleased(first);
+    ASSERT_EQ(first.freed_size(), 1);
+    EXPECT_EQ(first.freed(0).fence(), 7U);
+    m_instance.acknowledged(3);
+    wire::Announce second;
+    second.set_sequence(5);
+    m_instance.fillReleased(second);
+    EXPECT_EQ(second.freed_size(), 1);
+    m_instance.acknowledged(4);
+    wire::Announce third;
+    m_instance.fillReleased(third);
+    EXPECT_EQ(third.freed_size(), 0);
+}
--- /dev/null
+++ b/test/http/raw_socket.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "link/socket_address.h"
+#include "runtime/event_loop.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Toucandeck
+{
+
+/// A client's or server's plain connection, for bytes that no HTTP library sends.
+class RawSocket
+{
+public:
+    explicit RawSocket(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+
+    static RawSocket connectTo(const SocketAddress &address)
+    {
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        const auto sa = address.toSockaddr();
+        EXPECT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa)), 0);
+        return RawSocket(descriptor);
+    }
+
+    RawSocket(RawSocket &&other) noexcept
+        : m_descriptor(std::exchange(other.m_descriptor, -1))
+    {
+    }
+
+    ~RawSocket()
+    {
+        close();
+    }
+
+    void close()
+    {
+        if (m_descriptor >= 0) {
+            ::close(std::exchange(m_descriptor, -1));
+        }
+    }
+
+    void write(const std::string &text) const
+    {
+        EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+    }
+
+    /// What has arrived so far; adds to what earlier calls returned.
+    const std::string &received()
+    {
+        char buf[4096];
+        ssize_t n = 0;
+        while ((n = ::recv(m_descriptor, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
+            m_received.append(buf, static_cast<std::size_t>(n));
+        }
+        m_closed = m_closed || n == 0;
+        return m_received;
+    }
+
+    bool isClosed()
+    {
+        received();
+        return m_closed;
+    }
+
+private:
+    int m_descriptor;
+    std::string m_received;
+    bool m_closed = false;
+};
+
+/// A port that nobody uses now.
+inline std::uint16_t freePort()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in sa{};
+    sa.sin_family = AF_INET;
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t n = sizeof(sa);
+    EXPECT_EQ(::bind(descriptor, reinterpret_cast<const sockaddr *>(&sa), n), 0);
+    EXPECT_EQ(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&sa), &n), 0);
+    ::close(descriptor);
+    return ntohs(sa.sin_port);
+}
+
+} // namespace Toucandeck
--- /dev/null
+++ b/test/http/test_backend_connection.cpp
@@ -0,0 +1,153 @@
+// Guards against answers that belong to another request, cut answers that count, and requests called not sent although they were.
+#include "http/backend_connection.h"
+
+#include "link/listener.h"
+#include "raw_socket.h"
+
+using namespace Toucandeck;
+using std::chrono::seconds;
+
+namespace
+{
+
+class BackendConnectionTest : public testing::Test
+{
+protected:
+    BackendConnectionTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_address{ "127.0.0.1", freePort() }
+    {
+        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
+                         m_accepted = std::make_unique<RawSocket>(descriptor);
+                     }).value();
+        connect();
+    }
+
+    void connect()
+    {
+        m_accepted.reset();
+        m_connection = std::make_unique<BackendConnection>(*m_loop, m_address, "X-Id");
+    }
+
+    void send(const std::string &id)
+    {
+        HttpRequest request;
+        request.headers.push_back({ "X-Id", id });
+        m_result.reset();
+        m_connection->send(request, id, [this](BackendResult result) { m_result = std::move(result); });
+        ASSERT_TRUE(runUntil([this, &id] { return m_accepted && m_accepted->received().find(id) != std::string::npos; }));
+    }
+
+    bool runUntil(const std::function<bool()> &done)
+    {
+        return m_loop->runUntil(done, seconds(5));
+    }
+
+    void answer(const std::string &text)
+    {
+        m_accepted->write(text);
+        ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    }
+
+    SystemClock m_clock;
+    std::unique_ptr<EventLoop> m_loop;
+    SocketAddress m_address;
+    std::unique_ptr<RawSocket> m_accepted;
+    std::unique_ptr<Listener> m_listener;
+    std::unique_ptr<BackendConnection> m_connection;
+    std::optional<BackendResult> m_result;
+};
+
+} // namespace
+
+TEST_F(BackendConnectionTest, CarriesOneRequestAfterTheOther)
+{
+    send("one");
+    answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 1\r\n\r\na");
+    EXPECT_TRUE(m_connection->isReusable());
+    send("two");
+    answer("HTTP/1.1 200 OK\r\nX-Id: two\r\nContent-Length: 1\r\n\r\nb");
+    EXPECT_EQ(m_result->response.body, "b");
+}
+
+TEST_F(BackendConnectionTest, DropsALateAnswerToAnEarlierRequest)
+{
+    send("two");
+    answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 1\r\n\r\na"
+           "HTTP/1.1 200 OK\r\nX-Id: two\r\nContent-Length: 1\r\n\r\nb");
+    EXPECT_EQ(m_result->response.body, "b");
+    EXPECT_FALSE(m_connection->isReusable());
+}
+
+TEST_F(BackendConnectionTest, DoesNotReuseAConnectionWithBytesAfterTheAnswer)
+{
+    send("one");
+    answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 1\r\n\r\naHTTP/1.1 200 OK\r\n");
+    EXPECT_EQ(m_result->error, BackendError::None);
+    EXPECT_FALSE(m_connection->isReusable());
+}
+
+TEST_F(BackendConnectionTest, DoesNotReuseAConnectionOnWhichAnAnswerCameUnasked)
+{
+    send("one");
+    answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 1\r\n\r\na");
+    m_accepted->write("HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 1\r\n\r\na");
+    EXPECT_TRUE(runUntil([this] { return !m_connection->isReusable(); }));
+}
+
+TEST_F(BackendConnectionTest, HonoursConnectionClose)
+{
+    send("one");
+    answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nConnection: close\r\nContent-Length: 1\r\n\r\na");
+    EXPECT_FALSE(m_connection->isReusable());
+}
+
+TEST_F(BackendConnectionTest, TakesAnAnswerWithoutLengthAtTheEndOfItsConnection)
+{
+    send("one");
+    m_accepted->write("HTTP/1.1 200 OK\r\nX-Id: one\r\n\r\nabc");
+    m_accepted->close();
+    ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    EXPECT_EQ(m_result->error, BackendError::None);
+    EXPECT_EQ(m_result->response.body, "abc");
+}
+
+TEST_F(BackendConnectionTest, ReportsACutAnswer)
+{
+    send("one");
+    m_accepted->write("HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 9\r\n\r\nabc");
+    m_accepted->close();
+    ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    EXPECT_EQ(m_result->error, BackendError::BadAnswer);
+}
+
+TEST_F(BackendConnectionTest, ReportsBytesThatAreNoAnswer)
+{
+    send("one");
+    answer("\x01\x02 garbage\r\n\r\n");
+    EXPECT_EQ(m_result->error, BackendError::BadAnswer);
+}
+
+TEST_F(BackendConnectionTest, ReportsALostConnectionAsPerhapsSent)
+{
+    send("one");
+    m_accepted->close();
+    ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    EXPECT_EQ(m_result->error, BackendError::ConnectionLost);
+}
+
+TEST_F(BackendConnectionTest, TellsThatNobodyListens)
+{
+    m_listener.reset();
+    connect();
+    m_connection->send({}, "one", [this](BackendResult result) { m_result = std::move(result); });
+    ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    EXPECT_EQ(m_result->error, BackendError::Refused);
+}
+
+TEST_F(BackendConnectionTest, TakesTheIdleLimitFromTheAnswer)
+{
+    send("one");
+    answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nKeep-Alive: timeout=7\r\nContent-Length: 1\r\n\r\na");
+    EXPECT_EQ(m_connection->idleLimit(), seconds(7));
+}
--- /dev/null
+++ b/test/http/test_message_parser.cpp
@@ -0,0 +1,110 @@
+// Guards against requests that are smuggled inside others, limits that are not kept, and incomplete answers that look complete.
+#include "http/message_parser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Toucandeck;
+using internal::MessageParser;
+using internal::ParseError;
+
+namespace
+{
+
+/// Feeds the text in pieces and returns the bodies of the messages in it.
+std::vector<std::string> bodiesOf(const std::string &text, std::size_t piece)
+{
+    MessageParser parser(MessageParser::Kind::Request);
+    std::vector<std::string> bodies;
+    for (std::size_t at = 0; at < text.size();) {
+        const auto n = parser.feed(std::string_view(text).substr(at, piece));
+        at += n;
+        if (const auto message = parser.take()) {
+            bodies.push_back(message->body);
+        } else if (n == 0) {
+            break;
+        }
+    }
+    return bodies;
+}
+
+} // namespace
+
+TEST(MessageParser, ReadsPipelinedRequestsOneAtATime)
+{
+    const std::string text = "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    MessageParser parser(MessageParser::Kind::Request);
+    const auto n = parser.feed(text);
+    EXPECT_EQ(parser.take()->target, "/a");
+    parser.feed(std::string_view(text).substr(n));
+    EXPECT_EQ(parser.take()->target, "/b");
+}
+
+RC_GTEST_PROP(MessageParser, FindsTheSameMessagesInWhateverPiecesTheyCome, ())
+{
+    const auto piece = *rc::gen::inRange<std::size_t>(1, 60);
+    const std::string text = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+                             "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n1\r\nf\r\n0\r\n\r\n"
+                             "GET /c HTTP/1.1\r\nHost: h\r\n\r\n";
+    RC_ASSERT(bodiesOf(text, piece) == std::vector<std::string>({ "abc", "def", "" }));
+}
+
+TEST(MessageParser, RefusesALengthBesideChunks)
+{
+    MessageParser parser(MessageParser::Kind::Request);
+    parser.feed("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    EXPECT_EQ(parser.error(), ParseError::Malformed);
+}
+
+TEST(MessageParser, BoundsHeaders)
+{
+    MessageParser parser(MessageParser::Kind::Request);
+    parser.setLimits(100, 1000);
+    parser.feed("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+    EXPECT_EQ(parser.error(), ParseError::HeadersTooLarge);
+}
+
+TEST(MessageParser, BoundsBodies)
+{
+    MessageParser parser(MessageParser::Kind::Request);
+    parser.setLimits(1000, 10);
+    parser.feed("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nabcdefghijk");
+    EXPECT_EQ(parser.error(), ParseError::BodyTooLarge);
+}
+
+TEST(MessageParser, EndsAnAnswerWithoutLengthWithItsConnection)
+{
+    MessageParser parser(MessageParser::Kind::Response);
+    parser.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    EXPECT_FALSE(parser.take());
+    parser.feedEnd();
+    const auto message = parser.take();
+    ASSERT_TRUE(message);
+    EXPECT_EQ(message->body, "abc");
+    EXPECT_FALSE(message->keepAlive);
+}
+
+TEST(MessageParser, NeverCompletesACutAnswer)
+{
+    MessageParser parser(MessageParser::Kind::Response);
+    parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc");
+    parser.feedEnd();
+    EXPECT_FALSE(parser.take());
+}
+
+TEST(MessageParser, SkipsInterimAnswers)
+{
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    MessageParser parser(MessageParser::Kind::Response);
+    const auto n = parser.feed(text);
+    parser.feed(std::string_view(text).substr(n));
+    EXPECT_EQ(parser.take()->status, 200);
+}
+
+RC_GTEST_PROP(MessageParser, SurvivesAnyBytes, (const std::vector<char> &bytes))
+{
+    MessageParser parser(MessageParser::Kind::Request);
+    parser.feed({ bytes.data(), bytes.size() });
+    parser.feedEnd();
+    RC_SUCCEED("no crash");
+}
--- /dev/null
+++ b/test/http/test_pipelined_server.cpp
@@ -0,0 +1,156 @@
+// Guards against answers out of order, requests of clients that have left, lost answers on a close, and limits that are not kept.
+#include "http/pipelined_server.h"
+
+#include "raw_socket.h"
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+class PipelinedServerTest : public testing::Test
+{
+protected:
+    PipelinedServerTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_address{ "127.0.0.1", freePort() }
+    {
+        m_server = PipelinedServer::create(
+                       *m_loop,
+                       m_address,
+                       [this] { return m_limits; },
+                       [this](const std::shared_ptr<HttpExchange> &it) { m_exchanges.push_back(it); })
+                       .value();
+    }
+
+    bool runUntil(const std::function<bool()> &done)
+    {
+        return m_loop->runUntil(done, seconds(5));
+    }
+
+    static HttpResponse withBody(const std::string &body)
+    {
+        HttpResponse response;
+        response.body = body;
+        return response;
+    }
+
+    SystemClock m_clock;
+    std::unique_ptr<EventLoop> m_loop;
+    SocketAddress m_address;
+    HttpLimits m_limits;
+    std::vector<std::shared_ptr<HttpExchange>> m_exchanges;
+    std::unique_ptr<PipelinedServer> m_server;
+};
+
+} // namespace
+
+TEST_F(PipelinedServerTest, StartsPipelinedRequestsAtOnceAndAnswersInOrder)
+{
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 2; }));
+    m_exchanges[1]->respond(withBody("second"));
+    m_exchanges[0]->respond(withBody("first"));
+    ASSERT_TRUE(runUntil([&client] { return client.received().find("second") != std::string::npos; }));
+    EXPECT_LT(client.received().find("first"), client.received().find("second"));
+}
+
+TEST_F(PipelinedServerTest, TellsWhenAClientLeaves)
+{
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    bool left = false;
+    m_exchanges[0]->setAbandoned([&left] { left = true; });
+    client.close();
+    EXPECT_TRUE(runUntil([&left] { return left; }));
+}
+
+TEST_F(PipelinedServerTest, ClosesAfterTheLastAnswerWhileDraining)
+{
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 2; }));
+    m_server->drain();
+    m_exchanges[0]->respond(withBody("first"));
+    m_exchanges[1]->respond(withBody("second"));
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    const auto &text = client.received();
+    EXPECT_LT(text.find("first"), text.find("Connection: close"));
+    EXPECT_NE(text.find("second"), std::string::npos);
+    EXPECT_EQ(m_server->unfinished(), 0U);
+}
+
+TEST_F(PipelinedServerTest, ClosesIdleConnectionsWhileDraining)
+{
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_exchanges[0]->respond(withBody("first"));
+    m_server->drain();
+    EXPECT_TRUE(runUntil([&client] { return client.isClosed(); }));
+}
+
+TEST_F(PipelinedServerTest, KeepsTheOrderWhenABadRequestFollows)
+{
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nnonsense\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_exchanges[0]->respond(withBody("first"));
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    EXPECT_LT(client.received().find("first"), client.received().find("400 Bad Request"));
+}
+
+TEST_F(PipelinedServerTest, AnswersLargeHeadersWith431AndLargeBodiesWith413)
+{
+    m_limits.maxHeaderBytes = 100;
+    m_limits.maxBodyBytes = 10;
+    auto headers = RawSocket::connectTo(m_address);
+    headers.write("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
+    auto body = RawSocket::connectTo(m_address);
+    body.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" + std::string(20, 'x'));
+    ASSERT_TRUE(runUntil([&] { return headers.isClosed() && body.isClosed(); }));
+    EXPECT_NE(headers.received().find("431"), std::string::npos);
+    EXPECT_NE(body.received().find("413"), std::string::npos);
+    EXPECT_TRUE(m_exchanges.empty());
+}
+
+TEST_F(PipelinedServerTest, RefusesARequestWhoseHeadersDoNotComeInTime)
+{
+    m_limits.headerTimeout = milliseconds(100);
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost:");
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    EXPECT_NE(client.received().find("408"), std::string::npos);
+}
+
+TEST_F(PipelinedServerTest, ClosesAConnectionThatIsIdleForTooLong)
+{
+    m_limits.idleTimeout = milliseconds(100);
+    auto client = RawSocket::connectTo(m_address);
+    EXPECT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    EXPECT_EQ(client.received(), "");
+}
+
+TEST_F(PipelinedServerTest, HonoursConnectionCloseOfTheClient)
+{
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_exchanges[0]->respond(withBody("only"));
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    EXPECT_NE(client.received().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(PipelinedServerTest, AsksForABodyThatWaitsForContinue)
+{
+    auto client = RawSocket::connectTo(m_address);
+    client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+    ASSERT_TRUE(runUntil([&client] { return client.received().find("100 Continue") != std::string::npos; }));
+    client.write("ok");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    EXPECT_EQ(m_exchanges[0]->request().body, "ok");
+}
--- /dev/null
+++ b/test/link/test_message_channel.cpp
@@ -0,0 +1,144 @@
+// Guards against messages that are cut or merged, peers that are silent without a reset, and calls wrongly said to be unsent.
+#include "link/listener.h"
+#include "link/peer_links.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Toucandeck;
+using std::chrono::seconds;
+
+namespace
+{
+
+std::uint16_t freePort()
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto sa = SocketAddress{ "127.0.0.1", 0 }.toSockaddr();
+    socklen_t n = sizeof(sa);
+    EXPECT_EQ(::bind(descriptor, reinterpret_cast<sockaddr *>(&sa), n), 0);
+    EXPECT_EQ(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&sa), &n), 0);
+    ::close(descriptor);
+    return ntohs(sa.sin_port);
+}
+
+class LinkTest : public testing::Test
+{
+protected:
+    LinkTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_address{ "127.0.0.1", freePort() }
+        , m_links(
+              *m_loop,
+              m_logger,
+              m_address,
+              [this](const std::string &, const wire::PeerMessage &message) { m_received.push_back(message); },
+              [this](const std::string &, bool established, const std::string &) { m_closed.push_back(established); })
+    {
+    }
+
+    void listen(Listener::Accepted accepted)
+    {
+        m_listener = Listener::listen(*m_loop, m_address, std::move(accepted)).value();
+    }
+
+    /// Answers each call with a reply of the same id.
+    void echo(int descriptor)
+    {
+        MessageChannel::Handlers handlers;
+        handlers.received = [](const auto &channel, const wire::PeerMessage &message) {
+            wire::PeerMessage reply;
+            reply.mutable_reply()->set_call(message.call().call());
+            reply.mutable_reply()->set_body(message.call().body());
+            channel->send(reply);
+        };
+        handlers.closed = [](const auto &, const std::string &) {};
+        m_channels.push_back(MessageChannel::accept(*m_loop, descriptor, "127.0.0.1", std::move(handlers)));
+    }
+
+    bool send(std::uint64_t id, const std::string &body = {})
+    {
+        wire::PeerMessage message;
+        message.mutable_call()->set_call(id);
+        message.mutable_call()->set_body(body);
+        return m_links.send("127.0.0.1", message);
+    }
+
+    SystemClock m_clock;
+    RecordingLogger m_logger;
+    std::unique_ptr<EventLoop> m_loop;
+    SocketAddress m_address;
+    std::vector<wire::PeerMessage> m_received;
+    std::vector<bool> m_closed;
+    std::vector<std::shared_ptr<MessageChannel>> m_channels;
+    std::unique_ptr<Listener> m_listener;
+    PeerLinks m_links;
+};
+
+} // namespace
+
+TEST_F(LinkTest, CarriesMessagesOfAnySizeInOrder)
+{
+    listen([this](int descriptor, const std::string &) { echo(descriptor); });
+    send(1, std::string(3'000'000, 'x'));
+    send(2);
+    send(3, "abc");
+    ASSERT_TRUE(m_loop->runUntil([this] { return m_received.size() == 3; }, seconds(10)));
+    EXPECT_EQ(m_received[0].reply().body().size(), 3'000'000U);
+    EXPECT_EQ(m_received[1].reply().call(), 2U);
+    EXPECT_EQ(m_received[2].reply().body(), "abc");
+}
+
+TEST_F(LinkTest, TellsThatNothingWasSentIfNobodyListens)
+{
+    send(1);
+    ASSERT_TRUE(m_loop->runUntil([this] { return !m_closed.empty(); }, seconds(10)));
+    EXPECT_FALSE(m_closed[0]);
+    EXPECT_FALSE(send(2)); // Not tried again at once.
+}
+
+TEST_F(LinkTest, TellsThatSomethingMayHaveArrivedIfThePeerCloses)
+{
+    listen([](int descriptor, const std::string &) { ::close(descriptor); });
+    send(1);
+    ASSERT_TRUE(m_loop->runUntil([this] { return !m_closed.empty(); }, seconds(10)));
+    EXPECT_TRUE(m_closed[0]);
+}
+
+TEST_F(LinkTest, EndsASilentConnectionWhileAnAnswerIsAwaited)
+{
+    int silent = -1;
+    listen([&silent](int descriptor, const std::string &) { silent = descriptor; });
+    send(1);
+    m_links.awaitAnswer("127.0.0.1");
+    ASSERT_TRUE(m_loop->runUntil([this] { return !m_closed.empty(); }, seconds(10)));
+    EXPECT_TRUE(m_closed[0]);
+    ::close(silent);
+}
+
+TEST_F(LinkTest, KeepsAQuietConnectionToALivePeer)
+{
+    listen([this](int descriptor, const std::string &) { echo(descriptor); });
+    send(1);
+    m_links.awaitAnswer("127.0.0.1");
+    EXPECT_FALSE(m_loop->runUntil([this] { return !m_closed.empty(); }, seconds(2)));
+    EXPECT_TRUE(m_links.isOpen("127.0.0.1"));
+}
+
+TEST_F(LinkTest, EndsAConnectionThatCarriesNoMessages)
+{
+    std::vector<std::string> reasons;
+    listen([&, this](int descriptor, const std::string &) {
+        MessageChannel::Handlers handlers;
+        handlers.received = [](const auto &, const auto &) {};
+        handlers.closed = [&reasons](const auto &, const std::string &reason) { reasons.push_back(reason); };
+        m_channels.push_back(MessageChannel::accept(*m_loop, descriptor, "127.0.0.1", std::move(handlers)));
+    });
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto sa = m_address.toSockaddr();
+    ASSERT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa)), 0);
+    ASSERT_EQ(::send(descriptor, "GET / HTTP/1.1\r\n\r\n", 18, MSG_NOSIGNAL), 18);
+    EXPECT_TRUE(m_loop->runUntil([&reasons] { return !reasons.empty(); }, seconds(10)));
+    ::close(descriptor);
+}
--- /dev/null
+++ b/test/node/test_node_settings.cpp
@@ -0,0 +1,60 @@
+// Guards against a node that starts with settings it misread, and errors that do not name the field.
+#include "node/node_settings.h"
+
+#include <gtest/gtest.h>
+
+using namespace Toucandeck;
+
+namespace
+{
+
+constexpr const char *kGateway = R"({"process":"p","role":"gateway","ip":"10.0.0.1","failureDomain":"a","peerPort":7180,
+ "seeds":["10.0.0.5:80"],"service":"s","backend":"10.0.0.1:81","outbound":"10.0.0.1:82","ready":"10.0.0.1:83",
+ "control":"10.0.0.1:84","shutdownLimit":"6s","something":"new"})";
+
+std::string errorOf(const std::string &text)
+{
+    return handleError(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(NodeSettings::parse(text));
+            return std::string();
+        },
+        [](const Error &error) { return error.message; });
+}
+
+std::string without(const std::string &text, const std::string &part)
+{
+    auto copy = text;
+    return copy.erase(copy.find(part), part.size());
+}
+
+} // namespace
+
+TEST(NodeSettings, ReadsAGatewayAndIgnoresUnknownFields)
+{
+    const auto it = NodeSettings::parse(kGateway).value();
+    EXPECT_EQ(it.role, NodeRole::Gateway);
+    EXPECT_EQ(it.backend.port, 81);
+    EXPECT_EQ(it.seedIps(), std::vector<std::string>({ "10.0.0.5" }));
+    EXPECT_EQ(it.shutdownLimit, std::chrono::seconds(6));
+}
+
+TEST(NodeSettings, NamesTheFieldThatIsWrong)
+{
+    EXPECT_NE(errorOf(without(kGateway, "\"backend\":\"10.0.0.1:81\",")).find("\"backend\" is missing"), std::string::npos);
+    EXPECT_NE(errorOf(R"({"process":5})").find("\"process\" must be a string"), std::string::npos);
+    EXPECT_NE(errorOf("{").find("not valid JSON"), std::string::npos);
+    auto port = std::string(kGateway);
+    port.replace(port.find("7180"), 4, "718000");
+    EXPECT_NE(errorOf(port).find("\"peerPort\" must be a port"), std::string::npos);
+    auto role = std::string(kGateway);
+    role.replace(role.find("\"gateway\""), 9, "\"other\"");
+    EXPECT_NE(errorOf(role).find("neither gateway nor controller"), std::string::npos);
+}
+
+TEST(NodeSettings, AControllerNeedsADataFolder)
+{
+    const std::string text = R"({"process":"p","role":"controller","ip":"10.0.0.1","failureDomain":"a","peerPort":7180,"seeds":[],
+        "control":"10.0.0.1:84"})";
+    EXPECT_NE(errorOf(text).find("\"dataFolder\" is missing"), std::string::npos);
+}
--- /dev/null
+++ b/test/platform/test_codecs.cpp
@@ -0,0 +1,184 @@
+// Guards against wire fields that are misread, invalid orders that pass, and bad input that does harm.
+#include "platform/heartbeat_json.h"
+#include "platform/manifest_json.h"
+
+#include "config/json_fields.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+using namespace Toucandeck;
+using namespace Toucandeck::platform;
+
+namespace
+{
+
+constexpr const char *kManifest = R"({"version":7,"routes":{
+  "r-1":{"host":"a.example","pathPrefix":"/x/","routeType":"unsafe","timeout":"1500ms","targetLatency":"500ms","priority":1,
+         "service":"s1","maxAttempts":2},
+  "r-2":{"host":"b.example","pathPrefix":"/y/","routeType":"safe","timeout":"1.2s","targetLatency":"400ms","priority":2,
+         "weightedSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":3}},
+ "services":{"s1":{"healthPath":"/health","maxConnections":130,"protocol":"h1","tls":false,"coldPeriod":"3s","coldPerS":17.0,
+                   "sharded":true,"warm":"2s","grants":"heartbeat"},
+             "s2":{"healthPath":"/health","maxConnections":130,"coldPeriod":"3s","coldPerS":17.0}},
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms","idleTimeout":"15000ms"},"baseVersion":5})";
+
+constexpr const char *kHeartbeat = R"({"service":"s1","address":"10.0.0.9:80","zone":"a","version":"v1","slots":9,"state":"ready",
+ "coldRemaining":"250ms","seqNum":4,"born":1777424534000,"holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]]})";
+
+template<class T>
+bool succeeds(const std::function<Result<T>()> &read)
+{
+    return handleError(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(read());
+            return true;
+        },
+        [](const Error &) { return false; });
+}
+
+bool readsManifest(const std::string &text)
+{
+    return succeeds<Manifest>([&]() -> Result<Manifest> {
+        BOOST_LEAF_AUTO(change, ManifestJson::readPut(text));
+        BOOST_LEAF_AUTO(manifest, ManifestJson().decode(change.upsert()));
+        BOOST_LEAF_CHECK(checkManifest(manifest));
+        return manifest;
+    });
+}
+
+bool readsHeartbeat(const std::string &text)
+{
+    return succeeds<Heartbeat>([&] { return readHeartbeat("i-1", text); });
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto at = text.find(from);
+    EXPECT_NE(at, std::string::npos) << from;
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+TEST(ManifestJson, ReadsEachField)
+{
+    const auto change = ManifestJson::readPut(kManifest).value();
+    EXPECT_EQ(change.base_version(), 5U);
+    EXPECT_TRUE(change.whole());
+    const auto manifest = ManifestJson().decode(change.upsert()).value();
+    EXPECT_EQ(manifest.version, 7U);
+    const auto &first = manifest.routes.at("r-1");
+    EXPECT_EQ(first.kind, RequestKind::AtMostOnce);
+    EXPECT_EQ(first.timeout, std::chrono::milliseconds(1500));
+    EXPECT_EQ(first.targetLatency, std::chrono::milliseconds(500));
+    EXPECT_EQ(first.rank, 1U);
+    EXPECT_EQ(first.maxAttempts, 2U);
+    const auto &second = manifest.routes.at("r-2");
+    EXPECT_EQ(second.kind, RequestKind::Idempotent);
+    EXPECT_EQ(second.targets.size(), 2U);
+    EXPECT_EQ(second.targets[1].weight, 10U);
+    EXPECT_TRUE(manifest.services.at("s1").keyed);
+    EXPECT_FALSE(manifest.services.at("s2").keyed);
+    EXPECT_DOUBLE_EQ(manifest.services.at("s1").coldRequestsPerSecond, 17);
+    EXPECT_EQ(manifest.limits.idleTimeout, std::chrono::seconds(15));
+}
+
+TEST(ManifestJson, WritesWhatWasSent)
+{
+    const auto change = ManifestJson::readPut(kManifest).value();
+    auto sent = nlohmann::json::parse(kManifest);
+    sent.erase("baseVersion");
+    EXPECT_EQ(nlohmann::json::parse(ManifestJson::write(change.upsert())), sent);
+}
+
+TEST(ManifestJson, KnowsAResentOrder)
+{
+    const auto first = ManifestJson::readPut(kManifest).value();
+    const auto again = ManifestJson::readPut(kManifest).value();
+    const auto other = ManifestJson::readPut(replaced(kManifest, "\"version\":7", "\"version\":8")).value();
+    EXPECT_EQ(first.order(), again.order());
+    EXPECT_NE(first.order(), other.order());
+}
+
+TEST(ManifestJson, RefusesInvalidManifests)
+{
+    ASSERT_TRUE(readsManifest(kManifest));
+    const std::string text = kManifest;
+    EXPECT_FALSE(readsManifest(text.substr(0, text.size() / 2)));
+    EXPECT_FALSE(readsManifest(replaced(text, "\"service\":\"s1\",\"maxAttempts\"", "\"service\":\"s9\",\"maxAttempts\"")));
+    EXPECT_FALSE(readsManifest(replaced(text, "a.example", "")));
+    EXPECT_FALSE(readsManifest(replaced(text, "\"unsafe\"", "\"odd\"")));
+    EXPECT_FALSE(readsManifest(replaced(text, "\"targetLatency\":\"500ms\"", "\"targetLatency\":\"61500ms\"")));
+    EXPECT_FALSE(readsManifest(replaced(text, "\"1500ms\"", "\"soon\"")));
+    EXPECT_FALSE(readsManifest("[]"));
+}
+
+TEST(ManifestJson, ReadsAChangeOfItems)
+{
+    const auto change = ManifestJson::readPatch(R"({"version":9,"upsert":{"routes":{"r":{"host":"h"}}},"remove":{"routes":["old"]},
+        "baseVersion":7})")
+                            .value();
+    EXPECT_FALSE(change.whole());
+    EXPECT_EQ(change.upsert().routes().count("r"), 1U);
+    EXPECT_EQ(change.removed_routes(0), "old");
+    EXPECT_FALSE(succeeds<wire::ChangeManifest>([] { return ManifestJson::readPatch(R"({"version":9,"remove":{"routes":"old"}})"); }));
+}
+
+TEST(HeartbeatJson, ReadsEachField)
+{
+    const auto it = readHeartbeat("i-1", kHeartbeat).value();
+    EXPECT_EQ(it.instance, "i-1");
+    EXPECT_EQ(it.bornMs, 1777424534000);
+    EXPECT_EQ(it.sequence, 4U);
+    EXPECT_EQ(it.coldRemaining, std::chrono::milliseconds(250));
+    EXPECT_FALSE(it.draining);
+    ASSERT_EQ(it.holds.size(), 1U);
+    EXPECT_EQ(it.holds[0].fence, 7U);
+    ASSERT_EQ(it.released.size(), 1U);
+    EXPECT_EQ(it.released[0].handover, "5c0e");
+}
+
+TEST(HeartbeatJson, RefusesWhatNamesNoBackendServer)
+{
+    const std::string text = kHeartbeat;
+    EXPECT_FALSE(readsHeartbeat("nonsense"));
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "\"slots\":9", "\"slots\":\"9\"")));
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "\"ready\"", "\"asleep\"")));
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "[[0,4095,7]]", "[[9,4,7]]")));
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "[[0,4095,7]]", "[[0,65536,7]]")));
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "[[0,4095,7]]", "\"all\"")));
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "\"250ms\"", "250")));
+}
+
+TEST(HeartbeatJson, WritesHoldsOnlyWhenThereIsALease)
+{
+    EXPECT_EQ(writeHeartbeatAnswer(std::nullopt), "{}");
+    HeartbeatAnswer answer;
+    answer.rows = { { { 0, 9 }, "i-1@1", "ip", 12, "5c0e" } };
+    answer.holdTime = std::chrono::milliseconds(4000);
+    EXPECT_EQ(writeHeartbeatAnswer(answer), R"({"hold_time":"4000ms","holds":[[0,9,12,"5c0e"]]})");
+}
+
+RC_GTEST_PROP(Codecs, SurviveMutatedInput, ())
+{
+    std::string text = *rc::gen::element<std::string>(kManifest, kHeartbeat);
+    const auto n = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < n; ++i) {
+        const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+        text[at] = *rc::gen::character<char>();
+    }
+    readsManifest(text);
+    readsHeartbeat(text);
+    succeeds<wire::ChangeManifest>([&] { return ManifestJson::readPatch(text); });
+}
+
+TEST(Times, NeedAUnit)
+{
+    EXPECT_EQ(parseTime("2.5s").value(), std::chrono::milliseconds(2500));
+    EXPECT_EQ(parseTime("0ms").value(), Duration::zero());
+    EXPECT_FALSE(succeeds<Duration>([] { return parseTime("5"); }));
+    EXPECT_FALSE(succeeds<Duration>([] { return parseTime("-5ms"); }));
+    EXPECT_FALSE(succeeds<Duration>([] { return parseTime("1e300s"); }));
+}
--- /dev/null
+++ b/test/platform/test_fleet_path.cpp
@@ -0,0 +1,305 @@
+// Guards the whole path without the bench: controllers that form one group from seeds, an operator's manifest, backend servers that
+// announce themselves and hold keys, and requests through any gateway. Each node has a loopback address of its own.
+#include "fleet/controller.h"
+#include "gateway/gateway.h"
+#include "platform/platform_interface.h"
+
+#include <filesystem>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::uint16_t kPeerPort = 17180;
+constexpr std::uint16_t kOperatorPort = 17181;
+constexpr std::uint16_t kOutboundPort = 17182;
+constexpr std::uint16_t kBackendPort = 17183;
+constexpr std::uint16_t kInstancePort = 17184;
+
+constexpr seconds kLimit{ 30 }; ///< For any step; far more than it takes.
+
+/// One HTTP request over a connection of its own.
+class Client
+{
+public:
+    Client(EventLoop &loop, const SocketAddress &address)
+        : m_loop(loop)
+        , m_connection(loop, address, std::string())
+    {
+    }
+
+    std::optional<HttpResponse> send(const HttpRequest &request)
+    {
+        std::optional<BackendResult> result;
+        m_connection.send(request, std::string(), [&result](BackendResult it) { result = std::move(it); });
+        m_loop.runUntil([&result] { return result.has_value(); }, kLimit);
+        return result && result->error == BackendError::None ? std::optional(result->response) : std::nullopt;
+    }
+
+private:
+    EventLoop &m_loop;
+    BackendConnection m_connection;
+};
+
+/// A backend server that beats, holds the keys that it is told to, and refuses requests for others.
+class StandInBackend
+{
+public:
+    StandInBackend(EventLoop &loop, const std::string &ip, std::string service)
+        : m_loop(loop)
+        , m_ip(ip)
+        , m_service(std::move(service))
+    {
+        m_server
+            = PipelinedServer::create(
+                  loop, { ip, kBackendPort }, [] { return HttpLimits{}; }, [this](const std::shared_ptr<HttpExchange> &it) { serve(it); })
+                  .value();
+        m_timer = loop.every(milliseconds(200), [this] { beat(); });
+    }
+
+    int m_runs = 0;
+    nlohmann::json m_holds = nlohmann::json::array();
+
+private:
+    void serve(const std::shared_ptr<HttpExchange> &exchange)
+    {
+        const auto &request = exchange->request();
+        HttpResponse response;
+        response.headers.push_back({ "X-Toucandeck-Request-Id", std::string(request.header("X-Toucandeck-Request-Id").value_or("")) });
+        const auto key = std::stoul(std::string(request.header("X-Toucandeck-Shard-Key").value_or("0")));
+        if (!holds(key) || request.header("X-Toucandeck-Expected-Instance") != "i-" + m_ip) {
+            response.status = 421;
+            response.headers.push_back({ "X-Toucandeck-Not-Executed", "1" });
+        } else {
+            ++m_runs;
+            response.headers.push_back({ "X-Toucandeck-Response-Seal", "seal" });
+            response.body = std::string(request.header("X-Toucandeck-Caller-Service").value_or(""));
+        }
+        exchange->respond(std::move(response));
+    }
+
+    bool holds(unsigned long key) const
+    {
+        return std::any_of(m_holds.begin(), m_holds.end(), [key](const auto &it) { return it[0] <= key && key <= it[1]; });
+    }
+
+    void beat()
+    {
+        nlohmann::json body{ { "service", m_service },
+                             { "address", SocketAddress{ m_ip, kBackendPort }.toString() },
+                             { "zone", m_ip },
+                             { "version", "v1" },
+                             { "slots", 4 },
+                             { "state", "ready" },
+                             { "coldRemaining", "0ms" },
+                             { "seqNum", ++m_sequence },
+                             { "born", 1 },
+                             { "holds", nlohmann::json::array() } };
+        for (const auto &it : m_holds) {
+            body["holds"].push_back({ it[0], it[1], it[2] });
+        }
+        HttpRequest request{ "POST", "/toucandeck/instances/i-" + m_ip + "/heartbeat", { { "Host", "x" } }, body.dump() };
+        m_connection = std::make_unique<BackendConnection>(m_loop, SocketAddress{ m_ip, kInstancePort }, std::string());
+        m_connection->send(request, std::string(), [this](const BackendResult &result) {
+            const auto answer = nlohmann::json::parse(result.response.body, nullptr, false);
+            if (answer.is_object() && answer.contains("holds")) {
+                m_holds = answer["holds"];
+            }
+        });
+    }
+
+    EventLoop &m_loop;
+    std::string m_ip;
+    std::string m_service;
+    std::uint64_t m_sequence = 0;
+    std::unique_ptr<PipelinedServer> m_server;
+    std::unique_ptr<BackendConnection> m_connection;
+    EventLoop::Watch m_timer;
+};
+
+class FleetPathTest : public testing::Test
+{
+protected:
+    FleetPathTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_random(20261204)
+    {
+        const std::vector<std::string> ips{ "127.9.0.1", "127.9.0.2", "127.9.0.3" };
+        for (const auto &it : ips) {
+            startController(it, ips);
+        }
+        for (const auto *it : { "127.9.0.11", "127.9.0.12" }) {
+            startGateway(it, ips);
+        }
+    }
+
+    ~FleetPathTest() override
+    {
+        m_servers.clear();
+        m_backends.clear();
+        m_gateways.clear();
+        m_controllers.clear();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    void startController(const std::string &ip, const std::vector<std::string> &seeds)
+    {
+        ControllerOptions options;
+        options.group.dataFolder = (m_folder / ip).string();
+        options.group.failureDomain = ip;
+        options.group.ip = ip;
+        options.group.operatorAddress = SocketAddress{ ip, kOperatorPort }.toString();
+        options.group.seeds = seeds;
+        options.group.firstStart = true;
+        options.peerPort = kPeerPort;
+        options.leases.settle = milliseconds(500);
+        m_controllers.push_back(Controller::create({ *m_loop, m_random, m_logger, m_interface.manifestCodec() }, options).value());
+        auto *it = m_controllers.back().get();
+        serve({ ip, kOperatorPort }, [this, it](const auto &exchange) { m_interface.handleOperator(*it, exchange); });
+    }
+
+    void startGateway(const std::string &ip, const std::vector<std::string> &seeds)
+    {
+        GatewayOptions options;
+        options.ip = ip;
+        options.failureDomain = ip;
+        options.service = "svc";
+        options.backend = { ip, kBackendPort };
+        options.outbound = { ip, kOutboundPort };
+        options.peerPort = kPeerPort;
+        options.seeds = seeds;
+        const GatewayParts parts{ *m_loop, m_random, m_logger, m_metrics, m_interface.headers(), m_interface.manifestCodec() };
+        m_gateways.push_back(Gateway::create(parts, options).value());
+        auto *it = m_gateways.back().get();
+        serve({ ip, kInstancePort }, [this, it](const auto &exchange) { m_interface.handleInstance(*it, exchange); });
+        m_backends.push_back(std::make_unique<StandInBackend>(*m_loop, ip, "svc"));
+    }
+
+    void serve(const SocketAddress &address, PipelinedServer::Handler handler)
+    {
+        m_servers.push_back(PipelinedServer::create(
+                                *m_loop, address, [] { return HttpLimits{}; }, std::move(handler))
+                                .value());
+    }
+
+    /// Sends an operator's call to one controller after the other until one gives a final answer.
+    int order(const std::string &method, const std::string &target, const std::string &body, std::string *answer = nullptr)
+    {
+        const auto end = m_clock.now() + kLimit;
+        while (m_clock.now() < end) {
+            for (std::size_t i = 0; i < m_controllers.size(); ++i) {
+                const auto ip = "127.9.0." + std::to_string(i + 1);
+                const auto response = Client(*m_loop, { ip, kOperatorPort }).send({ method, target, { { "Host", "x" } }, body });
+                if (response && response->status != 307 && response->status != 503) {
+                    if (answer != nullptr) {
+                        *answer = response->body;
+                    }
+                    return response->status;
+                }
+            }
+            m_loop->runUntil([] { return false; }, milliseconds(100));
+        }
+        return 0;
+    }
+
+    static std::string manifest(std::uint64_t version, std::uint64_t base, bool keyed)
+    {
+        nlohmann::json body;
+        body["version"] = version;
+        body["baseVersion"] = base;
+        body["routes"]["r"] = { { "host", "a.example" }, { "pathPrefix", "/x/" }, { "routeType", "safe" },
+                                { "timeout", "5s" },     { "service", "svc" },    { "maxAttempts", 2 } };
+        body["services"]["svc"] = { { "healthPath", "/health" }, { "sharded", keyed } };
+        return body.dump();
+    }
+
+    std::optional<HttpResponse> request(const std::string &gateway, const std::string &target, int key)
+    {
+        HttpRequest request{ "GET", target, {}, {} };
+        request.headers = { { "Host", "a.example" },
+                            { "X-Toucandeck-Request-Id", "id-" + std::to_string(++m_requests) },
+                            { "X-Toucandeck-Deadline-Ms", "5000" },
+                            { "X-Toucandeck-Shard-Key", std::to_string(key) } };
+        return Client(*m_loop, { gateway, kOutboundPort }).send(request);
+    }
+
+    bool allHold()
+    {
+        return std::all_of(m_backends.begin(), m_backends.end(), [](const auto &it) { return !it->m_holds.empty(); });
+    }
+
+    BootClock m_clock;
+    NullLogger m_logger;
+    Metrics m_metrics;
+    std::unique_ptr<EventLoop> m_loop;
+    SeededRandom m_random;
+    platform::PlatformInterface m_interface;
+    std::filesystem::path m_folder = std::filesystem::temp_directory_path() / ("fleet-path-" + std::to_string(::getpid()));
+    std::vector<std::unique_ptr<Controller>> m_controllers;
+    std::vector<std::unique_ptr<Gateway>> m_gateways;
+    std::vector<std::unique_ptr<StandInBackend>> m_backends;
+    std::vector<std::unique_ptr<PipelinedServer>> m_servers;
+    int m_requests = 0;
+};
+
+} // namespace
+
+TEST_F(FleetPathTest, ServesKeysOfAllHoldersThroughEveryGateway)
+{
+    EXPECT_EQ(request("127.9.0.11", "/x/1", 0)->status, 503); // No manifest is known yet.
+    ASSERT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHold(); }, kLimit));
+    for (const auto *gateway : { "127.9.0.11", "127.9.0.12" }) {
+        for (const int key : { 0, 40000, 65535 }) {
+            const auto response = request(gateway, "/x/1", key);
+            ASSERT_TRUE(response);
+            EXPECT_EQ(response->status, 200);
+            EXPECT_EQ(response->body, "svc");
+            EXPECT_TRUE(response->header("X-Toucandeck-Response-Seal"));
+        }
+    }
+    EXPECT_EQ(m_backends[0]->m_runs + m_backends[1]->m_runs, 6);
+    EXPECT_GT(m_backends[0]->m_runs, 0);
+    EXPECT_GT(m_backends[1]->m_runs, 0);
+    EXPECT_EQ(request("127.9.0.11", "/none/1", 0)->status, 404);
+}
+
+TEST_F(FleetPathTest, AnOperatorsOrdersAreAcknowledgedAgainRefusedOnOldVersionsAndReadBack)
+{
+    ASSERT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200);
+    EXPECT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200);
+    EXPECT_EQ(order("POST", "/toucandeck/config/put", manifest(4, 0, false)), 412);
+    EXPECT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 3, false)), 400);
+    EXPECT_EQ(order("POST", "/toucandeck/config/put", "{"), 400);
+    const std::string patch = R"({"version":9,"baseVersion":3,"remove":{"routes":["r"]}})";
+    EXPECT_EQ(order("POST", "/toucandeck/config/patch", patch), 200);
+    EXPECT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200); // Accepted before.
+    std::string read;
+    EXPECT_EQ(order("GET", "/toucandeck/config/get", {}, &read), 200);
+    const auto current = nlohmann::json::parse(read);
+    EXPECT_EQ(current["version"], 9);
+    EXPECT_TRUE(current["routes"].empty());
+    EXPECT_EQ(order("POST", "/toucandeck/evacuations/127.9.0.11/start", {}), 200);
+    EXPECT_EQ(order("POST", "/toucandeck/evacuations/127.9.0.11/start", {}), 200);
+}
+
+TEST_F(FleetPathTest, WhatWasAcknowledgedSurvivesTheLossOfAController)
+{
+    ASSERT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200);
+    const auto leads = [](const auto &it) { return it->group().isLeaderReady(); };
+    const auto complete = [](const auto &it) { return it->group().voters() == 3; };
+    ASSERT_TRUE(m_loop->runUntil([&] { return std::all_of(m_controllers.begin(), m_controllers.end(), complete); }, kLimit));
+    const auto leader = std::find_if(m_controllers.begin(), m_controllers.end(), leads);
+    ASSERT_NE(leader, m_controllers.end());
+    // Its operators' address answers on, but the controller behind it is gone.
+    m_servers.erase(m_servers.begin() + (leader - m_controllers.begin()));
+    m_controllers.erase(leader);
+    ASSERT_TRUE(m_loop->runUntil([&] { return std::any_of(m_controllers.begin(), m_controllers.end(), leads); }, kLimit));
+    const auto next = std::find_if(m_controllers.begin(), m_controllers.end(), leads);
+    EXPECT_EQ((*next)->group().state().manifest().version(), 3U);
+}
