Let keys follow a restarted backend server, and end waits for a holder at the aim

After a loss of all power the new leader waited out leases of processes that had surely ended; lost keys went to one receiver; gateways refused keyed calls 1.5 s before they stopped; requests waited for a holder beyond their aim. Change: a later incarnation at the same place ends the earlier ones and gets their keys; leases of 3.5 s in place of 5; keyed calls are taken until just before the stop; a wait for a holder ends at the aim less the time to run. Ruled out: overload (1,677 refusals).

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -115,6 +115,9 @@
     for (const auto &it : announce.freed()) {
         m_keys.freed(announce.instance().service(), it);
     }
+    if (announce.instance().state() != wire::ABSENT) {
+        m_keys.seen(announce.instance().service(), announce.router(), announce.instance().incarnation());
+    }
     if (!announce.instance().ended().empty()) {
         m_keys.ended(announce.instance().ended());
     }
--- a/src/fleet/key_coordinator.cpp
+++ b/src/fleet/key_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "fleet/key_coordinator.h"
 
 #include "fleet/events.h"
+#include "fleet/incarnation.h"
 
 #include <algorithm>
 #include <set>
@@ -99,6 +100,19 @@
     m_ended.emplace(incarnation, m_clock.now());
 }
 
+void KeyCoordinator::seen(const std::string &service, const std::string &router, const std::string &incarnation)
+{
+    const auto found = m_state.tables().find(service);
+    if (found == m_state.tables().end()) {
+        return;
+    }
+    for (const auto &row : found->second.keys.rows()) {
+        if (row.router == router && isLaterIncarnation(incarnation, row.holder)) {
+            ended(row.holder);
+        }
+    }
+}
+
 void KeyCoordinator::tick(const std::vector<std::string> &keyedServices, const std::vector<KeyHolder> &holders)
 {
     const auto now = m_clock.now();
@@ -159,6 +173,12 @@
     rows.assign({ range, to.incarnation, to.router, 0, handover });
 }
 
+const KeyHolder *KeyCoordinator::besideRouter(const Holders &usable, const std::string &router)
+{
+    const auto it = std::find_if(usable.begin(), usable.end(), [&router](const auto *holder) { return holder->router == router; });
+    return it == usable.end() ? nullptr : *it;
+}
+
 const KeyHolder *KeyCoordinator::pickReceiver(const Holders &usable, const KeyRows &rows, const std::string &wanted) const
 {
     if (const auto *holder = findHolder(usable, wanted)) {
@@ -268,7 +288,9 @@
                              field("fence", row.fence),
                              field("process_ended", m_ended.count(row.holder)) });
         }
-        giveTo(rows, row.range, *pickReceiver(usable, rows, {}), {});
+        // The next incarnation at the same place gets the same keys, so that a balanced partition survives a restart of all.
+        const auto *next = besideRouter(usable, row.router);
+        giveTo(rows, row.range, next != nullptr ? *next : *pickReceiver(usable, rows, {}), {});
         changed = true;
     }
     std::erase_if(state.releases, [&lost](const Release &it) { return lost.count(it.from) != 0; });
--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -18,7 +18,8 @@
 /// Times of the leases on keys.
 struct KeyLeaseOptions
 {
-    Duration lease = std::chrono::seconds(5); ///< Counts at the router from the sending of its announcement.
+    /// Long enough for an election, short enough that a lost holder's keys come back soon.
+    Duration lease = std::chrono::milliseconds(3500); ///< Counts at the router from the sending of its announcement.
     double clockDrift = 0.03; ///< By which a holder's clock may run slow, with a margin.
     Duration settle = std::chrono::milliseconds(1200); ///< First keys are granted when no holder has joined for this long.
     Duration rebalanceInterval = std::chrono::milliseconds(1500);
@@ -62,6 +63,9 @@
     /// The process of the holder has surely ended.
     void ended(const std::string &incarnation);
 
+    /// An incarnation announces itself beside a router: earlier ones there have ended.
+    void seen(const std::string &service, const std::string &router, const std::string &incarnation);
+
     /// Decides and proposes. @param holders of all keyed services that announce themselves now.
     void tick(const std::vector<std::string> &keyedServices, const std::vector<KeyHolder> &holders);
 
@@ -120,6 +124,7 @@
     void startReleases(ServiceState &state, const std::vector<PlannedRange> &plan, const Holders &ordered, const KeyRows &rows);
     void startRelease(ServiceState &state, const KeyRow &row, KeyRange range, const KeyHolder &to);
     void giveTo(KeyRows &rows, KeyRange range, const KeyHolder &to, const std::string &handover) const;
+    static const KeyHolder *besideRouter(const Holders &usable, const std::string &router);
     const KeyHolder *pickReceiver(const Holders &usable, const KeyRows &rows, const std::string &wanted) const;
     void propose(const std::string &service, const KeyTable &table, ServiceState &state, const KeyRows &rows);
 
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -14,8 +14,9 @@
 
 constexpr std::uint32_t kMaxGatewaysAsked = 4; ///< A refusal at a gate reaches no backend server, so more may be asked than may run.
 constexpr milliseconds kHolderRetry{ 100 };
-constexpr milliseconds kHolderPatience{ 1500 }; ///< Keys that change hands are mostly served again within this time.
-constexpr double kHolderPatienceShare = 0.4; ///< Of the time that the call has left.
+constexpr milliseconds kHolderPatience{ 600 }; ///< Keys that change hands are mostly served again within this time.
+constexpr milliseconds kLeastHolderPatience{ 100 };
+constexpr milliseconds kTimeToRun{ 100 }; ///< A wait until the aim would leave no time for the work.
 constexpr double kRetryBurst = 4; ///< Repeats that one gateway can save up; all gateways share the slack of the budget.
 constexpr milliseconds kLeastTimeForRepeat{ 20 };
 
@@ -211,8 +212,7 @@
 void CallRouter::waitForHolder(std::uint64_t id, const Entry &it, CallResult result)
 {
     const auto now = m_parts.loop.clock().now();
-    const auto left = it->call.deadline - it->started;
-    const auto patience = std::min<Duration>(kHolderPatience, std::chrono::duration_cast<Duration>(left * kHolderPatienceShare));
+    const auto patience = std::clamp<Duration>(it->call.aim - it->started - kTimeToRun, kLeastHolderPatience, kHolderPatience);
     if (now - it->started >= patience) {
         finish(id, it, std::move(result));
         return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 /// Clients that still come after this are turned away: an answer could take longer than the gateway has left.
 constexpr milliseconds kRefuseClients{ 3000 };
 constexpr milliseconds kPeersLeave{ 1000 }; ///< By then the other gateways know that this one leaves.
+/// Nobody else can run the calls for the keys of the backend server beside this gateway, so they are taken for as long as possible.
+constexpr milliseconds kKeyedPeersLeave{ 2200 };
 constexpr milliseconds kQuiet{ 150 };
 
 } // namespace
@@ -193,7 +195,7 @@
 {
     const auto now = m_parts.loop.clock().now();
     const auto since = now - m_drainSince;
-    if (since >= kPeersLeave) {
+    if (since >= (m_instance.isKeyed() ? kKeyedPeersLeave : kPeersLeave)) {
         m_instance.setLeaving();
     }
     if (since >= kRefuseClients) {
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/events.h"
 
+#include "fleet/incarnation.h"
+
 #include <algorithm>
 
 namespace Toucandeck
@@ -103,10 +105,7 @@
     m_current.emplace();
     m_current->instance = it.instance;
     m_current->bornMs = it.bornMs;
-    m_current->name = fmt::format("{}@{}", it.instance, it.bornMs);
-    if (m_presumedEnds > 0) {
-        m_current->name += fmt::format("#{}", m_presumedEnds);
-    }
+    m_current->name = incarnationName(it.instance, it.bornMs, m_presumedEnds);
     m_leased.clear();
     m_leaseEnd = {};
     m_told.clear();
@@ -364,6 +363,11 @@
     return m_current ? m_current->instance : std::string();
 }
 
+bool LocalInstance::isKeyed() const
+{
+    return m_terms.keyed;
+}
+
 const std::string &LocalInstance::service() const
 {
     static const std::string none;
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -67,6 +67,8 @@
     double coldRequestsPerSecond() const override;
     std::string instance() const override;
 
+    /// Its service is divided by key.
+    bool isKeyed() const;
     const std::string &service() const;
     bool isPresent() const;
     /// Time since the last heartbeat that counted.
--- a/test/fleet/test_key_coordinator.cpp
+++ b/test/fleet/test_key_coordinator.cpp
@@ -137,6 +137,23 @@
     EXPECT_EQ(it.at(0).holder, "b");
 }
 
+TEST(KeyCoordinator, ALaterIncarnationAtTheSamePlaceGetsTheKeysAtOnce)
+{
+    Fixture it;
+    it.add("a@1");
+    it.add("b@1");
+    it.tick();
+    it.m_coordinator.leadershipGained();
+    it.remove("a@1");
+    it.add("a@2");
+    it.holder("a@2").router = "ip-a@1";
+    it.m_coordinator.seen(kService, "ip-a@1", "a@2");
+    it.m_coordinator.seen(kService, "ip-b@1", "b@0"); // A delayed announcement of an earlier one ends nothing.
+    it.tick();
+    EXPECT_EQ(it.at(0).holder, "a@2");
+    EXPECT_EQ(it.at(kKeyCount - 1).holder, "b@1");
+}
+
 TEST(KeyCoordinator, ANewLeaderWaitsOutLeasesThatItDoesNotKnow)
 {
     Fixture it;
