--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -5,8 +5,10 @@
 #include "platform/platform_interface.h"
 
 #include <filesystem>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 using namespace Toucandeck;
 using std::chrono::milliseconds;
@@ -21,6 +23,13 @@
 constexpr std::uint16_t kBackendPort = 17183;
 constexpr std::uint16_t kInstancePort = 17184;
 
+/// Loopback address that only this process uses, so that tests can run side by side.
+std::string nodeIp(int number)
+{
+    const int pid = ::getpid();
+    return fmt::format("127.{}.{}.{}", 1 + pid / 250 % 250, pid % 250, number);
+}
+
 constexpr seconds kLimit{ 30 }; ///< For any step; far more than it takes.
 
 /// One HTTP request over a connection of its own.
@@ -129,11 +138,11 @@
         : m_loop(EventLoop::create(m_clock).value())
         , m_random(20261204)
     {
-        const std::vector<std::string> ips{ "127.9.0.1", "127.9.0.2", "127.9.0.3" };
+        const std::vector<std::string> ips{ nodeIp(1), nodeIp(2), nodeIp(3) };
         for (const auto &it : ips) {
             startController(it, ips);
         }
-        for (const auto *it : { "127.9.0.11", "127.9.0.12" }) {
+        for (const auto &it : { nodeIp(11), nodeIp(12) }) {
             startGateway(it, ips);
         }
     }
@@ -193,7 +202,7 @@
         const auto end = m_clock.now() + kLimit;
         while (m_clock.now() < end) {
             for (std::size_t i = 0; i < m_controllers.size(); ++i) {
-                const auto ip = "127.9.0." + std::to_string(i + 1);
+                const auto ip = nodeIp(static_cast<int>(i) + 1);
                 const auto response = Client(*m_loop, { ip, kOperatorPort }).send({ method, target, { { "Host", "x" } }, body });
                 if (response && response->status != 307 && response->status != 503) {
                     if (answer != nullptr) {
@@ -251,10 +260,10 @@
 
 TEST_F(FleetPathTest, ServesKeysOfAllHoldersThroughEveryGateway)
 {
-    EXPECT_EQ(request("127.9.0.11", "/x/1", 0)->status, 503); // No manifest is known yet.
+    EXPECT_EQ(request(nodeIp(11), "/x/1", 0)->status, 503); // No manifest is known yet.
     ASSERT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
     ASSERT_TRUE(m_loop->runUntil([this] { return allHold(); }, kLimit));
-    for (const auto *gateway : { "127.9.0.11", "127.9.0.12" }) {
+    for (const auto &gateway : { nodeIp(11), nodeIp(12) }) {
         for (const int key : { 0, 40000, 65535 }) {
             const auto response = request(gateway, "/x/1", key);
             ASSERT_TRUE(response);
@@ -266,7 +275,7 @@
     EXPECT_EQ(m_backends[0]->m_runs + m_backends[1]->m_runs, 6);
     EXPECT_GT(m_backends[0]->m_runs, 0);
     EXPECT_GT(m_backends[1]->m_runs, 0);
-    EXPECT_EQ(request("127.9.0.11", "/none/1", 0)->status, 404);
+    EXPECT_EQ(request(nodeIp(11), "/none/1", 0)->status, 404);
 }
 
 TEST_F(FleetPathTest, AnOperatorsOrdersAreAcknowledgedAgainRefusedOnOldVersionsAndReadBack)
@@ -284,8 +293,8 @@
     const auto current = nlohmann::json::parse(read);
     EXPECT_EQ(current["version"], 9);
     EXPECT_TRUE(current["routes"].empty());
-    EXPECT_EQ(order("POST", "/toucandeck/evacuations/127.9.0.11/start", {}), 200);
-    EXPECT_EQ(order("POST", "/toucandeck/evacuations/127.9.0.11/start", {}), 200);
+    EXPECT_EQ(order("POST", "/toucandeck/evacuations/fd-a/start", {}), 200);
+    EXPECT_EQ(order("POST", "/toucandeck/evacuations/fd-a/start", {}), 200);
 }
 
 TEST_F(FleetPathTest, WhatWasAcknowledgedSurvivesTheLossOfAController)
