--- a/src/fleet/events.h
+++ b/src/fleet/events.h
@@ -6,9 +6,6 @@
 {
 
 inline constexpr Event kReplicaStarted{ 10100, LogLevel::Info, "replica_started", "A controller opened its data folder." };
-inline constexpr Event kGroupFormed{
-    10101, LogLevel::Info, "group_formed", "The first controller started the replicated log at the first start of the deployment."
-};
 inline constexpr Event kJoinAsked{ 10102, LogLevel::Info, "join_asked", "A controller that is not a member asked to be taken in." };
 inline constexpr Event kMembershipChange{
     10103, LogLevel::Info, "membership_change", "The leader proposed to add or remove a controller."
