--- a/test/gateway/test_call_router.cpp
+++ b/test/gateway/test_call_router.cpp
@@ -221,3 +221,28 @@
     EXPECT_TRUE(m_port.m_sent.empty());
     EXPECT_EQ(m_result->result.reason, wire::NO_INSTANCE);
 }
+
+TEST_F(CallRouterTest, RefusedRequestsEarnNoRepeats)
+{
+    constexpr double kShare = 0.1;
+    CallRouter router({ *m_loop, m_logger, m_random, m_port, m_view, m_chooser }, "fd-a", kShare);
+    const auto route = [&router, this] {
+        m_port.m_sent.clear();
+        router.route(callNamed("r", m_clock), { true, 2 }, [](const RoutedResult &) {});
+    };
+    for (int i = 0; i < 30; ++i) {
+        route();
+        while (m_port.m_done) {
+            m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+        }
+    }
+    std::size_t repeats = 0;
+    for (int i = 0; i < 5; ++i) {
+        route();
+        while (m_port.m_done) {
+            m_port.reply(wire::MAY_HAVE_RUN, wire::LINK_LOST, true);
+        }
+        repeats += m_port.m_sent.size() - 1;
+    }
+    EXPECT_LE(repeats, 1U); // The one that each gateway has at its start.
+}
