Send changes of the manifest, move slices of keys, and tell holders at once

The manifest grew to 1,203 routes; each change went whole to 64 gateways, whose links take 6.9 Mbit/s. The log of a gateway shows controller_lost ("no answer") and the manifest 0.6 to 2.5 s late.

Change: the leading controller sends the items of the manifest and the rows of a key table that changed since the receiver's version (ManifestHistory; the fencing token of a row tells when it was assigned). The keys of lost and leaving holders are spread with the load of each decision counted (KeyLoads). Holders whose grants change hear of it at once, not with their next announcement, and released keys are placed at once.

Ruled out: lost connections (the links had only no room), the election of another leader (the term stayed).

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -40,6 +40,7 @@
     , m_keys(loop.clock(),
              logger,
              group.state(),
+             m_planner,
              leases,
              [this](const wire::KeyTable &table, std::function<void(bool)> done) {
                  wire::FleetCommand command;
@@ -64,6 +65,7 @@
         m_logger.write(FleetEvents::kEvacuationApplied, { field("failure_domain", it.failure_domain()), field("active", it.active()) });
     }
     if (m_leads) {
+        readManifest();
         m_loop.runSoon([this] { pushChanges(); });
     }
 }
@@ -111,6 +113,7 @@
         session.router = announce.router();
         session.manifestVersion = announce.manifest_version();
     }
+    session.lastAnnounce = announce.sequence();
     noteRouter(announce);
     for (const auto &it : announce.freed()) {
         m_keys.freed(announce.instance().service(), it);
@@ -127,10 +130,28 @@
     update.set_acknowledged(announce.sequence());
     fillChanges(session, update);
     if (announce.instance().state() != wire::ABSENT) {
-        *update.mutable_lease() = m_keys.grant(announce.instance().service(), announce.instance().incarnation());
-        update.mutable_lease()->set_sequence(announce.sequence());
+        fillLease(session, announce.instance(), update);
     }
     channel->send(message);
+    if (announce.freed_size() > 0) {
+        m_loop.runSoon([this] { tick(); }); // Callers wait for these keys.
+    }
+}
+
+void FleetController::fillLease(const Session &session, const wire::InstanceReport &instance, wire::FleetUpdate &update)
+{
+    *update.mutable_lease() = m_keys.grant(instance.service(), instance.incarnation());
+    update.mutable_lease()->set_sequence(session.lastAnnounce);
+}
+
+bool FleetController::fillChangedLease(const Session &session, const std::set<std::string> &changed, wire::FleetUpdate &update)
+{
+    const auto it = m_routers.find(session.router);
+    if (it == m_routers.end() || changed.count(it->second.record.instance().incarnation()) == 0) {
+        return false;
+    }
+    fillLease(session, it->second.record.instance(), update);
+    return true;
 }
 
 void FleetController::noteRouter(const wire::Announce &announce)
@@ -190,6 +211,7 @@
         return;
     }
     m_readVersion = document.version();
+    m_history.update(document);
     m_keyedServices.clear();
     handleError(
         [&]() -> Result<void> {
@@ -259,11 +281,13 @@
     if (!m_group.leadsSurely()) {
         return;
     }
+    const auto changedHolders = m_keys.takeChangedHolders();
     for (auto &[key, session] : m_sessions) {
         wire::PeerMessage message;
         auto &update = *message.mutable_update();
         update.set_term(m_group.term().value);
-        if (fillChanges(session, update)) {
+        const bool changed = fillChanges(session, update);
+        if (fillChangedLease(session, changedHolders, update) || changed) {
             session.channel->send(message);
         }
     }
@@ -273,11 +297,7 @@
 {
     const auto &state = m_group.state();
     bool changed = fillRouters(session, update);
-    if (state.manifest().version() > session.manifestVersion) {
-        session.manifestVersion = state.manifest().version();
-        *update.mutable_manifest() = state.manifest();
-        changed = true;
-    }
+    changed = fillManifest(session, update) || changed;
     if (!session.evacuationsSent || session.evacuationRevision != state.evacuationRevision()) {
         session.evacuationsSent = true;
         session.evacuationRevision = state.evacuationRevision();
@@ -292,20 +312,47 @@
         update.mutable_controllers()->Add(controllers.begin(), controllers.end());
         changed = true;
     }
-    for (const auto &[service, table] : state.tables()) {
+    return fillTables(session, update) || changed;
+}
+
+bool FleetController::fillManifest(Session &session, wire::FleetUpdate &update) const
+{
+    const auto &manifest = m_group.state().manifest();
+    if (manifest.version() <= session.manifestVersion) {
+        return false;
+    }
+    const bool historyIsCurrent = m_readVersion == manifest.version();
+    if (auto change = historyIsCurrent ? m_history.changesSince(session.manifestVersion) : std::nullopt) {
+        *update.mutable_manifest_change() = std::move(*change);
+    } else {
+        *update.mutable_manifest() = manifest;
+    }
+    session.manifestVersion = manifest.version();
+    return true;
+}
+
+bool FleetController::fillTables(Session &session, wire::FleetUpdate &update) const
+{
+    bool changed = false;
+    for (const auto &[service, table] : m_group.state().tables()) {
         auto &sent = session.tableRevisions[service];
         if (sent == table.revision) {
             continue;
         }
-        sent = table.revision;
         auto *out = update.add_tables();
         out->set_service(service);
         out->set_revision(table.revision);
+        out->set_base_revision(sent);
         for (const auto &row : table.keys.rows()) {
-            auto *it = out->add_rows();
-            *it = toWire(row);
-            it->clear_handover(); // Of use to the new holder only, who has it from the lease.
+            // The fencing token is the log index of the assignment, so it tells which rows the router has.
+            if (sent == 0 || row.fence > sent) {
+                auto *it = out->add_rows();
+                *it = toWire(row);
+                it->clear_handover(); // Of use to the new holder only, who has it from the lease.
+                it->clear_holder(); // Routers address the gateway beside the holder.
+            }
         }
+        sent = table.revision;
         changed = true;
     }
     return changed;
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/key_coordinator.h"
+#include "fleet/manifest_history.h"
 #include "fleet/replica_group.h"
 #include "manifest/manifest_codec.h"
 
@@ -38,6 +39,7 @@
     {
         std::shared_ptr<MessageChannel> channel;
         std::string router;
+        std::uint64_t lastAnnounce = 0; ///< Sequence number.
         std::uint64_t manifestVersion = 0;
         std::uint64_t evacuationRevision = 0;
         bool evacuationsSent = false;
@@ -54,21 +56,27 @@
     void noteLeadership();
     void dropSilent();
     void pushChanges();
+    void fillLease(const Session &session, const wire::InstanceReport &instance, wire::FleetUpdate &update);
+    bool fillChangedLease(const Session &session, const std::set<std::string> &changed, wire::FleetUpdate &update);
     bool fillChanges(Session &session, wire::FleetUpdate &update) const;
     bool fillRouters(Session &session, wire::FleetUpdate &update) const;
     bool listIsComplete() const;
     void readManifest();
+    bool fillManifest(Session &session, wire::FleetUpdate &update) const;
+    bool fillTables(Session &session, wire::FleetUpdate &update) const;
     std::vector<KeyHolder> keyHolders() const;
 
     EventLoop &m_loop;
     ReplicaGroup &m_group;
     const ManifestCodec &m_codec;
     Logger &m_logger;
+    SlicePlanner m_planner;
     KeyCoordinator m_keys;
     std::map<std::string, RouterEntry> m_routers; ///< By IP address.
     std::map<std::string, std::uint64_t> m_removed; ///< Revision at which a router left the list.
     std::uint64_t m_listRevision = 1;
     std::map<MessageChannel *, Session> m_sessions;
+    ManifestHistory m_history;
     std::vector<std::string> m_keyedServices;
     std::uint64_t m_readVersion = 0; ///< Version that m_keyedServices come from.
     bool m_leads = false;
--- a/src/fleet/key_coordinator.cpp
+++ b/src/fleet/key_coordinator.cpp
@@ -6,7 +6,7 @@
 #include "common/assert.h"
 
 #include <algorithm>
-#include <limits>
+#include <numeric>
 #include <set>
 
 namespace Toucandeck
@@ -19,23 +19,29 @@
 constexpr std::chrono::seconds kFreedKept{ 20 };
 constexpr std::chrono::minutes kEndedKept{ 2 };
 
-const KeyHolder *findHolder(const std::vector<const KeyHolder *> &holders, const std::string &incarnation)
+/// Demand that a lost holder reported is used for this long; by then its successors report their own.
+constexpr std::chrono::seconds kDemandKept{ 2 };
+
+std::optional<std::size_t> findHolder(const std::vector<const KeyHolder *> &holders, const std::string &incarnation)
 {
     const auto it = std::find_if(holders.begin(), holders.end(), [&](const auto *holder) { return holder->incarnation == incarnation; });
-    return it == holders.end() ? nullptr : *it;
+    return it == holders.end() ? std::nullopt : std::optional(static_cast<std::size_t>(it - holders.begin()));
 }
 
-KeyRange intersection(KeyRange a, KeyRange b)
+std::optional<std::size_t> findBeside(const std::vector<const KeyHolder *> &holders, const std::string &router)
 {
-    return { std::max(a.from, b.from), std::min(a.to, b.to) };
+    const auto it = std::find_if(holders.begin(), holders.end(), [&](const auto *holder) { return holder->router == router; });
+    return it == holders.end() ? std::nullopt : std::optional(static_cast<std::size_t>(it - holders.begin()));
 }
 
 } // namespace
 
-KeyCoordinator::KeyCoordinator(const Clock &clock, Logger &logger, const FleetState &state, KeyLeaseOptions options, Propose propose)
+KeyCoordinator::KeyCoordinator(
+    const Clock &clock, Logger &logger, const FleetState &state, const KeyPlanner &planner, KeyLeaseOptions options, Propose propose)
     : m_clock(clock)
     , m_logger(logger)
     , m_state(state)
+    , m_planner(planner)
     , m_options(options)
     , m_propose(std::move(propose))
     , m_leadsSince(clock.now())
@@ -142,124 +148,136 @@
         state.holdersChanged = now;
     }
     std::erase_if(state.freed, [now](const Freed &it) { return now - it.at > kFreedKept; });
-    if (state.proposing) {
+    noteDemand(state, announced);
+    if (state.proposing || usable.empty()) {
         return;
     }
     const auto found = m_state.tables().find(service);
     const KeyTable table = found == m_state.tables().end() ? KeyTable{} : found->second;
-    KeyRows rows = table.keys;
-    bool changed = grantFirst(table, state, usable, rows);
-    changed = takeFreed(state, usable, rows) || changed;
-    changed = takeExpired(state, usable, rows) || changed;
-    changed = takeLost(state, announced, usable, rows) || changed;
+    Round round{ announced, usable, table.keys, loadsOf(state, usable, table.keys) };
+    bool changed = grantFirst(table, state, round);
+    changed = takeFreed(state, round) || changed;
+    changed = takeExpired(state, round) || changed;
+    changed = takeLost(state, round) || changed;
     if (changed) {
-        propose(service, table, state, rows);
+        propose(service, table, state, round.rows);
         return;
     }
-    releaseFromLeaving(state, announced, usable, rows);
-    rebalance(state, usable, rows);
+    releaseFromLeaving(state, round);
+    rebalance(state, round);
 }
 
-bool KeyCoordinator::grantFirst(const KeyTable &table, ServiceState &state, const Holders &usable, KeyRows &rows)
+void KeyCoordinator::noteDemand(ServiceState &state, const Holders &announced) const
 {
-    if (table.revision != 0 || usable.empty() || m_clock.now() - state.holdersChanged < m_options.settle) {
-        return false;
+    const auto now = m_clock.now();
+    for (const auto *it : announced) {
+        state.demand[it->incarnation] = { it->demand, now };
     }
-    for (const auto &it : partitionEvenly(usable.size())) {
-        giveTo(rows, it.range, *usable[it.holder], {});
+    std::erase_if(state.demand, [now](const auto &it) { return now - it.second.at > kDemandKept; });
+}
+
+std::vector<DemandPoint> KeyCoordinator::allDemand(const ServiceState &state)
+{
+    std::vector<DemandPoint> demand;
+    for (const auto &[incarnation, it] : state.demand) {
+        demand.insert(demand.end(), it.points.begin(), it.points.end());
     }
-    return true;
+    std::sort(demand.begin(), demand.end(), [](const auto &a, const auto &b) { return a.key < b.key; });
+    return demand;
 }
 
-void KeyCoordinator::giveTo(KeyRows &rows, KeyRange range, const KeyHolder &to, const std::string &handover) const
+KeyLoads KeyCoordinator::loadsOf(const ServiceState &state, const Holders &usable, const KeyRows &rows)
 {
-    rows.assign({ range, to.incarnation, to.router, 0, handover });
+    std::vector<double> capacities;
+    std::map<std::string, std::size_t> indices;
+    for (const auto *it : usable) {
+        indices[it->incarnation] = capacities.size();
+        capacities.push_back(it->capacity);
+    }
+    KeyLoads loads(allDemand(state), std::move(capacities));
+    for (const auto &row : rows.rows()) {
+        if (const auto it = indices.find(row.holder); it != indices.end()) {
+            loads.give(row.range, it->second);
+        }
+    }
+    return loads;
 }
 
-const KeyHolder *KeyCoordinator::besideRouter(const Holders &usable, const std::string &router)
+bool KeyCoordinator::grantFirst(const KeyTable &table, const ServiceState &state, Round &round) const
 {
-    const auto it = std::find_if(usable.begin(), usable.end(), [&router](const auto *holder) { return holder->router == router; });
-    return it == usable.end() ? nullptr : *it;
+    if (table.revision != 0 || m_clock.now() - state.holdersChanged < m_options.settle) {
+        return false;
+    }
+    for (const auto &it : partitionEvenly(round.usable.size())) {
+        giveTo(round, it.range, it.holder, {});
+    }
+    return true;
 }
 
-const KeyHolder &KeyCoordinator::pickReceiver(const Holders &usable, const KeyRows &rows, const std::string &wanted)
+void KeyCoordinator::giveTo(Round &round, KeyRange range, std::size_t holder, const std::string &handover)
 {
-    TOUCANDECK_ASSERT(!usable.empty(), "keys can only be given to a holder");
-    if (const auto *holder = findHolder(usable, wanted)) {
-        return *holder;
+    const auto &to = *round.usable[holder];
+    round.rows.assign({ range, to.incarnation, to.router, 0, handover });
+    round.loads.give(range, holder);
+}
+
+void KeyCoordinator::giveTo(Round &round, KeyRange range, const std::string &wanted, const std::string &handover)
+{
+    if (const auto holder = findHolder(round.usable, wanted)) {
+        giveTo(round, range, *holder, handover);
+        return;
     }
-    const KeyHolder *best = usable.front();
-    double lowest = std::numeric_limits<double>::max();
-    for (const auto *it : usable) {
-        double rate = 0;
-        for (const auto &point : it->demand) {
-            rate += point.rate;
-        }
-        std::uint32_t keys = 0;
-        for (const auto &row : rows.heldBy(it->incarnation)) {
-            keys += row.range.size();
-        }
-        // Without demand the number of keys decides.
-        const double load = (rate + keys / static_cast<double>(kKeyCount)) / it->capacity;
-        if (load < lowest) {
-            best = it;
-            lowest = load;
-        }
+    for (const auto &it : round.loads.spread(range)) {
+        const auto &to = *round.usable[it.holder];
+        round.rows.assign({ it.range, to.incarnation, to.router, 0, handover });
     }
-    return *best;
 }
 
-bool KeyCoordinator::takeFreed(ServiceState &state, const Holders &usable, KeyRows &rows)
+bool KeyCoordinator::takeFreed(const ServiceState &state, Round &round) const
 {
     bool changed = false;
     for (const auto &freed : state.freed) {
-        const auto before = rows.rows();
+        const auto before = round.rows.rows();
         for (const auto &row : before) {
             if (concerns(freed, freed.incarnation, row)) {
-                changed = placeFreed(state, usable, rows, intersection(row.range, freed.range), freed) || changed;
+                changed = placeFreed(state, round, intersection(row.range, freed.range), freed) || changed;
             }
         }
     }
     return changed;
 }
 
-bool KeyCoordinator::placeFreed(const ServiceState &state, const Holders &usable, KeyRows &rows, KeyRange range, const Freed &freed) const
+bool KeyCoordinator::placeFreed(const ServiceState &state, Round &round, KeyRange range, const Freed &freed) const
 {
-    if (usable.empty()) {
-        return false;
-    }
     // One released range can hold the keys of several receivers.
     for (const auto &release : state.releases) {
         if (release.from != freed.incarnation || release.fence != freed.fence || !release.range.overlaps(range)) {
             continue;
         }
-        giveTo(rows, intersection(range, release.range), pickReceiver(usable, rows, release.to), freed.handover);
+        giveTo(round, intersection(range, release.range), release.to, freed.handover);
     }
-    for (const auto &row : rows.heldBy(freed.incarnation)) {
+    for (const auto &row : round.rows.heldBy(freed.incarnation)) {
         if (concerns(freed, freed.incarnation, row) && row.range.overlaps(range)) {
-            giveTo(rows, intersection(row.range, range), pickReceiver(usable, rows, {}), freed.handover);
+            giveTo(round, intersection(row.range, range), std::string(), freed.handover);
         }
     }
     return true;
 }
 
-bool KeyCoordinator::takeExpired(ServiceState &state, const Holders &usable, KeyRows &rows)
+bool KeyCoordinator::takeExpired(const ServiceState &state, Round &round) const
 {
-    if (usable.empty()) {
-        return false;
-    }
     bool changed = false;
     const auto now = m_clock.now();
     for (const auto &release : state.releases) {
         if (now < release.freeAt) {
             continue;
         }
-        const auto before = rows.rows();
+        const auto before = round.rows.rows();
         for (const auto &row : before) {
             if (!concerns(release, release.from, row)) {
                 continue;
             }
-            giveTo(rows, intersection(row.range, release.range), pickReceiver(usable, rows, release.to), {});
+            giveTo(round, intersection(row.range, release.range), release.to, {});
             changed = true;
         }
     }
@@ -271,19 +289,19 @@
     if (incarnation.empty() || m_ended.count(incarnation) != 0) {
         return true;
     }
-    return findHolder(announced, incarnation) == nullptr && m_clock.now() >= leaseEnd(incarnation);
+    return !findHolder(announced, incarnation) && m_clock.now() >= leaseEnd(incarnation);
 }
 
-bool KeyCoordinator::takeLost(ServiceState &state, const Holders &announced, const Holders &usable, KeyRows &rows)
+bool KeyCoordinator::takeLost(ServiceState &state, Round &round)
 {
-    if (usable.empty() || rows == KeyRows()) {
+    if (round.rows == KeyRows()) {
         return false;
     }
     bool changed = false;
     std::set<std::string> lost;
-    const auto before = rows.rows();
+    const auto before = round.rows.rows();
     for (const auto &row : before) {
-        if (!isFree(row.holder, announced)) {
+        if (!isFree(row.holder, round.announced)) {
             continue;
         }
         if (lost.insert(row.holder).second && !row.holder.empty()) {
@@ -294,8 +312,8 @@
                              field("process_ended", m_ended.count(row.holder)) });
         }
         // The next incarnation at the same place gets the same keys, so that a balanced partition survives a restart of all.
-        const auto *next = besideRouter(usable, row.router);
-        giveTo(rows, row.range, next != nullptr ? *next : pickReceiver(usable, rows, {}), {});
+        const auto next = findBeside(round.usable, row.router);
+        giveTo(round, row.range, next ? round.usable[*next]->incarnation : std::string(), {});
         changed = true;
     }
     std::erase_if(state.releases, [&lost](const Release &it) { return lost.count(it.from) != 0; });
@@ -305,6 +323,7 @@
 void KeyCoordinator::startRelease(ServiceState &state, const KeyRow &row, KeyRange range, const KeyHolder &to)
 {
     state.releases.push_back({ range, row.holder, row.fence, to.incarnation, leaseEnd(row.holder) });
+    m_changedHolders.insert(row.holder);
     m_logger.write(FleetEvents::kKeysReleasing,
                    { field("from", range.from),
                      field("to", range.to),
@@ -313,104 +332,50 @@
                      field("fence", row.fence) });
 }
 
-void KeyCoordinator::releaseFromLeaving(ServiceState &state, const Holders &announced, const Holders &usable, const KeyRows &rows)
+void KeyCoordinator::releaseFromLeaving(ServiceState &state, Round &round)
 {
-    if (usable.empty()) {
-        return;
-    }
-    std::size_t next = 0;
-    for (const auto &row : rows.rows()) {
-        const auto *holder = findHolder(announced, row.holder);
+    for (const auto &row : round.rows.rows()) {
+        const auto holder = findHolder(round.announced, row.holder);
         const auto concernsRow = [&row](const Release &it) { return concerns(it, it.from, row); };
         const bool known = std::any_of(state.releases.begin(), state.releases.end(), concernsRow);
-        if (holder != nullptr && !holder->mayHold && !known) {
-            startRelease(state, row, row.range, *usable[next++ % usable.size()]);
-        }
-    }
-}
-
-KeyCoordinator::Holders KeyCoordinator::inKeyOrder(const Holders &usable, const KeyRows &rows)
-{
-    Holders ordered;
-    for (const auto &row : rows.rows()) {
-        const auto *holder = findHolder(usable, row.holder);
-        if (holder == nullptr) {
-            return {};
+        if (!holder || round.announced[*holder]->mayHold || known) {
+            continue;
         }
-        if (findHolder(ordered, row.holder) == nullptr) {
-            ordered.push_back(holder);
+        for (const auto &it : round.loads.spread(row.range)) {
+            startRelease(state, row, it.range, *round.usable[it.holder]);
         }
     }
-    return ordered;
 }
 
-void KeyCoordinator::rebalance(ServiceState &state, const Holders &usable, const KeyRows &rows)
+void KeyCoordinator::rebalance(ServiceState &state, const Round &round)
 {
     const auto now = m_clock.now();
-    if (!state.releases.empty() || usable.empty() || now - state.lastRebalance < m_options.rebalanceInterval) {
+    if (!state.releases.empty() || now - state.lastRebalance < m_options.rebalanceInterval) {
         return;
     }
-    auto ordered = inKeyOrder(usable, rows);
-    if (ordered.empty()) {
-        return; // A lost holder's keys come first.
-    }
-    std::vector<DemandPoint> demand;
-    double rate = 0;
-    std::size_t busiest = 0;
-    double busiestLoad = -1;
-    for (std::size_t i = 0; i < ordered.size(); ++i) {
-        double own = 0;
-        for (const auto &it : ordered[i]->demand) {
-            demand.push_back(it);
-            own += it.rate;
-        }
-        rate += own;
-        if (own / ordered[i]->capacity > busiestLoad) {
-            busiestLoad = own / ordered[i]->capacity;
-            busiest = i;
-        }
-    }
-    std::sort(demand.begin(), demand.end(), [](const auto &a, const auto &b) { return a.key < b.key; });
-    if (rate < m_options.minimumRate) {
-        demand.clear();
-    }
-    const auto withKeys = ordered.size();
-    for (const auto *it : usable) {
-        if (findHolder(ordered, it->incarnation) == nullptr) {
-            // Beside the busiest holder, so that few keys move.
-            ordered.insert(ordered.begin() + static_cast<std::ptrdiff_t>(busiest) + 1, it);
-        }
-    }
-    const bool joins = ordered.size() > withKeys;
-    if (demand.empty() && !joins) {
-        return;
-    }
-    std::vector<double> capacities;
     std::vector<PlannedRange> present;
-    for (std::size_t i = 0; i < ordered.size(); ++i) {
-        capacities.push_back(ordered[i]->capacity);
-        for (const auto &row : rows.heldBy(ordered[i]->incarnation)) {
-            present.push_back({ row.range, i });
+    std::vector<double> capacities;
+    for (const auto &row : round.rows.rows()) {
+        const auto holder = findHolder(round.usable, row.holder);
+        if (!holder) {
+            return; // A lost holder's keys come first.
         }
+        present.push_back({ row.range, *holder });
     }
-    const auto plan = partitionByDemand(demand, capacities);
-    const double peak = peakUtilisation(present, demand, capacities);
-    if (!joins && peak < m_options.rebalanceUtilisation) {
-        return;
+    for (const auto *it : round.usable) {
+        capacities.push_back(it->capacity);
     }
-    if (demand.empty() || peakUtilisation(plan, demand, capacities) < m_options.rebalanceGain * peak) {
-        state.lastRebalance = now;
-        startReleases(state, plan, ordered, rows);
+    auto demand = allDemand(state);
+    const double rate = std::accumulate(demand.begin(), demand.end(), 0.0, [](double sum, const auto &it) { return sum + it.rate; });
+    if (rate < m_options.minimumRate) {
+        demand.clear();
     }
-}
-
-void KeyCoordinator::startReleases(ServiceState &state, const std::vector<PlannedRange> &plan, const Holders &ordered, const KeyRows &rows)
-{
-    for (const auto &planned : plan) {
-        const auto &receiver = *ordered[planned.holder];
-        for (const auto &row : rows.rows()) {
-            if (row.holder != receiver.incarnation && row.range.overlaps(planned.range)) {
-                startRelease(state, row, intersection(row.range, planned.range), receiver);
+    const auto moves = m_planner.plan(demand, present, capacities);
+    state.lastRebalance = moves.empty() ? state.lastRebalance : now;
+    for (const auto &move : moves) {
+        for (const auto &row : round.rows.rows()) {
+            if (row.holder == round.usable[move.from]->incarnation && row.range.overlaps(move.range)) {
+                startRelease(state, row, intersection(row.range, move.range), *round.usable[move.to]);
             }
         }
     }
@@ -440,6 +405,11 @@
         if (!committed) {
             return;
         }
+        for (const auto &row : rows.rows()) {
+            if (!row.holder.empty() && row.fence == 0) {
+                m_changedHolders.insert(row.holder);
+            }
+        }
         // A release is over once the keys have another holder.
         std::erase_if(current.releases, [&rows](const Release &it) {
             const auto &all = rows.rows();
@@ -461,4 +431,9 @@
     return n;
 }
 
+std::set<std::string> KeyCoordinator::takeChangedHolders()
+{
+    return std::exchange(m_changedHolders, {});
+}
+
 } // namespace Toucandeck
--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -2,13 +2,14 @@
 
 #include "common/clock.h"
 #include "fleet/fleet_state.h"
-#include "fleet/key_partition.h"
+#include "fleet/key_planner.h"
 #include "log/logger.h"
 
 #include <functional>
 #include <map>
 #include <optional>
 #include <peer.pb.h>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,7 @@
     Duration lease = std::chrono::milliseconds(3500); ///< Counts at the router from the sending of its announcement.
     double clockDrift = 0.03; ///< By which a holder's clock may run slow, with a margin.
     Duration settle = std::chrono::milliseconds(1200); ///< First keys are granted when no holder has joined for this long.
-    Duration rebalanceInterval = std::chrono::seconds(2);
-    double rebalanceUtilisation = 0.75; ///< Of the busiest holder; below it no keys move.
-    double rebalanceGain = 0.7; ///< Keys move only if the peak utilisation falls below this share of the present one.
+    Duration rebalanceInterval = std::chrono::seconds(1);
     double minimumRate = 10; ///< Requests per second below which demand says too little to move keys.
 };
 
@@ -49,7 +48,9 @@
     /// Proposes a complete key table; the callback tells whether it was committed.
     using Propose = std::function<void(const wire::KeyTable &, std::function<void(bool)>)>;
 
-    KeyCoordinator(const Clock &clock, Logger &logger, const FleetState &state, KeyLeaseOptions options, Propose propose);
+    /// @param planner decides which keys move because of load; all references must outlive the coordinator.
+    KeyCoordinator(
+        const Clock &clock, Logger &logger, const FleetState &state, const KeyPlanner &planner, KeyLeaseOptions options, Propose propose);
 
     /// This controller begins to lead. All leases may have been renewed until now.
     void leadershipGained();
@@ -72,6 +73,9 @@
     /// Keys that a holder is to release and that are not free yet.
     std::size_t releasing() const;
 
+    /// Incarnations whose grants have changed since the last call; they should hear of it at once.
+    std::set<std::string> takeChangedHolders();
+
 private:
     struct Release
     {
@@ -91,10 +95,17 @@
         TimePoint at;
     };
 
+    struct ReportedDemand
+    {
+        std::vector<DemandPoint> points;
+        TimePoint at;
+    };
+
     struct ServiceState
     {
         std::vector<Release> releases;
         std::vector<Freed> freed;
+        std::map<std::string, ReportedDemand> demand; ///< By incarnation, also of those that were just lost.
         std::size_t holdersSeen = 0;
         TimePoint holdersChanged;
         TimePoint lastRebalance;
@@ -103,6 +114,15 @@
 
     using Holders = std::vector<const KeyHolder *>;
 
+    /// The holders of a service at one time, and the keys as this round of decisions leaves them.
+    struct Round
+    {
+        Holders announced;
+        Holders usable; ///< May be given keys; not empty.
+        KeyRows rows;
+        KeyLoads loads; ///< Of the usable ones.
+    };
+
     /// The row still stands as it did when its keys were released.
     template<class T>
     static bool concerns(const T &it, const std::string &holder, const KeyRow &row)
@@ -113,31 +133,33 @@
     TimePoint leaseEnd(const std::string &incarnation) const;
     bool isFree(const std::string &incarnation, const Holders &announced) const;
     void tickService(const std::string &service, const Holders &announced);
-    bool grantFirst(const KeyTable &table, ServiceState &state, const Holders &usable, KeyRows &rows);
-    bool takeFreed(ServiceState &state, const Holders &usable, KeyRows &rows);
-    bool placeFreed(const ServiceState &state, const Holders &usable, KeyRows &rows, KeyRange range, const Freed &freed) const;
-    bool takeExpired(ServiceState &state, const Holders &usable, KeyRows &rows);
-    bool takeLost(ServiceState &state, const Holders &announced, const Holders &usable, KeyRows &rows);
-    void releaseFromLeaving(ServiceState &state, const Holders &announced, const Holders &usable, const KeyRows &rows);
-    void rebalance(ServiceState &state, const Holders &usable, const KeyRows &rows);
-    static Holders inKeyOrder(const Holders &usable, const KeyRows &rows);
-    void startReleases(ServiceState &state, const std::vector<PlannedRange> &plan, const Holders &ordered, const KeyRows &rows);
+    void noteDemand(ServiceState &state, const Holders &announced) const;
+    static std::vector<DemandPoint> allDemand(const ServiceState &state);
+    static KeyLoads loadsOf(const ServiceState &state, const Holders &usable, const KeyRows &rows);
+    bool grantFirst(const KeyTable &table, const ServiceState &state, Round &round) const;
+    bool takeFreed(const ServiceState &state, Round &round) const;
+    bool placeFreed(const ServiceState &state, Round &round, KeyRange range, const Freed &freed) const;
+    bool takeExpired(const ServiceState &state, Round &round) const;
+    bool takeLost(ServiceState &state, Round &round);
+    void releaseFromLeaving(ServiceState &state, Round &round);
+    void rebalance(ServiceState &state, const Round &round);
     void startRelease(ServiceState &state, const KeyRow &row, KeyRange range, const KeyHolder &to);
-    void giveTo(KeyRows &rows, KeyRange range, const KeyHolder &to, const std::string &handover) const;
-    static const KeyHolder *besideRouter(const Holders &usable, const std::string &router);
-    /// The holder wanted if it can have keys, else the one with least to do. @p usable is not empty.
-    static const KeyHolder &pickReceiver(const Holders &usable, const KeyRows &rows, const std::string &wanted);
+    /// Gives keys to the holder wanted if it can have them, else to those with least to do.
+    static void giveTo(Round &round, KeyRange range, const std::string &wanted, const std::string &handover);
+    static void giveTo(Round &round, KeyRange range, std::size_t holder, const std::string &handover);
     void propose(const std::string &service, const KeyTable &table, ServiceState &state, const KeyRows &rows);
 
     const Clock &m_clock;
     Logger &m_logger;
     const FleetState &m_state;
+    const KeyPlanner &m_planner;
     KeyLeaseOptions m_options;
     Propose m_propose;
     TimePoint m_leadsSince;
     std::map<std::string, TimePoint> m_leaseEnds; ///< By incarnation.
     std::map<std::string, TimePoint> m_ended; ///< Incarnations whose process has ended, and since when that is known.
     std::map<std::string, ServiceState> m_services;
+    std::set<std::string> m_changedHolders;
 };
 
 } // namespace Toucandeck
--- a/src/fleet/key_rows.cpp
+++ b/src/fleet/key_rows.cpp
@@ -7,6 +7,11 @@
 namespace Toucandeck
 {
 
+KeyRange intersection(KeyRange a, KeyRange b)
+{
+    return { std::max(a.from, b.from), std::min(a.to, b.to) };
+}
+
 bool KeyRow::sameGrant(const KeyRow &other) const
 {
     return holder == other.holder && router == other.router && fence == other.fence && handover == other.handover;
--- a/src/fleet/key_rows.h
+++ b/src/fleet/key_rows.h
@@ -39,6 +39,9 @@
     }
 };
 
+/// Keys in both ranges, which must overlap.
+KeyRange intersection(KeyRange a, KeyRange b);
+
 /// Keys of a service with their holder.
 struct KeyRow
 {
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -31,6 +31,8 @@
     m_updated = m_clock.now();
     if (update.has_manifest()) {
         applyManifest(update.manifest());
+    } else if (update.has_manifest_change()) {
+        applyChange(update.manifest_change());
     }
     if (update.has_evacuations()) {
         m_evacuated = { update.evacuated().begin(), update.evacuated().end() };
@@ -43,7 +45,8 @@
     if (listed) {
         applyGateways(update);
     }
-    if (m_changed && (listed || update.has_manifest() || update.has_evacuations() || update.tables_size() > 0)) {
+    if (m_changed
+        && (listed || update.has_manifest() || update.has_manifest_change() || update.has_evacuations() || update.tables_size() > 0)) {
         m_changed();
     }
 }
@@ -56,16 +59,61 @@
     handleError(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(manifest, m_codec.decode(document));
-            m_manifest = LoadedManifest::create(std::move(manifest));
-            m_logger.write(GatewayEvents::kManifestInForce,
-                           { field("version", document.version()),
-                             field("routes", document.routes_size()),
-                             field("services", document.services_size()) });
+            putInForce(std::move(manifest), document);
             return {};
         },
-        [&](const Error &error) {
-            m_logger.write(GatewayEvents::kManifestUnreadable, { field("version", document.version()), field("error", error.message) });
-        });
+        [&](const Error &error) { logUnreadable(document.version(), error.message); });
+}
+
+void FleetView::applyChange(const wire::ChangeManifest &change)
+{
+    const auto &upsert = change.upsert();
+    if (upsert.version() <= manifestVersion()) {
+        return;
+    }
+    if (!m_manifest || manifestVersion() < change.base_version()) {
+        logUnreadable(upsert.version(), fmt::format("it builds on version {}, which is not here", change.base_version()));
+        return;
+    }
+    handleError(
+        [&]() -> Result<void> {
+            BOOST_LEAF_AUTO(changed, m_codec.decode(upsert));
+            auto manifest = m_manifest->manifest;
+            manifest.version = upsert.version();
+            for (const auto &it : change.removed_routes()) {
+                manifest.routes.erase(it);
+            }
+            for (const auto &it : change.removed_services()) {
+                manifest.services.erase(it);
+            }
+            for (auto &[name, it] : changed.routes) {
+                manifest.routes[name] = std::move(it);
+            }
+            for (auto &[name, it] : changed.services) {
+                manifest.services[name] = std::move(it);
+            }
+            if (!upsert.limits().empty()) {
+                manifest.limits = changed.limits;
+            }
+            putInForce(std::move(manifest), upsert);
+            return {};
+        },
+        [&](const Error &error) { logUnreadable(upsert.version(), error.message); });
+}
+
+void FleetView::putInForce(Manifest manifest, const wire::ManifestDocument &received)
+{
+    m_manifest = LoadedManifest::create(std::move(manifest));
+    m_logger.write(GatewayEvents::kManifestInForce,
+                   { field("version", m_manifest->manifest.version),
+                     field("routes", m_manifest->manifest.routes.size()),
+                     field("services", m_manifest->manifest.services.size()),
+                     field("received_routes", received.routes_size()) });
+}
+
+void FleetView::logUnreadable(std::uint64_t version, const std::string &error)
+{
+    m_logger.write(GatewayEvents::kManifestUnreadable, { field("version", version), field("error", error) });
 }
 
 void FleetView::applyTable(const wire::KeyTable &table)
@@ -74,15 +122,25 @@
     if (table.revision() <= current.revision) {
         return;
     }
+    if (current.revision < table.base_revision()) {
+        logUnreadable(table.revision(), fmt::format("the key table builds on revision {}, which is not here", table.base_revision()));
+        return;
+    }
     std::vector<KeyRow> rows;
     for (const auto &it : table.rows()) {
         rows.push_back(fromWire(it));
     }
-    if (!KeyRows::isComplete(rows)) {
-        m_logger.write(GatewayEvents::kManifestUnreadable, { field("version", table.revision()), field("error", "a key table has gaps") });
+    if (table.base_revision() != 0) {
+        for (const auto &it : rows) {
+            current.keys.assign(it);
+        }
+    } else if (KeyRows::isComplete(rows)) {
+        current.keys = KeyRows(std::move(rows));
+    } else {
+        logUnreadable(table.revision(), "the key table has gaps");
         return;
     }
-    current = { table.revision(), KeyRows(std::move(rows)) };
+    current.revision = table.revision();
     m_logger.write(GatewayEvents::kKeyTable,
                    { field("service", table.service()), field("revision", table.revision()), field("rows", table.rows_size()) });
 }
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -75,6 +75,10 @@
     };
 
     void applyManifest(const wire::ManifestDocument &document);
+    void applyChange(const wire::ChangeManifest &change);
+    /// @param received is what this update carried of the manifest.
+    void putInForce(Manifest manifest, const wire::ManifestDocument &received);
+    void logUnreadable(std::uint64_t version, const std::string &error);
     void applyTable(const wire::KeyTable &table);
     void applyGateways(const wire::FleetUpdate &update);
     void indexGateways();
--- a/test/gateway/test_fleet_view.cpp
+++ b/test/gateway/test_fleet_view.cpp
@@ -18,6 +18,9 @@
         }
         Manifest manifest;
         manifest.version = document.version();
+        for (const auto &[name, text] : document.routes()) {
+            manifest.routes[name].host = text;
+        }
         return manifest;
     }
 };
@@ -92,3 +95,67 @@
     }
     EXPECT_EQ(m_view.holderOf("svc", 1)->router, "9");
 }
+
+TEST_F(FleetViewTest, MergesChangesOfTheManifest)
+{
+    wire::FleetUpdate whole;
+    whole.mutable_manifest()->set_version(4);
+    (*whole.mutable_manifest()->mutable_routes())["kept"] = "a";
+    (*whole.mutable_manifest()->mutable_routes())["removed"] = "b";
+    m_view.apply(whole);
+    wire::FleetUpdate update;
+    auto &change = *update.mutable_manifest_change();
+    change.set_base_version(3);
+    change.mutable_upsert()->set_version(6);
+    (*change.mutable_upsert()->mutable_routes())["added"] = "c";
+    change.add_removed_routes("removed");
+    m_view.apply(update);
+    const auto &routes = m_view.manifest()->manifest.routes;
+    EXPECT_EQ(m_view.manifestVersion(), 6U);
+    EXPECT_EQ(routes.size(), 2U);
+    EXPECT_EQ(routes.at("kept").host, "a");
+    EXPECT_EQ(routes.at("added").host, "c");
+}
+
+TEST_F(FleetViewTest, IgnoresChangesThatBuildOnAManifestThatItLacks)
+{
+    manifest(4);
+    wire::FleetUpdate update;
+    update.mutable_manifest_change()->set_base_version(5);
+    update.mutable_manifest_change()->mutable_upsert()->set_version(6);
+    m_view.apply(update);
+    EXPECT_EQ(m_view.manifestVersion(), 4U);
+}
+
+TEST_F(FleetViewTest, MergesChangedRowsOfAKeyTable)
+{
+    const auto row = [](wire::KeyTable &table, std::uint32_t from, std::uint32_t to, const std::string &router, std::uint64_t fence) {
+        auto &it = *table.add_rows();
+        it.set_from(from);
+        it.set_to(to);
+        it.set_router(router);
+        it.set_fence(fence);
+    };
+    wire::FleetUpdate whole;
+    auto &table = *whole.add_tables();
+    table.set_service("svc");
+    table.set_revision(3);
+    row(table, 0, 999, "a", 3);
+    row(table, 1000, kKeyCount - 1, "b", 3);
+    m_view.apply(whole);
+    wire::FleetUpdate update;
+    auto &change = *update.add_tables();
+    change.set_service("svc");
+    change.set_revision(8);
+    change.set_base_revision(3);
+    row(change, 500, 1499, "c", 8);
+    m_view.apply(update);
+    EXPECT_EQ(m_view.holderOf("svc", 499)->router, "a");
+    EXPECT_EQ(m_view.holderOf("svc", 500)->router, "c");
+    EXPECT_EQ(m_view.holderOf("svc", 1499)->router, "c");
+    EXPECT_EQ(m_view.holderOf("svc", 1500)->router, "b");
+    change.set_revision(12);
+    change.set_base_revision(9);
+    m_view.apply(update);
+    EXPECT_EQ(m_view.tableRevision("svc"), 8U); // It lacks revision 9.
+}
