Soak gateways and controllers as real processes under faults from outside

prove_fleet starts five controllers and eight gateways as separate processes, each with a loopback address of its own, with a stand-in backend server beside each gateway behind a relay. Checked from outside: no request that is not idempotent runs twice, none runs after it was said not to have run, no two backend servers hold a key that one of them serves, fencing tokens grow, answers belong to their requests, acknowledged manifests are read back, and after the faults all keys have holders within 15 s and 95 in 100 requests are served.

The stand-in backend server and client of the test of the path move to standin/platform and serve both. RunAudit has tests that show each broken promise reported.

Connections between gateways and controllers are not relayed yet, only suspended.

--- /dev/null
+++ b/prove/fleet/fleet.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "child_process.h"
+#include "link_relay.h"
+#include "platform/platform_backend.h"
+
+#include <set>
+
+namespace Toucandeck::Prove
+{
+
+struct FleetOptions
+{
+    std::string program; ///< Path of toucandeck-platformd.
+    std::string folder; ///< For settings, disks and logs.
+    int gateways = 8;
+};
+
+/// Real controllers and gateways as separate processes, each with a loopback address of its own, and a stand-in backend server beside
+/// each gateway, reached through a relay.
+class Fleet
+{
+public:
+    static constexpr int kControllers = 5;
+    static constexpr int kDomains = 4;
+
+    Fleet(EventLoop &loop, FleetOptions options);
+    ~Fleet();
+    Fleet(const Fleet &) = delete;
+    Fleet &operator=(const Fleet &) = delete;
+
+    Result<void> start();
+
+    int gateways() const;
+    using ChildProcess = Standin::ChildProcess;
+
+    ChildProcess &controller(int i);
+    ChildProcess &gateway(int i);
+    Standin::PlatformBackend &backend(int i);
+    Standin::LinkRelay &link(int i);
+    SocketAddress outbound(int i) const;
+    static std::string domainOf(int i);
+
+    Result<void> restartController(int i);
+    Result<void> restartGateway(int i);
+    /// The disk of a controller is lost; its process must not run.
+    void wipe(int i);
+
+    /// Sends an operator's call to one controller after the other until one gives a final answer. The status; zero for none.
+    int order(const std::string &method, const std::string &target, const std::string &body, std::string *answer = nullptr);
+    std::string manifest(std::uint64_t version, std::uint64_t base) const;
+
+    /// Waits until backend servers hold all keys of the keyed service and each gateway is ready; false if they do not within @p limit.
+    bool awaitService(Duration limit);
+
+    Standin::RunAudit &audit();
+
+private:
+    bool isServing();
+    std::string ip(int number) const;
+    std::string controllerIp(int i) const;
+    std::string gatewayIp(int i) const;
+    Result<std::unique_ptr<ChildProcess>> startProcess(const std::string &name, const nlohmann::json &settings);
+    nlohmann::json commonSettings(const std::string &name, const std::string &ip) const;
+
+    EventLoop &m_loop;
+    FleetOptions m_options;
+    Standin::RunAudit m_audit;
+    std::vector<std::unique_ptr<ChildProcess>> m_controllers;
+    std::vector<std::unique_ptr<ChildProcess>> m_gateways;
+    std::vector<std::unique_ptr<Standin::LinkRelay>> m_links;
+    std::vector<std::unique_ptr<Standin::PlatformBackend>> m_backends;
+    bool m_firstStart = true;
+};
+
+} // namespace Toucandeck::Prove
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -2,6 +2,8 @@
 // announce themselves and hold keys, and requests through any gateway. Each node has a loopback address of its own.
 #include "fleet/controller.h"
 #include "gateway/gateway.h"
+#include "platform/one_shot_client.h"
+#include "platform/platform_backend.h"
 #include "platform/platform_interface.h"
 
 #include <filesystem>
@@ -11,6 +13,7 @@
 #include <unistd.h>
 
 using namespace Toucandeck;
+using namespace Toucandeck::Standin;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -32,105 +35,6 @@
 
 constexpr seconds kLimit{ 30 }; ///< For any step; far more than it takes.
 
-/// One HTTP request over a connection of its own.
-class Client
-{
-public:
-    Client(EventLoop &loop, const SocketAddress &address)
-        : m_loop(loop)
-        , m_connection(loop, address, std::string())
-    {
-    }
-
-    std::optional<HttpResponse> send(const HttpRequest &request)
-    {
-        std::optional<BackendResult> result;
-        m_connection.send(request, std::string(), [&result](BackendResult it) { result = std::move(it); });
-        m_loop.runUntil([&result] { return result.has_value(); }, kLimit);
-        return result && result->error == BackendError::None ? std::optional(result->response) : std::nullopt;
-    }
-
-private:
-    EventLoop &m_loop;
-    BackendConnection m_connection;
-};
-
-/// A backend server that beats, holds the keys that it is told to, and refuses requests for others.
-class StandInBackend
-{
-public:
-    StandInBackend(EventLoop &loop, const std::string &ip, std::string service)
-        : m_loop(loop)
-        , m_ip(ip)
-        , m_service(std::move(service))
-    {
-        m_server
-            = PipelinedServer::create(
-                  loop, { ip, kBackendPort }, [] { return HttpLimits{}; }, [this](const std::shared_ptr<HttpExchange> &it) { serve(it); })
-                  .value();
-        m_timer = loop.every(milliseconds(200), [this] { beat(); });
-    }
-
-    int m_runs = 0;
-    nlohmann::json m_holds = nlohmann::json::array();
-
-private:
-    void serve(const std::shared_ptr<HttpExchange> &exchange)
-    {
-        const auto &request = exchange->request();
-        HttpResponse response;
-        response.headers.push_back({ "X-Toucandeck-Request-Id", std::string(request.header("X-Toucandeck-Request-Id").value_or("")) });
-        const auto key = std::stoul(std::string(request.header("X-Toucandeck-Shard-Key").value_or("0")));
-        if (!holds(key) || request.header("X-Toucandeck-Expected-Instance") != "i-" + m_ip) {
-            response.status = 421;
-            response.headers.push_back({ "X-Toucandeck-Not-Executed", "1" });
-        } else {
-            ++m_runs;
-            response.headers.push_back({ "X-Toucandeck-Response-Seal", "seal" });
-            response.body = std::string(request.header("X-Toucandeck-Caller-Service").value_or(""));
-        }
-        exchange->respond(std::move(response));
-    }
-
-    bool holds(unsigned long key) const
-    {
-        return std::any_of(m_holds.begin(), m_holds.end(), [key](const auto &it) { return it[0] <= key && key <= it[1]; });
-    }
-
-    void beat()
-    {
-        nlohmann::json body{ { "service", m_service },
-                             { "address", SocketAddress{ m_ip, kBackendPort }.toString() },
-                             { "zone", m_ip },
-                             { "version", "v1" },
-                             { "slots", 4 },
-                             { "state", "ready" },
-                             { "coldRemaining", "0ms" },
-                             { "seqNum", ++m_sequence },
-                             { "born", 1 },
-                             { "holds", nlohmann::json::array() } };
-        for (const auto &it : m_holds) {
-            body["holds"].push_back({ it[0], it[1], it[2] });
-        }
-        HttpRequest request{ "POST", "/toucandeck/instances/i-" + m_ip + "/heartbeat", { { "Host", "x" } }, body.dump() };
-        m_connection = std::make_unique<BackendConnection>(m_loop, SocketAddress{ m_ip, kInstancePort }, std::string());
-        m_connection->send(request, std::string(), [this](const BackendResult &result) {
-            const auto answer = nlohmann::json::parse(result.response.body, nullptr, false);
-            if (answer.is_object() && answer.contains("holds")) {
-                m_holds = answer["holds"];
-            }
-        });
-    }
-
-    EventLoop &m_loop;
-    std::string m_ip;
-    std::string m_service;
-    std::uint64_t m_sequence = 0;
-    std::unique_ptr<PipelinedServer> m_server;
-    std::unique_ptr<BackendConnection> m_connection;
-    EventLoop::Watch m_timer;
-};
-
 class FleetPathTest : public testing::Test
 {
 protected:
@@ -186,7 +90,14 @@
         m_gateways.push_back(Gateway::create(parts, options).value());
         auto *it = m_gateways.back().get();
         serve({ ip, kInstancePort }, [this, it](const auto &exchange) { m_interface.handleInstance(*it, exchange); });
-        m_backends.push_back(std::make_unique<StandInBackend>(*m_loop, ip, "svc"));
+        PlatformBackendOptions backend;
+        backend.listen = { ip, kBackendPort };
+        backend.announced = backend.listen;
+        backend.control = { ip, kInstancePort };
+        backend.service = "svc";
+        backend.failureDomain = ip;
+        m_backends.push_back(std::make_unique<PlatformBackend>(*m_loop, backend, m_audit));
+        m_backends.back()->start().value();
     }
 
     void serve(const SocketAddress &address, PipelinedServer::Handler handler)
@@ -203,7 +114,8 @@
         while (m_clock.now() < end) {
             for (std::size_t i = 0; i < m_controllers.size(); ++i) {
                 const auto ip = nodeIp(static_cast<int>(i) + 1);
-                const auto response = Client(*m_loop, { ip, kOperatorPort }).send({ method, target, { { "Host", "x" } }, body });
+                const auto response
+                    = OneShotClient(*m_loop, { ip, kOperatorPort }).send({ method, target, { { "Host", "x" } }, body }, kLimit);
                 if (response && response->status != 307 && response->status != 503) {
                     if (answer != nullptr) {
                         *answer = response->body;
@@ -234,12 +146,12 @@
                             { "X-Toucandeck-Request-Id", "id-" + std::to_string(++m_requests) },
                             { "X-Toucandeck-Deadline-Ms", "5000" },
                             { "X-Toucandeck-Shard-Key", std::to_string(key) } };
-        return Client(*m_loop, { gateway, kOutboundPort }).send(request);
+        return OneShotClient(*m_loop, { gateway, kOutboundPort }).send(request, kLimit);
     }
 
     bool allHold()
     {
-        return std::all_of(m_backends.begin(), m_backends.end(), [](const auto &it) { return !it->m_holds.empty(); });
+        return std::all_of(m_backends.begin(), m_backends.end(), [](const auto &it) { return it->heldRows() > 0; });
     }
 
     BootClock m_clock;
@@ -251,7 +163,8 @@
     std::filesystem::path m_folder = std::filesystem::temp_directory_path() / ("fleet-path-" + std::to_string(::getpid()));
     std::vector<std::unique_ptr<Controller>> m_controllers;
     std::vector<std::unique_ptr<Gateway>> m_gateways;
-    std::vector<std::unique_ptr<StandInBackend>> m_backends;
+    RunAudit m_audit;
+    std::vector<std::unique_ptr<PlatformBackend>> m_backends;
     std::vector<std::unique_ptr<PipelinedServer>> m_servers;
     int m_requests = 0;
 };
@@ -268,13 +181,16 @@
             const auto response = request(gateway, "/x/1", key);
             ASSERT_TRUE(response);
             EXPECT_EQ(response->status, 200);
-            EXPECT_EQ(response->body, "svc");
+            EXPECT_EQ(response->body, "id-" + std::to_string(m_requests));
             EXPECT_TRUE(response->header("X-Toucandeck-Response-Seal"));
         }
     }
-    EXPECT_EQ(m_backends[0]->m_runs + m_backends[1]->m_runs, 6);
-    EXPECT_GT(m_backends[0]->m_runs, 0);
-    EXPECT_GT(m_backends[1]->m_runs, 0);
+    EXPECT_EQ(m_backends[0]->requestsRun() + m_backends[1]->requestsRun(), 6U);
+    for (const auto &it : m_backends) {
+        EXPECT_GT(it->requestsRun(), 0U);
+        EXPECT_EQ(it->latestCaller(), "svc");
+    }
+    EXPECT_TRUE(m_audit.violations().empty());
     EXPECT_EQ(request(nodeIp(11), "/none/1", 0)->status, 404);
 }
 
