Compare mostly gateways near by, use reported slowness, and take callers who came back first

Backend servers report how long work takes on their machine at the moment (50 or 150 per cent in a trial, changing several times a second); nothing read it.

Another domain costs 15% of the work beside the time on the way. The gate normalises work times by the reported slowness, expects waits and work at the present speed, and sends the ratio with its load report for the choice of gateway. In the queue and in the bound on late waits a caller who was turned away before goes ahead of its equals.

Ruled out: compressing the bodies (a trial logged them: they are random bytes).

--- a/src/gateway/backend_runner.cpp
+++ b/src/gateway/backend_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backend_runner.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace Toucandeck
@@ -21,6 +22,23 @@
     return status >= 200 && status < 300;
 }
 
+/// The last of four numbers separated by commas; zero if there are fewer.
+double readSlowness(std::optional<std::string_view> load)
+{
+    constexpr int kFieldsBefore = 3;
+    std::string_view rest = load.value_or(std::string_view());
+    for (int i = 0; i < kFieldsBefore; ++i) {
+        const auto comma = rest.find(',');
+        if (comma == std::string_view::npos) {
+            return 0;
+        }
+        rest.remove_prefix(comma + 1);
+    }
+    unsigned percent = 0;
+    const auto [end, ec] = std::from_chars(rest.data(), rest.data() + rest.size(), percent);
+    return ec == std::errc() ? percent : 0;
+}
+
 } // namespace
 
 BackendRunner::BackendRunner(EventLoop &loop, Logger &logger, const HeaderNames &headers, const SocketAddress &address)
@@ -141,6 +159,7 @@
         return out;
     }
     out.outcome = wire::ANSWERED;
+    out.slownessPercent = readSlowness(response.header(m_headers.serverLoad));
     std::erase_if(response.headers, [](const auto &it) { return isHopByHop(it.name); });
     out.response = std::move(response);
     return out;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -37,6 +37,7 @@
     HttpResponse response; ///< Of a call that was answered.
     std::string instance; ///< Backend server that the call was sent to, or would have been.
     bool reached = false; ///< The call was sent to a backend server.
+    double slownessPercent = 0; ///< Of its machine, as the answer reports it; zero if it does not. Not sent on.
     wire::LoadReport load; ///< Of that backend server.
 };
 
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -1,5 +1,6 @@
 #include "gateway/call_router.h"
 
+#include "gateway/candidate_sample.h"
 #include "gateway/events.h"
 
 #include <algorithm>
@@ -76,19 +77,22 @@
     const auto reported = m_loads.isFresh(load) ? load.report.running() + load.report.waiting() + load.sentSince : 0;
     candidate.pending = std::max(reported, load.inFlight);
     candidate.work = std::chrono::microseconds(load.report.work_us());
+    if (load.report.slowness_permille() != 0 && m_loads.isFresh(load)) {
+        candidate.work = candidate.work * load.report.slowness_permille() / 1000;
+    }
     candidate.failedShare = load.report.failed_permille() / 1000.0;
     candidate.cold = load.report.cold();
     candidate.suspect = m_loads.isSuspect(gateway.ip);
     return candidate;
 }
 
-std::vector<GatewayCandidate> CallRouter::candidates(const Routed &it) const
+std::vector<const ListedGateway *> CallRouter::openGateways(const Routed &it) const
 {
-    std::vector<GatewayCandidate> found;
+    std::vector<const ListedGateway *> found;
     for (const auto *gateway : m_parts.view.gatewaysOf(it.call.service)) {
         const bool open = gateway->serving && !m_parts.view.isEvacuated(gateway->failureDomain);
         if (open && it.tried.count(gateway->ip) == 0) {
-            found.push_back(describe(*gateway));
+            found.push_back(gateway);
         }
     }
     return found;
@@ -96,13 +100,17 @@
 
 void CallRouter::attemptAny(std::uint64_t id, const Entry &it)
 {
-    const auto found = candidates(*it);
-    if (found.empty()) {
+    const auto sample = sampleGateways(openGateways(*it), m_ownDomain, m_parts.random);
+    if (sample.empty()) {
         m_parts.loop.runSoon([this, id, it] { finish(id, it, notRun(wire::NO_INSTANCE)); });
         return;
     }
-    const auto choice = m_parts.chooser.choose(found, m_parts.random);
-    sendTo(id, it, found[choice].ip);
+    std::vector<GatewayCandidate> candidates;
+    for (const auto *gateway : sample) {
+        candidates.push_back(describe(*gateway));
+    }
+    const auto choice = m_parts.chooser.choose(candidates, m_parts.random);
+    sendTo(id, it, candidates[choice].ip);
 }
 
 void CallRouter::sendTo(std::uint64_t id, const Entry &it, const std::string &ip)
@@ -171,7 +179,7 @@
                            field("next", "repeated") });
     const auto *service = m_parts.view.service(it->call.service);
     const bool keyed = service != nullptr && service->keyed;
-    if (!keyed && candidates(*it).empty()) {
+    if (!keyed && openGateways(*it).empty()) {
         finish(id, it, std::move(result));
         return;
     }
@@ -202,7 +210,7 @@
         }
         return;
     }
-    if (it->attempts >= kMaxGatewaysAsked || candidates(*it).empty()) {
+    if (it->attempts >= kMaxGatewaysAsked || openGateways(*it).empty()) {
         finish(id, it, std::move(result));
         return;
     }
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -90,7 +90,7 @@
     void waitForHolder(std::uint64_t id, const Entry &it, CallResult result);
     bool mayRepeat(const Routed &it) const;
     bool takeRepeat(const Routed &it);
-    std::vector<GatewayCandidate> candidates(const Routed &it) const;
+    std::vector<const ListedGateway *> openGateways(const Routed &it) const;
     GatewayCandidate describe(const ListedGateway &gateway) const;
     void finish(std::uint64_t id, const Entry &it, CallResult result);
 
--- a/src/gateway/gate.cpp
+++ b/src/gateway/gate.cpp
@@ -15,6 +15,7 @@
 
 /// A call that cannot make its aim waits at most this share of the time that it has left; a longer wait mostly ends in nothing.
 constexpr double kLateWaitShare = 0.15;
+constexpr double kLateWaitShareReturned = 0.4; ///< Of a caller who was turned away before and has no other chance.
 constexpr double kFailureSmoothing = 0.05; ///< Weight of the latest call in the share of failed ones.
 
 milliseconds inMs(Duration it)
@@ -61,6 +62,11 @@
     return id;
 }
 
+Duration Gate::presentWork(const WaitingCall &call) const
+{
+    return duration_cast<Duration>(call.work * m_slowness.relative(m_clock.now()));
+}
+
 Duration Gate::expectedWait(const WaitingCall &call) const
 {
     const auto slots = std::max(1U, m_keeper.slots());
@@ -69,20 +75,21 @@
     }
     const auto ahead = m_queue.workBefore(call, m_clock.now());
     const auto untilFree = m_running.size() < slots ? Duration::zero() : m_work.mean() / slots;
-    return untilFree + ahead / slots;
+    return duration_cast<Duration>((untilFree + ahead / slots) * m_slowness.relative(m_clock.now()));
 }
 
 bool Gate::isHopeless(const WaitingCall &call) const
 {
     const auto now = m_clock.now();
     const auto wait = expectedWait(call);
+    const auto work = presentWork(call);
     const auto left = call.call.deadline - now;
-    if (wait + call.work > left) {
+    if (wait + work > left) {
         return true;
     }
-    const bool late = now + wait + call.work > call.call.aim;
+    const bool late = now + wait + work > call.call.aim;
     const auto waitedAndWait = (now - call.since) + wait;
-    return late && waitedAndWait > left * kLateWaitShare;
+    return late && waitedAndWait > left * (call.call.returned ? kLateWaitShareReturned : kLateWaitShare);
 }
 
 void Gate::update()
@@ -130,7 +137,7 @@
     m_cold.count(now);
     const auto id = call.id;
     auto &running = m_running[id];
-    running = { std::move(call.call), std::move(call.done), now, now - call.since };
+    running = { std::move(call.call), std::move(call.done), now, now - call.since, m_slowness.relative(now) };
     m_port.run(id, running.call, [this, id](CallResult result) { finish(id, std::move(result)); });
 }
 
@@ -142,9 +149,12 @@
     }
     auto running = std::move(found->second);
     m_running.erase(found);
-    const auto worked = m_clock.now() - running.started;
+    const auto now = m_clock.now();
+    const auto worked = now - running.started;
+    m_slowness.report(result.slownessPercent, now);
     if (result.outcome == wire::ANSWERED) {
-        m_work.record(running.call, worked);
+        const double slowness = (running.slowness + m_slowness.relative(now)) / 2;
+        m_work.record(running.call, duration_cast<Duration>(worked / slowness));
     }
     noteOutcome(result);
     update();
@@ -158,6 +168,7 @@
                      field("status", result.response.status),
                      field("waited_ms", inMs(running.waited).count()),
                      field("worked_ms", inMs(worked).count()),
+                     field("slowness_percent", static_cast<int>(result.slownessPercent)),
                      field("running", m_running.size()),
                      field("waiting", m_queue.size()) });
     running.done(std::move(result));
@@ -219,6 +230,7 @@
     load.set_work_us(static_cast<std::uint32_t>(duration_cast<std::chrono::microseconds>(m_work.mean()).count()));
     load.set_failed_permille(static_cast<std::uint32_t>(m_failedShare * 1000));
     load.set_cold(m_keeper.isCold());
+    load.set_slowness_permille(static_cast<std::uint32_t>(m_slowness.relative(m_clock.now()) * 1000));
     return load;
 }
 
--- a/src/gateway/gate.h
+++ b/src/gateway/gate.h
@@ -2,6 +2,7 @@
 
 #include "gateway/backend_port.h"
 #include "gateway/cold_limiter.h"
+#include "gateway/machine_slowness.h"
 #include "gateway/wait_queue.h"
 #include "gateway/work_times.h"
 
@@ -65,8 +66,11 @@
         CallDone done;
         TimePoint started;
         Duration waited;
+        double slowness = 1; ///< When it started.
     };
 
+    /// Time in a slot that a call takes at the machine's present speed.
+    Duration presentWork(const WaitingCall &call) const;
     Duration expectedWait(const WaitingCall &call) const;
     bool isHopeless(const WaitingCall &call) const;
     void dispatch(WaitingCall call);
@@ -81,7 +85,8 @@
     std::function<void(const Call &)> m_submitted;
     WaitQueue m_queue;
     ColdLimiter m_cold;
-    WorkTimes m_work;
+    WorkTimes m_work; ///< At the usual speed.
+    MachineSlowness m_slowness;
     std::unordered_map<std::uint64_t, RunningCall> m_running;
     std::uint64_t m_nextId = 1;
     double m_failedShare = 0;
--- a/src/gateway/gateway_chooser.cpp
+++ b/src/gateway/gateway_chooser.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-constexpr std::size_t kCompared = 5;
 constexpr double kUnknownWorkMs = 80;
 constexpr double kOtherDomainMs = 9; ///< Both ways between failure domains.
+constexpr double kOtherDomainShare = 0.15; ///< Of the work; bytes between failure domains have a price.
 constexpr double kBusySlowdown = 0.6; ///< By which work takes longer when all slots are taken.
 constexpr double kFailureCost = 10; ///< A failed call costs the time of an attempt and mostly of another.
 constexpr double kColdMs = 150; ///< Per pending call: a cold backend server runs few of them in a second.
@@ -33,7 +33,7 @@
     const double queued = std::max(0.0, pending + 1 - slots);
     const double busy = std::min(1.0, pending / slots);
     double ms = work * (1 + kBusySlowdown * busy * busy) + queued * work / slots;
-    ms += candidate.sameDomain ? 0 : kOtherDomainMs;
+    ms += candidate.sameDomain ? 0 : kOtherDomainMs + kOtherDomainShare * work;
     ms *= 1 + kFailureCost * candidate.failedShare;
     ms += candidate.cold ? kColdMs * (1 + pending) : 0;
     ms += candidate.suspect ? kSuspectMs : 0;
@@ -42,15 +42,12 @@
 
 std::size_t LeastTimeChooser::choose(const std::vector<GatewayCandidate> &candidates, RandomSource &random) const
 {
-    const auto n = std::min(kCompared, candidates.size());
+    // Equal ones are chosen evenly: the comparison starts anywhere.
     const auto offset = static_cast<std::size_t>(random.below(candidates.size()));
-    // A stride that is prime to most sizes spreads the compared ones over the list.
-    constexpr std::size_t kStride = 7;
-    const auto stride = candidates.size() % kStride == 0 ? 1 : kStride;
     std::size_t best = offset;
     double least = std::numeric_limits<double>::max();
-    for (std::size_t i = 0; i < n; ++i) {
-        const auto index = (offset + i * stride) % candidates.size();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto index = (offset + i) % candidates.size();
         const double ms = expectedMs(candidates[index]);
         if (ms < least) {
             least = ms;
--- a/src/gateway/gateway_chooser.h
+++ b/src/gateway/gateway_chooser.h
@@ -40,8 +40,7 @@
     std::size_t choose(const std::vector<GatewayCandidate> &candidates, RandomSource &random) const override;
 };
 
-/// The one with the shortest expected time to an answer, from its load, speed, distance and recent failures. Among many only a few
-/// drawn at random are compared, so that gateways with equal reports do not all choose the same one.
+/// The one with the shortest expected time to an answer, from its load, speed, distance and recent failures.
 class LeastTimeChooser : public GatewayChooser
 {
 public:
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -8,12 +8,14 @@
 namespace
 {
 
-constexpr std::uint32_t kLateRankPenalty = 1; ///< A late answer is worth a third, about the distance between two ranks.
+constexpr double kLateRankPenalty = 1; ///< A late answer is worth a third, about the distance between two ranks.
+/// A caller who was turned away before loses more than the answer when it is turned away again.
+constexpr double kReturnedRankBonus = 0.4;
 
-std::uint32_t effectiveRank(const WaitingCall &it, TimePoint now)
+double effectiveRank(const WaitingCall &it, TimePoint now)
 {
     const bool late = now + it.work > it.call.aim;
-    return it.call.rank + (late ? kLateRankPenalty : 0);
+    return it.call.rank + (late ? kLateRankPenalty : 0) - (it.call.returned ? kReturnedRankBonus : 0);
 }
 
 } // namespace
@@ -28,8 +30,8 @@
     if (a.call.nested != b.call.nested) {
         return a.call.nested;
     }
-    const auto rankA = effectiveRank(a, now);
-    const auto rankB = effectiveRank(b, now);
+    const double rankA = effectiveRank(a, now);
+    const double rankB = effectiveRank(b, now);
     if (rankA != rankB) {
         return rankA < rankB;
     }
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -38,7 +38,7 @@
 };
 
 /// Calls of running work first, since it holds a slot elsewhere meanwhile; then by rank, where a call that can no longer make its
-/// aim ranks behind those that can; then by aim.
+/// aim ranks behind those that can, and one whose caller was turned away before goes ahead of its equals; then by aim.
 class UrgencyOrder : public QueueOrder
 {
 public:
--- a/test/gateway/test_load_patterns.cpp
+++ b/test/gateway/test_load_patterns.cpp
@@ -36,6 +36,7 @@
 {
     std::map<std::uint32_t, RankTally> ranks;
     int refused = 0;
+    int refusedAgain = 0; ///< Of callers who had come back.
     Duration heldInVain{};
 
     double worth() const
@@ -58,12 +59,20 @@
     double perSecond;
 };
 
+/// What callers do who are turned away.
+enum class Callers {
+    GiveUp,
+    ComeBack, ///< Once.
+    ComeBackUnknown, ///< Once, and the gate is not told that they were there before.
+};
+
 /// Plays requests of some kinds against one gate for ten seconds.
 class LoadModel
 {
 public:
-    explicit LoadModel(const QueueOrder &order)
+    explicit LoadModel(const QueueOrder &order, Callers callers = Callers::GiveUp)
         : m_random(20261204)
+        , m_callers(callers)
         , m_gate(m_clock, m_logger, m_keeper, m_backend, order)
     {
         m_keeper.m_slots = 9;
@@ -78,6 +87,7 @@
                     arrive(kind);
                 }
             }
+            comeBack();
             finishWork();
             if (ms % 20 == 0) {
                 m_gate.update();
@@ -87,23 +97,50 @@
     }
 
 private:
+    struct Returning
+    {
+        Kind kind;
+        TimePoint first; ///< When the caller asked for the first time.
+        TimePoint at;
+    };
+
     void arrive(const Kind &kind)
+    {
+        auto &tally = m_tally.ranks[kind.rank];
+        ++tally.asked;
+        tally.owed += kind.worth;
+        submit(kind, m_clock.now(), false);
+    }
+
+    void comeBack()
+    {
+        while (!m_returning.empty() && m_returning.front().at <= m_clock.now()) {
+            const auto it = m_returning.front();
+            m_returning.pop_front();
+            submit(it.kind, it.first, true);
+        }
+    }
+
+    void submit(const Kind &kind, TimePoint first, bool returned)
     {
         Call call = callNamed(std::to_string(++m_requests), m_clock, kind.rank);
         const auto arrived = m_clock.now();
-        call.aim = arrived + kind.aim;
-        call.deadline = arrived + kind.deadline;
+        call.aim = first + kind.aim;
+        call.deadline = first + kind.deadline;
+        call.returned = returned && m_callers == Callers::ComeBack;
         m_works[call.requestId] = std::chrono::duration_cast<Duration>(kind.work * (0.5 + m_random.unit()));
         auto &tally = m_tally.ranks[kind.rank];
-        ++tally.asked;
-        tally.owed += kind.worth;
-        m_gate.submit(call, [this, kind, arrived, &tally](const CallResult &result) {
-            const auto took = m_clock.now() - arrived;
+        m_gate.submit(call, [this, kind, first, arrived, returned, &tally](const CallResult &result) {
             if (result.outcome != wire::ANSWERED) {
                 ++m_tally.refused;
-                m_tally.heldInVain += took;
+                m_tally.heldInVain += m_clock.now() - arrived;
+                m_tally.refusedAgain += returned ? 1 : 0;
+                if (m_callers != Callers::GiveUp && !returned) {
+                    m_returning.push_back({ kind, first, m_clock.now() + kReturnAfter });
+                }
                 return;
             }
+            const auto took = m_clock.now() - first;
             tally.served += took <= kind.deadline ? 1 : 0;
             tally.earned += took <= kind.aim ? kind.worth : took <= kind.deadline ? kind.worth * 0.3 : 0;
         });
@@ -137,7 +174,11 @@
     NullLogger m_logger;
     FakeKeeper m_keeper;
     FakeBackend m_backend;
+    static constexpr milliseconds kReturnAfter{ 250 };
+
     SeededRandom m_random;
+    Callers m_callers;
+    std::deque<Returning> m_returning;
     Gate m_gate;
     int m_requests = 0;
     std::map<std::string, Duration> m_works;
@@ -201,6 +242,18 @@
     EXPECT_LT(ours.heldInVain / ours.refused, common.deadline / 2);
 }
 
+// Pattern: retry storm, half as much again as the slots can run.
+TEST(LoadPatterns, CallersWhoComeBackAreSeldomTurnedAwayAgain)
+{
+    Kind page{ 2, 1, milliseconds(120), milliseconds(400), milliseconds(2500), 110 };
+    const auto ours = LoadModel(UrgencyOrder(), Callers::ComeBack).play({ page });
+    const auto naive = LoadModel(UrgencyOrder(), Callers::ComeBackUnknown).play({ page });
+    // A caller who is turned away twice loses another third of the request's worth.
+    const auto net = [](const Tally &it) { return it.worth() - 0.3 * it.refusedAgain; };
+    EXPECT_LT(ours.refusedAgain, naive.refusedAgain);
+    EXPECT_GT(net(ours), net(naive));
+}
+
 TEST(LoadPatterns, SlowInstanceGetsLess)
 {
     SeededRandom random(1);
