--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -23,7 +23,7 @@
     Duration lease = std::chrono::milliseconds(3500); ///< Counts at the router from the sending of its announcement.
     double clockDrift = 0.03; ///< By which a holder's clock may run slow, with a margin.
     Duration settle = std::chrono::milliseconds(1200); ///< First keys are granted when no holder has joined for this long.
-    Duration rebalanceInterval = std::chrono::seconds(1);
+    Duration rebalanceInterval = std::chrono::milliseconds(600); ///< About the time that moved keys take to be served again.
     double minimumRate = 10; ///< Requests per second below which demand says too little to move keys.
 };
 
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds kHolderPatience{ 600 }; ///< Keys that change hands are mostly served again within this time.
 constexpr milliseconds kLeastHolderPatience{ 100 };
 constexpr milliseconds kTimeToRun{ 100 }; ///< A wait until the aim would leave no time for the work.
+constexpr int kFailuresOfCutOff = 2; ///< Of connections to a gateway in a row; a call for keys there is refused without a wait.
 constexpr double kRetryBurst = 4; ///< Repeats that one gateway can save up; all gateways share the slack of the budget.
 constexpr milliseconds kLeastTimeForRepeat{ 20 };
 
@@ -203,7 +204,8 @@
                            field("view_age_ms", std::chrono::duration_cast<milliseconds>(m_parts.view.age()).count()),
                            field("next", keyed ? "wait for the holder" : "another gateway") });
     if (keyed) {
-        if (result.reason == wire::OVERLOADED || result.reason == wire::DEADLINE) {
+        const bool cutOff = result.reason == wire::CONNECT_FAILED && m_loads.at(it->gateway).failures >= kFailuresOfCutOff;
+        if (result.reason == wire::OVERLOADED || result.reason == wire::DEADLINE || cutOff) {
             finish(id, it, std::move(result));
         } else {
             waitForHolder(id, it, std::move(result));
--- a/src/gateway/demand_sampler.h
+++ b/src/gateway/demand_sampler.h
@@ -15,23 +15,27 @@
 public:
     void record(std::uint32_t key, TimePoint now);
 
-    /// Requests per second.
+    /// Requests per second; the latest alone while there is a surge.
     double rate(TimePoint now);
+    /// The demand of the last half second is far above that before.
+    bool surges(TimePoint now) const;
     /// Keys, ascending; each stands for the same share of the demand. Empty without demand.
     std::vector<std::uint32_t> points(TimePoint now);
 
     void clear();
 
 private:
-    void forget(TimePoint now);
-
     struct Sample
     {
         std::uint32_t key;
         TimePoint at;
     };
+    using Samples = std::deque<Sample>;
+
+    void forget(TimePoint now);
+    Samples::const_iterator surgeBegin(TimePoint now) const;
 
-    std::deque<Sample> m_samples;
+    Samples m_samples; ///< Oldest first.
     TimePoint m_since;
 };
 
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds kLeastHold{ 300 };
 /// An answer may be delayed for this long to carry a change of the keys; backend servers give up on an answer after a second.
 constexpr milliseconds kAnswerDelay{ 780 };
+constexpr milliseconds kSurgeReports{ 300 }; ///< Least time between two announcements because of a surge of demand.
 constexpr int kRefusalsForEnd = 2;
 constexpr milliseconds kRefusalsApart{ 50 };
 constexpr milliseconds kHeartbeatAge{ 900 }; ///< What a heartbeat says of the cold time may be this old.
@@ -391,7 +392,12 @@
 
 void LocalInstance::countDemand(std::uint32_t key)
 {
-    m_demand.record(key, m_loop.clock().now());
+    const auto now = m_loop.clock().now();
+    m_demand.record(key, now);
+    if (m_changed && now - m_surgeReported >= kSurgeReports && m_demand.surges(now)) {
+        m_surgeReported = now;
+        m_changed(); // Keys may have to move before the next announcement is due.
+    }
 }
 
 wire::InstanceReport LocalInstance::report() const
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -130,6 +130,7 @@
     std::vector<HeldKeys> m_reported; ///< Rows in its latest heartbeat.
     std::vector<Released> m_released;
     DemandSampler m_demand;
+    TimePoint m_surgeReported;
     Duration m_meanWork{};
     Answer m_pending;
     EventLoop::Watch m_pendingTimer;
