Refuse at once for holders that cannot be reached; count slowness only against a gateway

Cause: while a failure domain is cut off, keyed calls to holders there wait for their patience (600 ms) each.

Change: after two failed connections in a row to the holder's gateway a keyed call is refused, not run. A gateway's slow moment counts against it, a fast one no longer for it: it was known only of gateways just used, which drew more and more calls. Another failure domain costs 5% of the work, not 15%.

Tried and reverted: a margin for long work in the bound on late answers (better in the model where the aim leaves much time, worse where it does not).

--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds kLeastHolderPatience{ 100 };
 constexpr milliseconds kTimeToRun{ 100 }; ///< A wait until the aim would leave no time for the work.
 constexpr int kFailuresOfCutOff = 2; ///< Of connections to a gateway in a row; a call for keys there is refused without a wait.
+constexpr std::uint32_t kUsualSlowness = 1000; ///< In thousandths.
 constexpr double kRetryBurst = 4; ///< Repeats that one gateway can save up; all gateways share the slack of the budget.
 constexpr milliseconds kLeastTimeForRepeat{ 20 };
 
@@ -79,7 +80,8 @@
     candidate.pending = std::max(reported, load.inFlight);
     candidate.work = std::chrono::microseconds(load.report.work_us());
     if (load.report.slowness_permille() != 0 && m_loads.isFresh(load)) {
-        candidate.work = candidate.work * load.report.slowness_permille() / 1000;
+        // Only a slow moment counts: the last gateway used would otherwise be preferred to all whose moment is not known.
+        candidate.work = candidate.work * std::max(kUsualSlowness, load.report.slowness_permille()) / kUsualSlowness;
     }
     candidate.failedShare = load.report.failed_permille() / 1000.0;
     candidate.cold = load.report.cold();
--- a/src/gateway/gateway_chooser.cpp
+++ b/src/gateway/gateway_chooser.cpp
@@ -11,7 +11,7 @@
 
 constexpr double kUnknownWorkMs = 80;
 constexpr double kOtherDomainMs = 9; ///< Both ways between failure domains.
-constexpr double kOtherDomainShare = 0.15; ///< Of the work; bytes between failure domains have a price.
+constexpr double kOtherDomainShare = 0.05; ///< Of the work; bytes between failure domains have a price, a wait in a queue a higher one.
 constexpr double kBusySlowdown = 0.6; ///< By which work takes longer when all slots are taken.
 constexpr double kFailureCost = 10; ///< A failed call costs the time of an attempt and mostly of another.
 constexpr double kColdMs = 150; ///< Per pending call: a cold backend server runs few of them in a second.
--- a/test/gateway/test_call_router.cpp
+++ b/test/gateway/test_call_router.cpp
@@ -194,6 +194,23 @@
     EXPECT_EQ(m_port.m_sent.back(), "10.0.0.3");
 }
 
+// Pattern: a failure domain is cut off: calls for keys there must not be held until their patience ends.
+TEST_F(CallRouterTest, RefusesAKeyedCallAtOnceWhenItsHolderCannotBeReached)
+{
+    setHolder("10.0.0.9", 5);
+    route(true, 2, "keyed");
+    m_port.reply(wire::NOT_RUN, wire::CONNECT_FAILED, false);
+    EXPECT_FALSE(m_result); // One failure may be a restart.
+    runOnce();
+    m_port.reply(wire::NOT_RUN, wire::CONNECT_FAILED, false);
+    ASSERT_TRUE(m_result);
+    m_result.reset();
+    route(true, 2, "keyed");
+    m_port.reply(wire::NOT_RUN, wire::CONNECT_FAILED, false);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::NOT_RUN);
+}
+
 TEST_F(CallRouterTest, ACancelledCallIsBrokenOffAtItsGateway)
 {
     const auto id = route(false, 1);
