--- a/prove/fleet/fleet.cpp
+++ b/prove/fleet/fleet.cpp
@@ -102,6 +102,7 @@
     auto settings = commonSettings(name, address);
     settings["role"] = "gateway";
     settings["failureDomain"] = domainOf(i);
+    settings["heartbeatInterval"] = fmt::format("{}ms", Standin::PlatformBackendOptions{}.heartbeat.count());
     settings["service"] = i % 2 == 0 ? "keyed" : "plain";
     settings["backend"] = SocketAddress{ address, kBackendPort }.toString();
     settings["outbound"] = SocketAddress{ address, kOutboundPort }.toString();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,7 +12,7 @@
 
 constexpr milliseconds kGateInterval{ 20 }; ///< Between two looks at what waits at the gate.
 constexpr milliseconds kWatchInterval{ 300 };
-constexpr milliseconds kSilenceToProbe{ 1500 }; ///< More than a heartbeat interval and the delay of one.
+constexpr milliseconds kHeartbeatLate{ 600 }; ///< A backend server whose heartbeat is later than this is probed.
 constexpr milliseconds kDrainInterval{ 50 };
 /// For this long after the order to stop, clients are still sent here: two checks of the readiness must fail first.
 constexpr milliseconds kClientsLeave{ 2500 };
@@ -42,7 +42,7 @@
           [this](const std::string &peer, const wire::PeerMessage &message) { receive(peer, message); },
           [this](const std::string &peer, bool established, const std::string &) { peerClosed(peer, established); })
     , m_view(parts.loop.clock(), parts.logger, parts.codec)
-    , m_instance(parts.loop, parts.logger, m_options.backend.toString())
+    , m_instance(parts.loop, parts.logger, m_options.backend.toString(), m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
     , m_gate(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
     , m_calls(parts.loop, m_links, m_gate, m_options.ip)
@@ -163,7 +163,7 @@
 
 void Gateway::watchInstance()
 {
-    if (m_instance.isPresent() && m_instance.silence() > kSilenceToProbe) {
+    if (m_instance.isPresent() && m_instance.silence() > m_options.heartbeatInterval + kHeartbeatLate) {
         m_runner.probe();
     }
     updateGate();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
     std::uint16_t peerPort = 0; ///< Of all gateways and controllers.
     std::vector<std::string> seeds; ///< IP addresses of some controllers.
     double retryShare = 0.08; ///< Repeats per request.
+    Duration heartbeatInterval = kDefaultHeartbeatInterval; ///< Of the backend server.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this, with work left.
 };
 
--- a/src/gateway/heartbeat.h
+++ b/src/gateway/heartbeat.h
@@ -11,6 +11,9 @@
 namespace Toucandeck
 {
 
+/// Between two heartbeats of a backend server where the settings do not say.
+inline constexpr std::chrono::milliseconds kDefaultHeartbeatInterval{ 870 };
+
 /// Keys that a backend server says it holds, or still works on.
 struct HeldKeys
 {
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -19,18 +19,22 @@
 /// Below this an answer names no keys: they would end before the next heartbeat.
 constexpr milliseconds kLeastHold{ 300 };
 /// An answer may be delayed for this long to carry a change of the keys; backend servers give up on an answer after a second.
-constexpr milliseconds kAnswerDelay{ 780 };
+constexpr milliseconds kMaxAnswerDelay{ 780 };
+/// Of the interval of heartbeats: the answer must be there before the next heartbeat, which may be sent on another connection.
+constexpr double kAnswerDelayShare = 0.9;
 constexpr milliseconds kSurgeReports{ 300 }; ///< Least time between two announcements because of a surge of demand.
 constexpr int kRefusalsForEnd = 2;
 constexpr milliseconds kRefusalsApart{ 50 };
-constexpr milliseconds kHeartbeatAge{ 900 }; ///< What a heartbeat says of the cold time may be this old.
+constexpr milliseconds kHeartbeatDelay{ 30 }; ///< On the way. What a heartbeat says may be this much older than the interval.
 
 } // namespace
 
-LocalInstance::LocalInstance(EventLoop &loop, Logger &logger, std::string address)
+LocalInstance::LocalInstance(EventLoop &loop, Logger &logger, std::string address, Duration heartbeatInterval)
     : m_loop(loop)
     , m_logger(logger)
     , m_address(std::move(address))
+    , m_heartbeatAge(heartbeatInterval + kHeartbeatDelay)
+    , m_answerDelay(std::min<Duration>(kMaxAnswerDelay, std::chrono::duration_cast<Duration>(heartbeatInterval * kAnswerDelayShare)))
 {
 }
 
@@ -82,7 +86,7 @@
         return;
     }
     m_pending = std::move(answer);
-    m_pendingTimer = m_loop.after(kAnswerDelay, [this] { answerPending(); });
+    m_pendingTimer = m_loop.after(m_answerDelay, [this] { answerPending(); });
 }
 
 bool LocalInstance::mayDelayAnswer(const Heartbeat &it) const
@@ -350,7 +354,7 @@
     const auto now = m_loop.clock().now();
     // Just after its failure domain was taken back, the last heartbeat may be from before it turned cold.
     const bool unknown
-        = m_takenBack != TimePoint() && m_current->lastHeartbeat < m_takenBack + kHeartbeatAge && now < m_takenBack + 2 * kHeartbeatAge;
+        = m_takenBack != TimePoint() && m_current->lastHeartbeat < m_takenBack + m_heartbeatAge && now < m_takenBack + 2 * m_heartbeatAge;
     return now < m_current->coldUntil || unknown;
 }
 
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -31,7 +31,8 @@
     /// Receives the answer to a heartbeat; nothing: the heartbeat renews no keys.
     using Answer = std::function<void(std::optional<HeartbeatAnswer>)>;
 
-    LocalInstance(EventLoop &loop, Logger &logger, std::string address);
+    /// @param heartbeatInterval between two heartbeats of the backend server.
+    LocalInstance(EventLoop &loop, Logger &logger, std::string address, Duration heartbeatInterval);
 
     /// Called when the incarnation, its state or its released keys have changed, so that the controllers hear of it at once.
     void setChanged(std::function<void()> changed);
@@ -112,6 +113,8 @@
     EventLoop &m_loop;
     Logger &m_logger;
     std::string m_address;
+    Duration m_heartbeatAge; ///< What a heartbeat says may be this old before the next one comes.
+    Duration m_answerDelay; ///< Longest.
     std::function<void()> m_changed;
     std::function<void()> m_started;
     std::optional<Incarnation> m_current;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -91,6 +91,7 @@
     options.peerPort = m_settings.peerPort;
     options.seeds = m_settings.seedIps();
     options.retryShare = m_settings.retryShare;
+    options.heartbeatInterval = m_settings.heartbeatInterval;
     options.shutdownLimit = m_settings.shutdownLimit - kShutdownReserve;
     const GatewayParts parts{ *m_loop, *m_random, m_logger, m_metrics, m_interface.headers(), m_interface.manifestCodec() };
     BOOST_LEAF_ASSIGN(m_gateway, Gateway::create(parts, std::move(options)));
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -1,6 +1,7 @@
 #include "node/node_settings.h"
 
 #include "config/json_fields.h"
+#include "gateway/heartbeat.h"
 
 #include <fmt/format.h>
 #include <fstream>
@@ -80,6 +81,10 @@
     BOOST_LEAF_ASSIGN(out.outbound, readAddress(fields, "outbound"));
     BOOST_LEAF_ASSIGN(out.ready, readAddress(fields, "ready"));
     BOOST_LEAF_ASSIGN(out.retryShare, fields.fraction("retryShare", 0.08));
+    BOOST_LEAF_ASSIGN(out.heartbeatInterval, fields.time("heartbeatInterval", kDefaultHeartbeatInterval));
+    if (out.heartbeatInterval <= Duration::zero()) {
+        return fail(ErrorCode::InvalidArgument, "settings: field \"heartbeatInterval\" must be positive");
+    }
     BOOST_LEAF_ASSIGN(out.shutdownLimit, fields.time("shutdownLimit", std::chrono::seconds(6)));
     return {};
 }
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -38,6 +38,7 @@
     SocketAddress outbound; ///< For requests of clients and of the backend server.
     SocketAddress ready; ///< For checks of the readiness.
     double retryShare = 0; ///< Most repeats per request, over all gateways.
+    Duration heartbeatInterval{}; ///< Between two heartbeats of the backend server.
     Duration shutdownLimit{}; ///< Time for a graceful stop.
 
     // Of a gateway for heartbeats, of a controller for operators.
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -16,7 +16,7 @@
 protected:
     LocalInstanceTest()
         : m_loop(EventLoop::create(m_clock).value())
-        , m_instance(*m_loop, m_logger, "10.0.0.1:80")
+        , m_instance(*m_loop, m_logger, "10.0.0.1:80", milliseconds(870))
     {
         LocalTerms terms;
         terms.known = true;
@@ -242,3 +242,17 @@
     m_instance.fillReleased(third);
     EXPECT_EQ(third.freed_size(), 0);
 }
+
+// The soak's seed 10: answers that came after the next heartbeat were lost, so holds ended while the gateway counted on them.
+TEST_F(LocalInstanceTest, AnswersAHeartbeatBeforeTheNextOneIsDue)
+{
+    LocalInstance instance(*m_loop, m_logger, "10.0.0.1:80", milliseconds(50));
+    LocalTerms terms;
+    terms.known = true;
+    terms.keyed = true;
+    instance.setTerms(terms);
+    bool answered = false;
+    instance.heartbeat(beat(1, 1), [&answered](const auto &) { answered = true; });
+    EXPECT_FALSE(answered); // It may carry a change of the keys.
+    EXPECT_TRUE(m_loop->runUntil([&answered] { return answered; }, milliseconds(600)));
+}
--- a/test/node/test_node_settings.cpp
+++ b/test/node/test_node_settings.cpp
@@ -37,6 +37,16 @@
     EXPECT_EQ(it.backend.port, 81);
     EXPECT_EQ(it.seedIps(), std::vector<std::string>({ "10.0.0.5" }));
     EXPECT_EQ(it.shutdownLimit, std::chrono::seconds(6));
+    EXPECT_EQ(it.heartbeatInterval, std::chrono::milliseconds(870));
+}
+
+TEST(NodeSettings, ReadsTheIntervalOfHeartbeats)
+{
+    auto text = std::string(kGateway);
+    text.insert(1, R"("heartbeatInterval":"1500ms",)");
+    EXPECT_EQ(NodeSettings::parse(text).value().heartbeatInterval, std::chrono::milliseconds(1500));
+    text.replace(text.find("1500ms"), 6, "0ms");
+    EXPECT_NE(errorOf(text).find("\"heartbeatInterval\" must be positive"), std::string::npos);
 }
 
 TEST(NodeSettings, NamesTheFieldThatIsWrong)
