--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -1,6 +1,7 @@
 // Guards the whole path without the bench: controllers that form one group from seeds, an operator's manifest, backend servers that
 // announce themselves and hold keys, and requests through any gateway. Each node has a loopback address of its own.
 #include "fleet/controller.h"
+#include "gateway/events.h"
 #include "gateway/gateway.h"
 #include "platform/one_shot_client.h"
 #include "platform/platform_backend.h"
@@ -149,13 +150,28 @@
         return OneShotClient(*m_loop, { gateway, kOutboundPort }).send(request, kLimit);
     }
 
+    /// A field of the first line of this event about the latest request; empty if there is none.
+    std::string logged(const Event &event, const std::string &name) const
+    {
+        const auto valueOf = [](const RecordingLogger::Entry &entry, const std::string &field) {
+            const auto it = std::find_if(entry.fields.begin(), entry.fields.end(), [&](const auto &f) { return f.name == field; });
+            return it == entry.fields.end() ? std::string() : std::string(it->value);
+        };
+        for (const auto &it : m_logger.entries()) {
+            if (it.number == event.number && valueOf(it, "request") == "id-" + std::to_string(m_requests)) {
+                return valueOf(it, name);
+            }
+        }
+        return {};
+    }
+
     bool allHold()
     {
         return std::all_of(m_backends.begin(), m_backends.end(), [](const auto &it) { return it->heldRows() > 0; });
     }
 
     BootClock m_clock;
-    NullLogger m_logger;
+    RecordingLogger m_logger;
     Metrics m_metrics;
     std::unique_ptr<EventLoop> m_loop;
     SeededRandom m_random;
@@ -228,3 +244,32 @@
     const auto next = std::find_if(m_controllers.begin(), m_controllers.end(), leads);
     EXPECT_EQ((*next)->group().state().manifest().version(), 3U);
 }
+
+// The operators' page follows a request by its id; each of these lines must be there and name the next place to look.
+TEST_F(FleetPathTest, TheLinesAboutAnAnsweredRequestNameItsGatewayAndBackendServer)
+{
+    ASSERT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHold(); }, kLimit));
+    const int key = m_backends[1]->holds(0) ? 0 : kKeyCount - 1;
+    ASSERT_EQ(request(nodeIp(11), "/x/1", key)->status, 200);
+    EXPECT_EQ(logged(GatewayEvents::kRequestAnswered, "gateway"), nodeIp(12));
+    EXPECT_EQ(logged(GatewayEvents::kRequestAnswered, "instance"), m_backends[1]->instance());
+    EXPECT_EQ(logged(GatewayEvents::kCallRun, "instance"), m_backends[1]->instance());
+    EXPECT_EQ(logged(GatewayEvents::kCallRun, "outcome"), "ANSWERED");
+}
+
+TEST_F(FleetPathTest, TheLinesAboutARefusedRequestNameTheReasonTheGatewayAndTheAgeOfWhatItKnew)
+{
+    ASSERT_EQ(order("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHold(); }, kLimit));
+    const int key = m_backends[1]->holds(0) ? 0 : kKeyCount - 1;
+    m_backends[0]->crash(); // Otherwise the keys move there within the patience of the request.
+    m_backends[1]->crash();
+    ASSERT_EQ(request(nodeIp(11), "/x/1", key)->status, 503);
+    EXPECT_EQ(logged(GatewayEvents::kAttemptFailed, "gateway"), nodeIp(12));
+    const auto last = logged(GatewayEvents::kRequestRefused, "gateway"); // The keys may have moved meanwhile.
+    EXPECT_TRUE(last == nodeIp(11) || last == nodeIp(12)) << last;
+    EXPECT_FALSE(logged(GatewayEvents::kRequestRefused, "reason").empty());
+    EXPECT_FALSE(logged(GatewayEvents::kRequestRefused, "view_age_ms").empty());
+    EXPECT_EQ(logged(GatewayEvents::kRequestRefused, "manifest_version"), "3");
+}
