Reconnect when an update builds on something that the gateway lacks

Cause: none seen; with changes in place of whole manifests and key tables a gateway that missed one would stay behind until its connection ends. Change: such an update is logged as before, and the gateway drops the connection, so that the controller sends the whole on the next one. Tests: FleetViewTest.IgnoresChangesThatBuildOnAManifestThatItLacks and MergesChangedRowsOfAKeyTable check the answer of apply().

--- a/src/gateway/fleet_client.cpp
+++ b/src/gateway/fleet_client.cpp
@@ -164,7 +164,10 @@
         m_connected = true;
         m_logger.write(GatewayEvents::kControllerRegained, { field("controller", peer), field("term", m_term) });
     }
-    m_view.apply(update);
+    if (!m_view.apply(update)) {
+        m_links.drop(m_current); // A new connection starts with the whole.
+        announceSoon();
+    }
     if (update.acknowledged() != 0) {
         m_instance.acknowledged(update.acknowledged());
     }
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -26,20 +26,21 @@
     m_changed = std::move(changed);
 }
 
-void FleetView::apply(const wire::FleetUpdate &update)
+bool FleetView::apply(const wire::FleetUpdate &update)
 {
+    bool complete = true;
     m_updated = m_clock.now();
     if (update.has_manifest()) {
         applyManifest(update.manifest());
     } else if (update.has_manifest_change()) {
-        applyChange(update.manifest_change());
+        complete = applyChange(update.manifest_change());
     }
     if (update.has_evacuations()) {
         m_evacuated = { update.evacuated().begin(), update.evacuated().end() };
         m_logger.write(GatewayEvents::kEvacuations, { field("evacuated", m_evacuated.size()), field("term", update.term()) });
     }
     for (const auto &it : update.tables()) {
-        applyTable(it);
+        complete = applyTable(it) && complete;
     }
     const bool listed = update.routers_size() > 0 || update.removed_routers_size() > 0 || update.routers_complete();
     if (listed) {
@@ -49,6 +50,7 @@
         && (listed || update.has_manifest() || update.has_manifest_change() || update.has_evacuations() || update.tables_size() > 0)) {
         m_changed();
     }
+    return complete;
 }
 
 void FleetView::applyManifest(const wire::ManifestDocument &document)
@@ -65,15 +67,15 @@
         [&](const Error &error) { logUnreadable(document.version(), error.message); });
 }
 
-void FleetView::applyChange(const wire::ChangeManifest &change)
+bool FleetView::applyChange(const wire::ChangeManifest &change)
 {
     const auto &upsert = change.upsert();
     if (upsert.version() <= manifestVersion()) {
-        return;
+        return true;
     }
     if (!m_manifest || manifestVersion() < change.base_version()) {
         logUnreadable(upsert.version(), fmt::format("it builds on version {}, which is not here", change.base_version()));
-        return;
+        return false;
     }
     handleError(
         [&]() -> Result<void> {
@@ -99,6 +101,7 @@
             return {};
         },
         [&](const Error &error) { logUnreadable(upsert.version(), error.message); });
+    return true;
 }
 
 void FleetView::putInForce(Manifest manifest, const wire::ManifestDocument &received)
@@ -116,15 +119,15 @@
     m_logger.write(GatewayEvents::kManifestUnreadable, { field("version", version), field("error", error) });
 }
 
-void FleetView::applyTable(const wire::KeyTable &table)
+bool FleetView::applyTable(const wire::KeyTable &table)
 {
     auto &current = m_tables[table.service()];
     if (table.revision() <= current.revision) {
-        return;
+        return true;
     }
     if (current.revision < table.base_revision()) {
         logUnreadable(table.revision(), fmt::format("the key table builds on revision {}, which is not here", table.base_revision()));
-        return;
+        return false;
     }
     std::vector<KeyRow> rows;
     for (const auto &it : table.rows()) {
@@ -138,11 +141,12 @@
         current.keys = KeyRows(std::move(rows));
     } else {
         logUnreadable(table.revision(), "the key table has gaps");
-        return;
+        return true;
     }
     current.revision = table.revision();
     m_logger.write(GatewayEvents::kKeyTable,
                    { field("service", table.service()), field("revision", table.revision()), field("rows", table.rows_size()) });
+    return true;
 }
 
 void FleetView::applyGateways(const wire::FleetUpdate &update)
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -47,7 +47,8 @@
     void setChanged(std::function<void()> changed);
 
     /// Takes the parts that the update carries. An older manifest or key table is ignored.
-    void apply(const wire::FleetUpdate &update);
+    /// False if a part builds on something that is not here, so that the sender must send the whole.
+    bool apply(const wire::FleetUpdate &update);
 
     /// Null until the controllers have sent a manifest.
     std::shared_ptr<const LoadedManifest> manifest() const;
@@ -75,11 +76,11 @@
     };
 
     void applyManifest(const wire::ManifestDocument &document);
-    void applyChange(const wire::ChangeManifest &change);
+    bool applyChange(const wire::ChangeManifest &change);
     /// @param received is what this update carried of the manifest.
     void putInForce(Manifest manifest, const wire::ManifestDocument &received);
     void logUnreadable(std::uint64_t version, const std::string &error);
-    void applyTable(const wire::KeyTable &table);
+    bool applyTable(const wire::KeyTable &table);
     void applyGateways(const wire::FleetUpdate &update);
     void indexGateways();
 
--- a/test/gateway/test_fleet_view.cpp
+++ b/test/gateway/test_fleet_view.cpp
@@ -123,7 +123,7 @@
     wire::FleetUpdate update;
     update.mutable_manifest_change()->set_base_version(5);
     update.mutable_manifest_change()->mutable_upsert()->set_version(6);
-    m_view.apply(update);
+    EXPECT_FALSE(m_view.apply(update));
     EXPECT_EQ(m_view.manifestVersion(), 4U);
 }
 
@@ -156,6 +156,6 @@
     EXPECT_EQ(m_view.holderOf("svc", 1500)->router, "b");
     change.set_revision(12);
     change.set_base_revision(9);
-    m_view.apply(update);
+    EXPECT_FALSE(m_view.apply(update));
     EXPECT_EQ(m_view.tableRevision("svc"), 8U); // It lacks revision 9.
 }
