--- a/test/fleet/test_key_coordinator.cpp
+++ b/test/fleet/test_key_coordinator.cpp
@@ -247,6 +247,44 @@
     EXPECT_EQ(it.m_coordinator.releasing(), 0U);
 }
 
+// Pattern: a failure domain away. Its holders' keys must not all go to the one that had least to do.
+TEST(KeyCoordinator, SpreadsTheKeysOfSeveralLostHolders)
+{
+    Fixture it;
+    for (const auto *name : { "a", "b", "c", "d", "e", "f", "g", "h" }) {
+        it.add(name);
+    }
+    it.tick();
+    it.remove("a");
+    it.remove("b");
+    it.remove("c");
+    it.remove("d");
+    it.tick(seconds(6));
+    std::map<std::string, std::uint32_t> keys;
+    for (const auto &row : it.m_state.tables().at(kService).keys.rows()) {
+        keys[row.holder] += row.range.size();
+    }
+    ASSERT_EQ(keys.size(), 4U);
+    for (const auto &[holder, n] : keys) {
+        EXPECT_LE(n, kKeyCount / 4 * 3 / 2) << holder;
+    }
+}
+
+TEST(KeyCoordinator, TellsWhoseGrantsHaveChanged)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    EXPECT_EQ(it.m_coordinator.takeChangedHolders(), (std::set<std::string>{ "a", "b" }));
+    it.holder("a").mayHold = false;
+    it.tick();
+    EXPECT_EQ(it.m_coordinator.takeChangedHolders(), std::set<std::string>{ "a" });
+    it.free(it.at(0), "token");
+    it.tick();
+    EXPECT_EQ(it.m_coordinator.takeChangedHolders(), std::set<std::string>{ "b" });
+}
+
 RC_GTEST_PROP(KeyCoordinator, GrantsNeverNameAKeyTwiceWithinALease, ())
 {
     Fixture it;
