Never tell a backend server to hold keys again that it has just released

The next leader does not know of the release and grants the whole row; the backend server takes the keys back in the answer to the very heartbeat that says they are free, while that word goes on to the new leader, which gives them to another one.

Change: a gateway leaves out of what it tells its backend server, and of what its gate lets through, every range whose release under the same fencing token the controllers have not acknowledged.

Test, seen failing first: LocalInstanceTest.KeysThatWereReleasedAreNotHeldAgainUnderTheSameFencingToken.

--- a/src/fleet/key_rows.cpp
+++ b/src/fleet/key_rows.cpp
@@ -12,6 +12,21 @@
     return { std::max(a.from, b.from), std::min(a.to, b.to) };
 }
 
+std::vector<KeyRange> difference(KeyRange range, KeyRange taken)
+{
+    if (!range.overlaps(taken)) {
+        return { range };
+    }
+    std::vector<KeyRange> rests;
+    if (range.from < taken.from) {
+        rests.push_back({ range.from, taken.from - 1 });
+    }
+    if (range.to > taken.to) {
+        rests.push_back({ taken.to + 1, range.to });
+    }
+    return rests;
+}
+
 bool KeyRow::sameGrant(const KeyRow &other) const
 {
     return holder == other.holder && router == other.router && fence == other.fence && handover == other.handover;
--- a/src/fleet/key_rows.h
+++ b/src/fleet/key_rows.h
@@ -42,6 +42,9 @@
 /// Keys in both ranges, which must overlap.
 KeyRange intersection(KeyRange a, KeyRange b);
 
+/// What is left of a range without another one: none, one or two ranges.
+std::vector<KeyRange> difference(KeyRange range, KeyRange taken);
+
 /// Keys of a service with their holder.
 struct KeyRow
 {
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -270,7 +270,27 @@
 
 std::vector<KeyRow> LocalInstance::rowsToHold() const
 {
-    return m_current && m_current->draining ? std::vector<KeyRow>() : m_leased;
+    if (m_current && m_current->draining) {
+        return {};
+    }
+    // A new leader may grant keys again whose release it does not know. Taken back, they could be given to another one meanwhile.
+    std::vector<KeyRow> rows = m_leased;
+    for (const auto &it : m_released) {
+        const KeyRange released{ it.keys.from(), it.keys.to() };
+        std::vector<KeyRow> rests;
+        for (const auto &row : rows) {
+            if (row.fence != it.keys.fence() || !row.range.overlaps(released)) {
+                rests.push_back(row);
+                continue;
+            }
+            for (const auto &rest : difference(row.range, released)) {
+                rests.push_back(row);
+                rests.back().range = rest;
+            }
+        }
+        rows = std::move(rests);
+    }
+    return rows;
 }
 
 std::optional<HeartbeatAnswer> LocalInstance::currentAnswer() const
@@ -317,8 +337,9 @@
 {
     const auto now = m_loop.clock().now();
     const auto names = [key](const KeyRow &it) { return it.range.contains(key); };
+    const auto rows = rowsToHold();
     return now < m_toldUntil && now < m_leaseEnd && std::any_of(m_told.begin(), m_told.end(), names)
-        && std::any_of(m_leased.begin(), m_leased.end(), names);
+        && std::any_of(rows.begin(), rows.end(), names);
 }
 
 wire::CallReason LocalInstance::refusal(const Call &call) const
--- a/standin/platform/platform_backend.cpp
+++ b/standin/platform/platform_backend.cpp
@@ -39,16 +39,8 @@
 {
     std::vector<KeyRange> rests;
     for (const auto &it : ranges) {
-        if (!it.overlaps(taken)) {
-            rests.push_back(it);
-            continue;
-        }
-        if (it.from < taken.from) {
-            rests.push_back({ it.from, taken.from - 1 });
-        }
-        if (it.to > taken.to) {
-            rests.push_back({ taken.to + 1, it.to });
-        }
+        const auto parts = difference(it, taken);
+        rests.insert(rests.end(), parts.begin(), parts.end());
     }
     return rests;
 }
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -256,3 +256,27 @@
     EXPECT_FALSE(answered); // It may carry a change of the keys.
     EXPECT_TRUE(m_loop->runUntil([&answered] { return answered; }, milliseconds(600)));
 }
+
+// hunt trouble-1, seed 971028062247 (cluefire-live): a new leader that did not know of a release granted the row again. The backend
+// server took the keys back while its word that they are free was still on the way, and they were given to another one.
+TEST_F(LocalInstanceTest, KeysThatWereReleasedAreNotHeldAgainUnderTheSameFencingToken)
+{
+    send(beat(1, 1));
+    lease(0, 99, 5);
+    auto holding = beat(1, 2);
+    holding.holds = { { { 0, 99 }, 5 } };
+    send(holding);
+    lease(0, 49, 5); // The old leader asks for the rest.
+    auto released = beat(1, 3);
+    released.holds = { { { 0, 49 }, 5 } };
+    released.released = { { { 50, 99 }, "token" } };
+    send(released);
+    lease(0, 99, 5); // The new leader does not know that.
+    const auto answer = send(beat(1, 4));
+    ASSERT_TRUE(answer && *answer);
+    ASSERT_EQ((*answer)->rows.size(), 1U);
+    EXPECT_EQ((*answer)->rows[0].range, (KeyRange{ 0, 49 }));
+    EXPECT_EQ(refusalOf(70), wire::NOT_HOLDER);
+    lease(50, 99, 9); // A grant of its own, with a higher fencing token, counts.
+    EXPECT_EQ((*send(beat(1, 5)))->rows[0].range, (KeyRange{ 50, 99 }));
+}
