--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -170,27 +170,50 @@
 void LocalInstance::noteReleased(const Heartbeat &it)
 {
     for (const auto &released : it.released) {
-        wire::FreedKeys keys;
-        keys.set_incarnation(m_current->name);
-        keys.set_from(released.range.from);
-        keys.set_to(released.range.to);
-        keys.set_handover(released.handover);
         // The heartbeat before named the fencing token of what is released now.
         std::uint64_t fence = 0;
         for (const auto &held : m_reported) {
             fence = held.range.overlaps(released.range) ? held.fence : fence;
         }
-        keys.set_fence(fence != 0 ? fence : fenceOf(released.range));
-        m_logger.write(GatewayEvents::kKeysFreed,
-                       { field("incarnation", m_current->name),
-                         field("from", released.range.from),
-                         field("to", released.range.to),
-                         field("fence", keys.fence()),
-                         field("sequence", it.sequence) });
-        m_released.push_back({ std::move(keys), 0 });
+        fence = fence != 0 ? fence : fenceOf(released.range);
+        for (const auto &range : notHeld(released.range, fence, it.holds)) {
+            noteReleased(range, fence, released.handover, it.sequence);
+        }
     }
 }
 
+std::vector<KeyRange> LocalInstance::notHeld(KeyRange range, std::uint64_t fence, const std::vector<HeldKeys> &holds)
+{
+    // Keys that it has taken back since, because a new leader did not know of their release, are not free.
+    std::vector<KeyRange> rests{ range };
+    for (const auto &held : holds) {
+        std::vector<KeyRange> next;
+        for (const auto &it : rests) {
+            const auto parts = held.fence == fence ? difference(it, held.range) : std::vector<KeyRange>{ it };
+            next.insert(next.end(), parts.begin(), parts.end());
+        }
+        rests = std::move(next);
+    }
+    return rests;
+}
+
+void LocalInstance::noteReleased(KeyRange range, std::uint64_t fence, const std::string &handover, std::uint64_t sequence)
+{
+    wire::FreedKeys keys;
+    keys.set_incarnation(m_current->name);
+    keys.set_from(range.from);
+    keys.set_to(range.to);
+    keys.set_fence(fence);
+    keys.set_handover(handover);
+    m_logger.write(GatewayEvents::kKeysFreed,
+                   { field("incarnation", m_current->name),
+                     field("from", range.from),
+                     field("to", range.to),
+                     field("fence", fence),
+                     field("sequence", sequence) });
+    m_released.push_back({ std::move(keys), 0 });
+}
+
 void LocalInstance::deregister(const std::string &instance)
 {
     if (!m_current || m_current->instance != instance || m_current->deregistered) {
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -102,6 +102,9 @@
     void start(const Heartbeat &it);
     void update(const Heartbeat &it);
     void noteReleased(const Heartbeat &it);
+    void noteReleased(KeyRange range, std::uint64_t fence, const std::string &handover, std::uint64_t sequence);
+    /// What is left of a range without the keys that are held under the fencing token.
+    static std::vector<KeyRange> notHeld(KeyRange range, std::uint64_t fence, const std::vector<HeldKeys> &holds);
     std::uint64_t fenceOf(KeyRange range) const;
     std::vector<KeyRow> rowsToHold() const;
     std::optional<HeartbeatAnswer> currentAnswer() const;
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -280,3 +280,20 @@
     lease(50, 99, 9); // A grant of its own, with a higher fencing token, counts.
     EXPECT_EQ((*send(beat(1, 5)))->rows[0].range, (KeyRange{ 50, 99 }));
 }
+
+// The other order of the same race: the keys were taken back before the heartbeat that says they were released.
+TEST_F(LocalInstanceTest, KeysThatWereTakenBackAreNotReportedAsReleased)
+{
+    send(beat(1, 1));
+    lease(0, 99, 5);
+    auto both = beat(1, 2);
+    both.holds = { { { 0, 79 }, 5 } };
+    both.released = { { { 50, 99 }, "token" } };
+    send(both);
+    wire::Announce announce;
+    announce.set_sequence(1);
+    m_instance.fillReleased(announce);
+    ASSERT_EQ(announce.freed_size(), 1);
+    EXPECT_EQ(announce.freed(0).from(), 80U);
+    EXPECT_EQ(announce.freed(0).to(), 99U);
+}
