--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -109,6 +109,7 @@
         return;
     }
     std::vector<GatewayCandidate> candidates;
+    candidates.reserve(sample.size());
     for (const auto *gateway : sample) {
         candidates.push_back(describe(*gateway));
     }
--- a/standin/platform/platform_backend.cpp
+++ b/standin/platform/platform_backend.cpp
@@ -198,11 +198,12 @@
 {
     const auto target = fmt::format("/toucandeck/instances/{}/{}", m_instance, call);
     m_connection = std::make_unique<BackendConnection>(m_loop, m_options.control, std::string());
-    m_connection->send({ "POST", target, { { "Host", "control" } }, body }, std::string(), [done](const BackendResult &result) {
-        if (result.error == BackendError::None && result.response.status == 200) {
-            done(result.response);
-        }
-    });
+    m_connection->send(
+        { "POST", target, { { "Host", "control" } }, body }, std::string(), [done = std::move(done)](const BackendResult &result) {
+            if (result.error == BackendError::None && result.response.status == 200) {
+                done(result.response);
+            }
+        });
 }
 
 void PlatformBackend::expire()
