--- a/test/gateway/test_candidate_sample.cpp
+++ b/test/gateway/test_candidate_sample.cpp
@@ -27,6 +27,7 @@
 std::vector<const ListedGateway *> pointers(const std::vector<ListedGateway> &all)
 {
     std::vector<const ListedGateway *> out;
+    out.reserve(all.size());
     for (const auto &it : all) {
         out.push_back(&it);
     }
