--- a/src/config/json_fields.cpp
+++ b/src/config/json_fields.cpp
@@ -118,8 +118,11 @@
 {
     try {
         return json::parse(text);
+    } catch (const json::parse_error &error) {
+        // The text of the error quotes the input, which may not be UTF-8.
+        return fail(ErrorCode::InvalidArgument, fmt::format("not valid JSON: error {} at byte {}", error.id, error.byte));
     } catch (const json::exception &error) {
-        return fail(ErrorCode::InvalidArgument, fmt::format("not valid JSON: {}", error.what()));
+        return fail(ErrorCode::InvalidArgument, fmt::format("not valid JSON: error {}", error.id));
     }
 }
 
--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -152,6 +152,19 @@
     EXPECT_FALSE(readsHeartbeat(replaced(text, "\"250ms\"", "250")));
 }
 
+// Guards against a process that ends because a body without valid UTF-8 is quoted in the JSON of its own answer.
+TEST(Codecs, DescribeABodyThatIsNotUtf8InValidJson)
+{
+    const auto message = handleError(
+        []() -> Result<std::string> {
+            BOOST_LEAF_CHECK(parseJson("{\"service\":\xff\xfe}"));
+            return std::string();
+        },
+        [](const Error &error) { return error.message; });
+    EXPECT_NE(message, "");
+    EXPECT_NO_THROW(nlohmann::json(message).dump());
+}
+
 TEST(HeartbeatJson, WritesHoldsOnlyWhenThereIsALease)
 {
     EXPECT_EQ(writeHeartbeatAnswer(std::nullopt), "{}");
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -211,6 +211,22 @@
     EXPECT_EQ(request(nodeIp(11), "/none/1", 0)->status, 404);
 }
 
+// Guards against a gateway or controller that ends because it cannot quote such bytes in its answer or cannot read them from its log.
+TEST_F(FleetPathTest, RefusesBodiesAndPathsThatAreNotUtf8)
+{
+    const std::string bytes = "{\"service\":\xff\xfe}";
+    const auto statusOf = [this](const SocketAddress &address, const std::string &target, const std::string &body) {
+        const auto response = OneShotClient(*m_loop, address).send({ "POST", target, { { "Host", "x" } }, body }, kLimit);
+        return response ? response->status : 0;
+    };
+    const SocketAddress instances{ nodeIp(11), kInstancePort };
+    EXPECT_EQ(statusOf(instances, "/toucandeck/instances/i-1/heartbeat", bytes), 400);
+    EXPECT_EQ(statusOf(instances, "/toucandeck/instances/i-\xff/heartbeat", "{}"), 400);
+    EXPECT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", bytes), 400);
+    EXPECT_EQ(sendOperatorRequest("POST", "/toucandeck/evacuations/\xff/start", {}), 400);
+    EXPECT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(1, 0, true)), 200);
+}
+
 TEST_F(FleetPathTest, AnOperatorsOrdersAreAcknowledgedAgainRefusedOnOldVersionsAndReadBack)
 {
     ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200);
