--- a/test/link/test_message_channel.cpp
+++ b/test/link/test_message_channel.cpp
@@ -90,6 +90,41 @@
     EXPECT_EQ(m_receivedMessages[2].reply().body(), "abc");
 }
 
+// Guards against a request or response whose headers are not UTF-8 ending the connection, and with it all other calls there.
+TEST_F(LinkTest, CarriesHeadersAndTargetsOfAnyBytes)
+{
+    const std::string bytes = "caf\xe9 \xff";
+    std::vector<wire::CallRequest> calls;
+    listen([&, this](int descriptor, const std::string &) {
+        MessageChannel::Handlers handlers;
+        handlers.onMessage = [&calls](const auto &channel, const wire::PeerMessage &message) {
+            calls.push_back(message.call());
+            wire::PeerMessage reply;
+            *reply.mutable_reply()->add_headers() = message.call().headers(0);
+            channel->send(reply);
+        };
+        handlers.onClosed = [](const auto &, const std::string &) {};
+        m_channels.push_back(MessageChannel::accept(*m_loop, descriptor, "127.0.0.1", std::move(handlers)));
+    });
+    wire::PeerMessage message;
+    auto &call = *message.mutable_call();
+    call.set_request_id(bytes);
+    call.set_method(bytes);
+    call.set_target(bytes);
+    auto &header = *call.add_headers();
+    header.set_name(bytes);
+    header.set_value(bytes);
+    m_links.send("127.0.0.1", message);
+    m_loop->runUntil([this] { return !m_receivedMessages.empty() || !m_closedWasEstablished.empty(); }, seconds(10));
+    EXPECT_TRUE(m_closedWasEstablished.empty());
+    ASSERT_EQ(m_receivedMessages.size(), 1U);
+    EXPECT_EQ(calls[0].request_id(), bytes);
+    EXPECT_EQ(calls[0].method(), bytes);
+    EXPECT_EQ(calls[0].target(), bytes);
+    EXPECT_EQ(m_receivedMessages[0].reply().headers(0).name(), bytes);
+    EXPECT_EQ(m_receivedMessages[0].reply().headers(0).value(), bytes);
+}
+
 TEST_F(LinkTest, ReportsThatNothingWasSentIfNobodyListens)
 {
     send(1);
