Let a gateway end only after its clients have read their last responses

What callers could see: a client that was slow to take its response during a graceful stop received only a part of it and a reset, if a byte of its next request arrived as the gateway ended.

Cause: a response counted as delivered once the kernel had taken it. The kernel discards what it has not sent yet when a socket with unread data is closed, as it is when the process ends; the server reads and discards further data only while its event loop runs.

Change: PipelinedServer::lingeringConnections() counts the connections that the server has closed after a response and the client has not. The drain of a gateway waits for them; each lingers for at most a second, and the limit of the drain holds as before.

Not covered: a client that takes more than a second for what the kernel still holds and sends at the same time.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -203,7 +203,8 @@
     if (sinceDrainStart >= kRefuseClientsAfter) {
         m_requestHandler.refuseNewRequests();
     }
-    const bool busy = m_requestHandler.pendingCount() > 0 || m_peers->pendingCount() > 0 || m_outbound->unfinishedRequests() > 0;
+    const bool busy = m_requestHandler.pendingCount() > 0 || m_peers->pendingCount() > 0 || m_outbound->unfinishedRequests() > 0
+        || m_outbound->lingeringConnections() > 0;
     m_lastBusy = busy ? now : m_lastBusy;
     const bool finished = sinceDrainStart >= kClientDrainTime && now - m_lastBusy >= kMinIdleTime;
     if (finished || sinceDrainStart >= m_options.shutdownLimit) {
--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -51,6 +51,11 @@
     return m_slots.size() + (writing ? 1 : 0);
 }
 
+bool PipelinedConnection::isLingering() const
+{
+    return m_stream != nullptr && m_lingerSince;
+}
+
 void PipelinedConnection::onRead(bufferevent * /*stream*/, void *self)
 {
     const auto connection = static_cast<PipelinedConnection *>(self)->shared_from_this();
--- a/src/http/pipelined_connection.h
+++ b/src/http/pipelined_connection.h
@@ -30,6 +30,8 @@
 
     bool isClosed() const;
     std::size_t unfinishedRequests() const;
+    /// True from the end of the sending side until the client closes the connection or the time for it is over.
+    bool isLingering() const;
 
 private:
     struct Slot
--- a/src/http/pipelined_server.cpp
+++ b/src/http/pipelined_server.cpp
@@ -4,6 +4,8 @@
 
 #include "common/assert.h"
 
+#include <algorithm>
+
 namespace Toucandeck
 {
 
@@ -121,4 +123,10 @@
     return n;
 }
 
+std::size_t PipelinedServer::lingeringConnections() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_connections.begin(), m_connections.end(), [](const auto &it) { return it->isLingering(); }));
+}
+
 } // namespace Toucandeck
--- a/src/http/pipelined_server.h
+++ b/src/http/pipelined_server.h
@@ -76,6 +76,10 @@
     /// Number of requests without a response, plus the number of connections with unsent response data.
     std::size_t unfinishedRequests() const;
 
+    /// Number of connections that the server has closed after a response and the client has not. Destroying the server while unread data
+    /// has arrived on one of them resets it, which can lose the response.
+    std::size_t lingeringConnections() const;
+
 private:
     friend class internal::PipelinedConnection;
 
--- a/test/http/raw_socket.h
+++ b/test/http/raw_socket.h
@@ -3,7 +3,9 @@
 #include "link/socket_address.h"
 #include "runtime/event_loop.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,9 +22,13 @@
     {
     }
 
-    static RawSocket connectTo(const SocketAddress &address)
+    /// @param receiveBuffer size of the receive buffer in bytes; zero for the default of the system.
+    static RawSocket connectTo(const SocketAddress &address, int receiveBuffer = 0)
     {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+        if (receiveBuffer != 0) {
+            ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        }
         const auto sa = address.toSockaddr();
         EXPECT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa)), 0);
         return RawSocket(descriptor);
@@ -50,6 +56,33 @@
         EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
     }
 
+    /// As write(), without a failure if the connection is closed.
+    void writeIfOpen(const std::string &text) const
+    {
+        ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+
+    /// What receiveSome() and receivedText() have received.
+    const std::string &receivedSoFar() const
+    {
+        return m_receivedText;
+    }
+
+    /// True once receiveSome() or receivedText() has found the end of the stream or a reset.
+    bool isClosedByPeer() const
+    {
+        return m_closed;
+    }
+
+    /// Receives at most @p n bytes, as a slow client does.
+    void receiveSome(std::size_t n)
+    {
+        std::string buf(n, '\0');
+        const auto received = ::recv(m_descriptor, buf.data(), n, MSG_DONTWAIT);
+        m_receivedText.append(buf, 0, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
+        m_closed = m_closed || received == 0 || (received < 0 && errno == ECONNRESET);
+    }
+
     /// All text received since the connection was opened.
     const std::string &receivedText()
     {
--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -95,6 +95,30 @@
     EXPECT_TRUE(runUntil([&client] { return client.isClosed(); }));
 }
 
+// Guards against a reset at the end of the process, caused by unread data, that discards a response which a slow client still reads.
+TEST_F(PipelinedServerTest, LingersUntilASlowClientHasReadItsResponse)
+{
+    constexpr int kReceiveBuffer = 4096;
+    constexpr std::size_t kBodySize = 200'000;
+    auto client = RawSocket::connectTo(m_address, kReceiveBuffer);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_server->drain();
+    m_exchanges[0]->respond(withBody(std::string(kBodySize, 'x')));
+    const auto reading = m_loop->every(milliseconds(1), [&client] {
+        client.receiveSome(1024);
+        if (client.isClosedByPeer()) {
+            client.close();
+        }
+    });
+    ASSERT_TRUE(runUntil([this] { return m_server->unfinishedRequests() == 0 && m_server->lingeringConnections() == 0; }));
+    client.writeIfOpen("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_server.reset();
+    runUntil([&client] { return client.isClosedByPeer(); });
+    const auto &text = client.receivedSoFar();
+    EXPECT_EQ(text.size() - text.find("\r\n\r\n") - 4, kBodySize);
+}
+
 TEST_F(PipelinedServerTest, KeepsTheOrderWhenABadRequestFollows)
 {
     auto client = RawSocket::connectTo(m_address);
