Measure the idle time of a body from its latest data

What callers could see: status 408 for a request whose body took longer than the idle limit in all, although its data kept arriving, as over a slow link or during the drain.

Cause: the time counted from the first byte of the request. The limit is one of idle time; the header limit still counts from the first byte.

Evidence: AcceptsABodyThatKeepsArrivingForLongerThanTheIdleLimit before the change: test_pipelined_server.cpp:168: Failure Expected equality of these values: m_exchanges.size() Which is: 0 1U Which is: 1 HTTP/1.1 408 Request Timeout A second test holds that a body that stops is still refused; it passed before too. test_http passes (33 tests).

--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -112,6 +112,9 @@
     }
     const auto n = m_parser.feed({ static_cast<const char *>(chunk.iov_base), chunk.iov_len });
     evbuffer_drain(in, n);
+    if (m_parser.hasHeaders()) {
+        m_lastActive = m_server.m_loop.clock().now();
+    }
     if (m_parser.error()) {
         refuseMalformed(*m_parser.error());
         return false;
--- a/src/http/pipelined_connection.h
+++ b/src/http/pipelined_connection.h
@@ -62,7 +62,7 @@
     bufferevent *m_stream;
     MessageParser m_parser;
     std::deque<Slot> m_slots;
-    TimePoint m_lastActive; ///< Time of the last response or of the first byte of the current request.
+    TimePoint m_lastActive; ///< Time of the last response, of the first byte of the current request or of the latest data of its body.
     bool m_sentContinue = false; ///< "100 Continue" was sent for the current request.
     bool m_noMoreRequests = false; ///< Further input on the connection is discarded.
     std::optional<TimePoint> m_lingerSince; ///< Time at which the sending side was shut down; input is discarded since then.
--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -152,6 +152,33 @@
     EXPECT_NE(client.receivedText().find("408"), std::string::npos);
 }
 
+// Guards against status 408 for a body that takes longer than the idle limit although its data keeps arriving.
+TEST_F(PipelinedServerTest, AcceptsABodyThatKeepsArrivingForLongerThanTheIdleLimit)
+{
+    m_limits.idleTimeout = milliseconds(500);
+    auto client = RawSocket::connectTo(m_address);
+    client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\n");
+    int sent = 0;
+    const auto sending = m_loop->every(milliseconds(100), [&] {
+        if (sent++ < 12) {
+            client.write("x");
+        }
+    });
+    ASSERT_TRUE(runUntil([&] { return m_exchanges.size() == 1 || client.isClosed(); }));
+    ASSERT_EQ(m_exchanges.size(), 1U) << client.receivedText();
+    EXPECT_EQ(m_exchanges[0]->request().body.size(), 12U);
+}
+
+// Guards against an idle limit that data of a body never reaches: a client that stops within a body is refused.
+TEST_F(PipelinedServerTest, RefusesABodyThatStopsForLongerThanTheIdleLimit)
+{
+    m_limits.idleTimeout = milliseconds(200);
+    auto client = RawSocket::connectTo(m_address);
+    client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\nxx");
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    EXPECT_NE(client.receivedText().find("408"), std::string::npos);
+}
+
 TEST_F(PipelinedServerTest, ClosesAConnectionThatIsIdleForTooLong)
 {
     m_limits.idleTimeout = milliseconds(100);
