--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -51,6 +51,11 @@
     return m_slots.size() + (writing ? 1 : 0);
 }
 
+bool PipelinedConnection::isLingering() const
+{
+    return m_stream != nullptr && m_lingerSince;
+}
+
 void PipelinedConnection::onRead(bufferevent * /*stream*/, void *self)
 {
     const auto connection = static_cast<PipelinedConnection *>(self)->shared_from_this();
@@ -107,6 +112,9 @@
     }
     const auto n = m_parser.feed({ static_cast<const char *>(chunk.iov_base), chunk.iov_len });
     evbuffer_drain(in, n);
+    if (m_parser.hasHeaders()) {
+        m_lastActive = m_server.m_loop.clock().now();
+    }
     if (m_parser.error()) {
         refuseMalformed(*m_parser.error());
         return false;
--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -95,6 +95,30 @@
     EXPECT_TRUE(runUntil([&client] { return client.isClosed(); }));
 }
 
+// Guards against a reset at the end of the process, caused by unread data, that discards a response which a slow client still reads.
+TEST_F(PipelinedServerTest, LingersUntilASlowClientHasReadItsResponse)
+{
+    constexpr int kReceiveBuffer = 4096;
+    constexpr std::size_t kBodySize = 200'000;
+    auto client = RawSocket::connectTo(m_address, kReceiveBuffer);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_server->drain();
+    m_exchanges[0]->respond(withBody(std::string(kBodySize, 'x')));
+    const auto reading = m_loop->every(milliseconds(1), [&client] {
+        client.receiveSome(1024);
+        if (client.isClosedByPeer()) {
+            client.close();
+        }
+    });
+    ASSERT_TRUE(runUntil([this] { return m_server->unfinishedRequests() == 0 && m_server->lingeringConnections() == 0; }));
+    client.writeIfOpen("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_server.reset();
+    runUntil([&client] { return client.isClosedByPeer(); });
+    const auto &text = client.receivedSoFar();
+    EXPECT_EQ(text.size() - text.find("\r\n\r\n") - 4, kBodySize);
+}
+
 TEST_F(PipelinedServerTest, KeepsTheOrderWhenABadRequestFollows)
 {
     auto client = RawSocket::connectTo(m_address);
@@ -128,6 +152,33 @@
     EXPECT_NE(client.receivedText().find("408"), std::string::npos);
 }
 
+// Guards against status 408 for a body that takes longer than the idle limit although its data keeps arriving.
+TEST_F(PipelinedServerTest, AcceptsABodyThatKeepsArrivingForLongerThanTheIdleLimit)
+{
+    m_limits.idleTimeout = milliseconds(500);
+    auto client = RawSocket::connectTo(m_address);
+    client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\n");
+    int sent = 0;
+    const auto sending = m_loop->every(milliseconds(100), [&] {
+        if (sent++ < 12) {
+            client.write("x");
+        }
+    });
+    ASSERT_TRUE(runUntil([&] { return m_exchanges.size() == 1 || client.isClosed(); }));
+    ASSERT_EQ(m_exchanges.size(), 1U) << client.receivedText();
+    EXPECT_EQ(m_exchanges[0]->request().body.size(), 12U);
+}
+
+// Guards against an idle limit that data of a body never reaches: a client that stops within a body is refused.
+TEST_F(PipelinedServerTest, RefusesABodyThatStopsForLongerThanTheIdleLimit)
+{
+    m_limits.idleTimeout = milliseconds(200);
+    auto client = RawSocket::connectTo(m_address);
+    client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\nxx");
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    EXPECT_NE(client.receivedText().find("408"), std::string::npos);
+}
+
 TEST_F(PipelinedServerTest, ClosesAConnectionThatIsIdleForTooLong)
 {
     m_limits.idleTimeout = milliseconds(100);
