Take a refusal as not run only if it belongs to the request in progress

Callers could be told "not run, try again" (503) for a request that the backend server had run or was running, or the request was run a second time elsewhere: a faulty backend server wrote an earlier refusal once more on a kept connection.

Cause: BackendConnection drops a response that names another request, but two kinds passed. A response without an id that states that it was not run (or has status 421) counted for whichever request was in progress. And a refused request that was sent again on the same connection has the id of its earlier refusal. A third kind was found on the way: a refusal that names another request, while a request without an id is in progress.

Change: a refusal counts as not run if it names the request in progress, or names none and is the first response of its connection (interim responses aside). Otherwise the call may have run, and the connection is closed. A connection that has carried the refusal of an id does not carry that id again; the request goes out on another connection. So an extra copy of a refusal either names another request, and is dropped as before, or is not identified. Connections stay open after refusals that name their request, since overloaded backend servers refuse often. A connection remembers 256 hashes of refused ids and is replaced afterwards, which costs one handshake in 256 refusals. Connections are also closed after any other rejected response.

New events: response_rejected (10213) with the cause behind BAD_ANSWER, and response_dropped (10214) for late responses to other requests.

The tests on the code before (seven of twelve failed, five are guards):

../test/gateway/test_backend_runner.cpp:108: Failure answer(carrier, refusal("")).outcome Which is: 1 wire::MAY_HAVE_RUN Which is: 2 [ FAILED ] BackendRunnerTest.ARefusalWithoutIdOnAKeptConnectionMayHaveRun ../test/gateway/test_backend_runner.cpp:119: Failure result.outcome Which is: 1 wire::MAY_HAVE_RUN Which is: 2 [ FAILED ] BackendRunnerTest.AStatus421WithoutIdOnAKeptConnectionMayHaveRun ../test/gateway/test_backend_runner.cpp:129: Failure answer(carrier, success("one")).outcome Which is: 1 wire::ANSWERED Which is: 0 [ FAILED ] BackendRunnerTest.ARefusedRequestIsSentAgainOnAnotherConnection ../test/gateway/test_backend_runner.cpp:145: Failure answer(run(""), refusal("one")).outcome Which is: 1 wire::MAY_HAVE_RUN Which is: 2 [ FAILED ] BackendRunnerTest.ARefusalOfAnotherRequestDoesNotRefuseARequestWithoutId

Also failed: ARefusedRequestIsNotSentAgainOnItsConnectionAfterOtherRequests, ARefusalWithoutIdAfterALateResponseMayHaveRun, ConnectionsAreReplacedAfterManyRefusals.

Now: test_gateway 77 passed, test_http 30 passed, Events.* of test_daemon 2 passed.

--- a/src/gateway/backend_runner.cpp
+++ b/src/gateway/backend_runner.cpp
@@ -1,5 +1,7 @@
 #include "gateway/backend_runner.h"
 
+#include "gateway/events.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -18,6 +20,8 @@
 constexpr double kIdleShare = 0.6;
 constexpr milliseconds kMinDeadline{ 1 };
 
+constexpr int kMisdirectedRequest = 421; ///< The request was sent to another instance than expected and was not run.
+
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -60,23 +64,24 @@
     m_connectionRefusedHandler = std::move(handler);
 }
 
-BackendRunner::Connection BackendRunner::takeIdle()
+BackendRunner::Connection BackendRunner::takeIdle(const std::string &requestId)
 {
     const auto now = m_loop.clock().now();
-    while (!m_idleConnections.empty()) {
-        auto connection = std::move(m_idleConnections.front());
-        m_idleConnections.pop_front();
-        const auto idle = now - connection->idleSince();
-        if (connection->isReusable() && idle < connection->idleTimeout() * kIdleShare) {
-            return connection;
-        }
+    m_idleConnections.remove_if(
+        [now](const auto &it) { return !it->isReusable() || now - it->idleSince() >= it->idleTimeout() * kIdleShare; });
+    const auto found = std::find_if(
+        m_idleConnections.begin(), m_idleConnections.end(), [&requestId](const auto &it) { return it->mayCarry(requestId); });
+    if (found == m_idleConnections.end()) {
+        return nullptr;
     }
-    return nullptr;
+    auto connection = std::move(*found);
+    m_idleConnections.erase(found);
+    return connection;
 }
 
 void BackendRunner::run(std::uint64_t id, const Call &call, CallDone done)
 {
-    auto connection = takeIdle();
+    auto connection = takeIdle(call.requestId);
     if (!connection) {
         connection = std::make_unique<BackendConnection>(m_loop, m_address, m_headers.requestId);
         ++m_openedConnections;
@@ -105,18 +110,39 @@
     auto connection = std::move(found->second);
     m_busyConnections.erase(found);
     const bool refused = result.error == BackendError::Refused;
+    logDropped(call, result);
     auto interpreted = interpret(call, std::move(result));
-    if (connection->isReusable()) {
+    release(std::move(connection), call, interpreted);
+    const auto callback = done;
+    callback(std::move(interpreted));
+    if (refused && m_connectionRefusedHandler) {
+        m_connectionRefusedHandler();
+    }
+}
+
+void BackendRunner::release(Connection connection, const Call &call, const CallResult &result)
+{
+    if (result.reason == wire::REFUSED_BY_INSTANCE) {
+        connection->excludeRequestId(call.requestId);
+    }
+    if (connection->isReusable() && result.outcome != wire::MAY_HAVE_RUN) {
         m_idleConnections.push_front(std::move(connection));
     } else {
         // Destroyed later, since the connection's own code is calling this function.
         m_loop.runSoon([closing = std::shared_ptr<BackendConnection>(std::move(connection))] {});
     }
-    const auto callback = done;
-    callback(std::move(interpreted));
-    if (refused && m_connectionRefusedHandler) {
-        m_connectionRefusedHandler();
+}
+
+void BackendRunner::logDropped(const Call &call, const BackendResult &result) const
+{
+    if (result.droppedResponses == 0) {
+        return;
     }
+    m_logger.write(GatewayEvents::kResponseDropped,
+                   { field("request", call.requestId),
+                     field("instance", m_instance),
+                     field("named", result.droppedId),
+                     field("count", result.droppedResponses) });
 }
 
 CallResult BackendRunner::interpret(const Call &call, BackendResult result) const
@@ -124,7 +150,7 @@
     CallResult out;
     switch (result.error) {
     case BackendError::None:
-        out = interpretAnswer(call, std::move(result.response));
+        out = interpretAnswer(call, std::move(result));
         break;
     case BackendError::Refused:
     case BackendError::ConnectFailed:
@@ -141,23 +167,41 @@
     return out;
 }
 
-CallResult BackendRunner::interpretAnswer(const Call &call, HttpResponse response) const
+CallResult BackendRunner::rejectAnswer(const Call &call, const HttpResponse &response, const char *cause) const
+{
+    m_logger.write(GatewayEvents::kResponseRejected,
+                   { field("request", call.requestId),
+                     field("instance", m_instance),
+                     field("cause", cause),
+                     field("status", response.status),
+                     field("named", response.header(m_headers.requestId).value_or("")) });
+    CallResult out;
+    out.outcome = wire::MAY_HAVE_RUN;
+    out.reason = wire::BAD_ANSWER;
+    out.reachedBackend = true;
+    return out;
+}
+
+CallResult BackendRunner::interpretAnswer(const Call &call, BackendResult result) const
 {
+    auto &response = result.response;
     CallResult out;
     out.reachedBackend = true;
-    if (response.header(m_headers.notExecuted) || response.status == 421) {
+    if (response.header(m_headers.notExecuted) || response.status == kMisdirectedRequest) {
+        if (!result.identified) {
+            return rejectAnswer(call, response, "refusal_of_unknown_request");
+        }
         out.outcome = wire::NOT_RUN;
         out.reason = wire::REFUSED_BY_INSTANCE;
         out.response.status = response.status;
         return out;
     }
     const auto echoed = response.header(m_headers.requestId);
-    const bool foreign = echoed && *echoed != call.requestId;
-    const bool unsealed = isSuccess(response.status) && !response.header(m_headers.answerSeal);
-    if (foreign || unsealed) {
-        out.outcome = wire::MAY_HAVE_RUN;
-        out.reason = wire::BAD_ANSWER;
-        return out;
+    if (echoed && *echoed != call.requestId) {
+        return rejectAnswer(call, response, "other_request");
+    }
+    if (isSuccess(response.status) && !response.header(m_headers.answerSeal)) {
+        return rejectAnswer(call, response, "no_seal");
     }
     out.outcome = wire::ANSWERED;
     out.slownessPercent = readSlowness(response.header(m_headers.serverLoad));
--- a/src/gateway/backend_runner.h
+++ b/src/gateway/backend_runner.h
@@ -41,10 +41,15 @@
 private:
     using Connection = std::unique_ptr<BackendConnection>;
 
-    Connection takeIdle();
+    /// An idle connection that may carry the request; none if there is no such connection.
+    Connection takeIdle(const std::string &requestId);
     HttpRequest backendRequest(const Call &call) const;
     CallResult interpret(const Call &call, BackendResult result) const;
-    CallResult interpretAnswer(const Call &call, HttpResponse response) const;
+    CallResult interpretAnswer(const Call &call, BackendResult result) const;
+    CallResult rejectAnswer(const Call &call, const HttpResponse &response, const char *cause) const;
+    void logDropped(const Call &call, const BackendResult &result) const;
+    /// Keeps the connection for later calls if it can carry them; closes it otherwise.
+    void release(Connection connection, const Call &call, const CallResult &result);
     void finish(std::uint64_t id, const Call &call, BackendResult result, const CallDone &done);
 
     EventLoop &m_loop;
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -31,6 +31,13 @@
 inline constexpr Event kCallCancelled{
     10212, LogLevel::Info, "call_cancelled", "A call was cancelled because its caller no longer waits for it."
 };
+inline constexpr Event kResponseRejected{ 10213,
+                                          LogLevel::Warning,
+                                          "response_rejected",
+                                          "A response of the backend server was rejected for the given cause; its call may have run." };
+inline constexpr Event kResponseDropped{
+    10214, LogLevel::Warning, "response_dropped", "Responses of the backend server to other requests were discarded during a call."
+};
 inline constexpr Event kInstanceStarted{
     10220, LogLevel::Info, "instance_started", "A new incarnation of the backend server sent its first heartbeat."
 };
--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/backend_connection.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
@@ -19,6 +20,7 @@
 
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 }; ///< Short, because the backend server runs on the same VM.
 constexpr seconds kDefaultIdleTimeout{ 4 }; ///< For backend servers that advertise no timeout.
+constexpr std::size_t kMaxExcludedIds = 256; ///< Per connection.
 
 /// Value of N in the header "Keep-Alive: timeout=N".
 std::optional<seconds> advertisedIdleTimeout(const HttpResponse &response)
@@ -75,6 +77,8 @@
 {
     m_responseHandler = std::move(handler);
     m_requestId = std::move(requestId);
+    m_droppedResponses = 0;
+    m_droppedId.clear();
     if (m_stream == nullptr) {
         m_loop.runSoon([this, alive = m_alive] {
             if (*alive) {
@@ -104,9 +108,19 @@
     bufferevent_write(m_stream, request.body.data(), request.body.size());
 }
 
+void BackendConnection::excludeRequestId(const std::string &requestId)
+{
+    m_excludedIds.push_back(std::hash<std::string>()(requestId));
+}
+
+bool BackendConnection::mayCarry(const std::string &requestId) const
+{
+    return std::find(m_excludedIds.begin(), m_excludedIds.end(), std::hash<std::string>()(requestId)) == m_excludedIds.end();
+}
+
 bool BackendConnection::isReusable() const
 {
-    return m_stream != nullptr && m_keepAlive && !m_responseHandler;
+    return m_stream != nullptr && m_keepAlive && !m_responseHandler && m_excludedIds.size() < kMaxExcludedIds;
 }
 
 bool BackendConnection::isEstablished() const
@@ -163,14 +177,19 @@
 {
     BackendResult result;
     result.response = { message.status, std::move(message.headers), std::move(message.body) };
-    const auto echoed = result.response.header(m_echoHeader);
-    if (!m_requestId.empty() && echoed && *echoed != m_requestId) {
-        m_keepAlive = false; // Late response to an earlier request; the expected one may still follow.
+    result.identified = isIdentified(result.response);
+    ++m_receivedResponses;
+    if (isLate(result.response)) {
+        m_keepAlive = false; // The expected response may still follow.
+        ++m_droppedResponses;
+        m_droppedId = result.response.header(m_echoHeader).value_or("");
         if (!message.keepAlive) {
             fail(BackendError::InvalidResponse);
         }
         return;
     }
+    result.droppedResponses = m_droppedResponses;
+    result.droppedId = m_droppedId;
     m_keepAlive = m_keepAlive && message.keepAlive;
     // With data after the response, or with part of the request unsent, the next response could be misread.
     const bool buffersEmpty
@@ -183,6 +202,21 @@
     std::exchange(m_responseHandler, nullptr)(std::move(result));
 }
 
+bool BackendConnection::isLate(const HttpResponse &response) const
+{
+    const auto echoed = response.header(m_echoHeader);
+    return !m_requestId.empty() && echoed && *echoed != m_requestId;
+}
+
+bool BackendConnection::isIdentified(const HttpResponse &response) const
+{
+    const auto echoed = response.header(m_echoHeader);
+    if (!echoed) {
+        return m_receivedResponses == 0;
+    }
+    return !m_requestId.empty() && *echoed == m_requestId;
+}
+
 void BackendConnection::onEvent(bufferevent * /*stream*/, short what, void *self)
 {
     auto &it = *static_cast<BackendConnection *>(self);
@@ -223,7 +257,11 @@
         return;
     }
     if (m_responseHandler) {
-        std::exchange(m_responseHandler, nullptr)({ error, {} });
+        BackendResult result;
+        result.error = error;
+        result.droppedResponses = m_droppedResponses;
+        result.droppedId = m_droppedId;
+        std::exchange(m_responseHandler, nullptr)(std::move(result));
     }
 }
 
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -5,8 +5,10 @@
 #include "link/socket_address.h"
 #include "runtime/event_loop.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <vector>
 
 struct bufferevent;
 
@@ -26,6 +28,11 @@
 {
     BackendError error = BackendError::None;
     HttpResponse response; ///< Valid if there is no error.
+    /// The response names the id of the request, or names none and is the first response to the only request of its connection. Any other
+    /// response may be an extra copy of the response to an earlier request.
+    bool identified = false;
+    std::size_t droppedResponses = 0; ///< Late responses to other requests that were discarded before.
+    std::string droppedId; ///< Request id in the last of them.
 };
 
 /// Client side of one HTTP/1.1 connection to a backend server; carries one request at a time.
@@ -48,6 +55,12 @@
     /// Calls @p handler once, when the connection is established or has failed. For use instead of send().
     void awaitEstablished(std::function<void(bool established, BackendError error)> handler);
 
+    /// Prevents the connection from carrying another request with this id, because an extra copy of the response to the earlier one could
+    /// not be told from the response to the later one. After many such ids the connection is not reusable.
+    void excludeRequestId(const std::string &requestId);
+    /// False if the id was excluded.
+    bool mayCarry(const std::string &requestId) const;
+
     /// True if the connection is open, no request is in progress, and both sides keep the connection alive.
     bool isReusable() const;
     bool isEstablished() const;
@@ -60,6 +73,8 @@
     void write(const HttpRequest &request);
     void readResponse();
     void finish(internal::ParsedMessage message);
+    bool isLate(const HttpResponse &response) const;
+    bool isIdentified(const HttpResponse &response) const;
     void fail(BackendError error);
     void close();
 
@@ -73,6 +88,10 @@
     bool m_established = false;
     bool m_keepAlive = true;
     std::string m_requestId;
+    std::size_t m_receivedResponses = 0; ///< Over all requests; interim responses do not count.
+    std::size_t m_droppedResponses = 0; ///< During the current request.
+    std::string m_droppedId;
+    std::vector<std::size_t> m_excludedIds; ///< Hashes of request ids.
     ResponseHandler m_responseHandler;
     std::function<void(bool, BackendError)> m_establishedHandler;
     TimePoint m_idleSince;
--- /dev/null
+++ b/test/gateway/test_backend_runner.cpp
@@ -0,0 +1,201 @@
+// Guards against requests reported as not run although the backend server runs them.
+#include "gateway/backend_runner.h"
+
+#include "gateway/fakes.h"
+#include "http/raw_socket.h"
+#include "link/listener.h"
+
+using namespace Toucandeck;
+using std::chrono::seconds;
+
+namespace
+{
+
+class BackendRunnerTest : public testing::Test
+{
+protected:
+    BackendRunnerTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_address{ "127.0.0.1", freePort() }
+        , m_runner(*m_loop, m_logger, m_headers, m_address)
+    {
+        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
+                         m_accepted.emplace_back(descriptor);
+                     }).value();
+    }
+
+    /// Runs a call and waits until the backend server has received its head. Returns the index of the connection that carries it.
+    std::size_t run(const std::string &id, const std::string &body = {})
+    {
+        auto call = callNamed(id, m_clock);
+        call.request.method = "POST";
+        call.request.target = "/" + std::to_string(++m_lastCall);
+        call.request.body = body;
+        call.request.headers.push_back({ m_headers.requestId, id });
+        m_result.reset();
+        m_runner.run(m_lastCall, call, [this](CallResult result) { m_result = std::move(result); });
+        std::size_t carrier = 0;
+        EXPECT_TRUE(runUntil([this, &call, &carrier] {
+            for (carrier = 0; carrier < m_accepted.size(); ++carrier) {
+                if (m_accepted[carrier].receivedText().find("POST " + call.request.target + " ") != std::string::npos) {
+                    return true;
+                }
+            }
+            return false;
+        }));
+        return carrier;
+    }
+
+    bool runUntil(const std::function<bool()> &done)
+    {
+        return m_loop->runUntil(done, seconds(5));
+    }
+
+    CallResult answer(std::size_t carrier, const std::string &text)
+    {
+        m_accepted.at(carrier).write(text);
+        EXPECT_TRUE(runUntil([this] { return m_result.has_value(); }));
+        return m_result.value_or(CallResult{});
+    }
+
+    static std::string idLine(const std::string &id)
+    {
+        return id.empty() ? "" : "Toucandeck-Request-Id: " + id + "\r\n";
+    }
+
+    static std::string success(const std::string &id)
+    {
+        return "HTTP/1.1 200 OK\r\n" + idLine(id) + "Toucandeck-Answer-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+    }
+
+    static std::string refusal(const std::string &id)
+    {
+        return "HTTP/1.1 503 Busy\r\n" + idLine(id) + "Toucandeck-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    /// Value of a field in the last log line of this name; empty if there is none.
+    std::string logged(const std::string &event, const std::string &name) const
+    {
+        std::string value;
+        for (const auto &entry : m_logger.entries()) {
+            for (const auto &it : entry.fields) {
+                value = entry.name == event && it.name == name ? it.value : value;
+            }
+        }
+        return value;
+    }
+
+    SystemClock m_clock;
+    RecordingLogger m_logger;
+    HeaderNames m_headers;
+    std::unique_ptr<EventLoop> m_loop;
+    SocketAddress m_address;
+    BackendRunner m_runner;
+    std::vector<RawSocket> m_accepted;
+    std::unique_ptr<Listener> m_listener;
+    std::optional<CallResult> m_result;
+    std::uint64_t m_lastCall = 0;
+};
+
+} // namespace
+
+// A refusal without an id, written once more on a kept connection, was taken for the refusal of the request in progress.
+TEST_F(BackendRunnerTest, ARefusalWithoutIdOnAKeptConnectionMayHaveRun)
+{
+    answer(run("one"), success("one"));
+    const auto carrier = run("two");
+    EXPECT_EQ(carrier, 0U);
+    EXPECT_EQ(answer(carrier, refusal("")).outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(m_result->reason, wire::BAD_ANSWER);
+    EXPECT_EQ(logged("response_rejected", "cause"), "refusal_of_unknown_request");
+    EXPECT_EQ(run("three"), 1U);
+}
+
+// The same with status 421 and without the header that states that the request was not run.
+TEST_F(BackendRunnerTest, AStatus421WithoutIdOnAKeptConnectionMayHaveRun)
+{
+    answer(run("one"), success("one"));
+    const auto result = answer(run("two"), "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(result.outcome, wire::MAY_HAVE_RUN);
+}
+
+// The refusal of a request, written once more, was taken for the refusal of its second attempt on the same connection.
+TEST_F(BackendRunnerTest, ARefusedRequestIsSentAgainOnAnotherConnection)
+{
+    EXPECT_EQ(answer(run("one"), refusal("one")).outcome, wire::NOT_RUN);
+    const auto carrier = run("one");
+    EXPECT_EQ(carrier, 1U);
+    m_accepted[0].write(refusal("one"));
+    EXPECT_EQ(answer(carrier, success("one")).outcome, wire::ANSWERED);
+}
+
+// The same for a refusal that was written once more before another request followed on the connection.
+TEST_F(BackendRunnerTest, ARefusedRequestIsNotSentAgainOnItsConnectionAfterOtherRequests)
+{
+    answer(run("one"), refusal("one"));
+    EXPECT_EQ(run("two"), 0U);
+    answer(0, success("two"));
+    EXPECT_EQ(run("one"), 1U);
+}
+
+// A refusal that names another request was taken for the refusal of a request without an id.
+TEST_F(BackendRunnerTest, ARefusalOfAnotherRequestDoesNotRefuseARequestWithoutId)
+{
+    answer(run("one"), refusal("one"));
+    EXPECT_EQ(answer(run(""), refusal("one")).outcome, wire::MAY_HAVE_RUN);
+}
+
+// A late response to another request shows that a refusal without an id need not belong to the request in progress either.
+TEST_F(BackendRunnerTest, ARefusalWithoutIdAfterALateResponseMayHaveRun)
+{
+    const auto result = answer(run("two"), success("one") + refusal(""));
+    EXPECT_EQ(result.outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(logged("response_dropped", "named"), "one");
+}
+
+TEST_F(BackendRunnerTest, ARefusalWithoutIdAsFirstResponseOfAConnectionIsNotRun)
+{
+    EXPECT_EQ(answer(run("one"), "HTTP/1.1 100 Continue\r\n\r\n" + refusal("")).outcome, wire::NOT_RUN);
+}
+
+TEST_F(BackendRunnerTest, ARefusalWithItsIdKeepsTheConnection)
+{
+    answer(run("one"), refusal("one"));
+    EXPECT_EQ(answer(run("two"), refusal("two")).outcome, wire::NOT_RUN);
+    EXPECT_EQ(run("three"), 0U);
+    EXPECT_EQ(m_runner.openedConnections(), 1U);
+}
+
+TEST_F(BackendRunnerTest, TheAnswerAfterARepeatedRefusalIsDelivered)
+{
+    answer(run("one"), refusal("one"));
+    const auto result = answer(run("two"), refusal("one") + success("two"));
+    EXPECT_EQ(result.outcome, wire::ANSWERED);
+    EXPECT_EQ(result.response.body, "ok");
+    EXPECT_EQ(run("three"), 1U);
+}
+
+TEST_F(BackendRunnerTest, ARefusalWithFurtherBytesClosesTheConnection)
+{
+    EXPECT_EQ(answer(run("one"), refusal("one") + refusal("one")).outcome, wire::NOT_RUN);
+    EXPECT_EQ(run("two"), 1U);
+}
+
+// An early refusal is valid, but the rest of the body must not be taken for the next request.
+TEST_F(BackendRunnerTest, ARefusalBeforeTheBodyWasReadClosesTheConnection)
+{
+    constexpr std::size_t kBodyBytes = 32U << 20U;
+    EXPECT_EQ(answer(run("one", std::string(kBodyBytes, 'b')), refusal("one")).outcome, wire::NOT_RUN);
+    EXPECT_EQ(run("two"), 1U);
+}
+
+TEST_F(BackendRunnerTest, ConnectionsAreReplacedAfterManyRefusals)
+{
+    constexpr int kRefusals = 600;
+    for (int i = 0; i < kRefusals; ++i) {
+        const auto id = "r" + std::to_string(i);
+        ASSERT_EQ(answer(run(id), refusal(id)).outcome, wire::NOT_RUN);
+    }
+    EXPECT_GT(m_runner.openedConnections(), 1U);
+    EXPECT_LT(m_runner.openedConnections(), 10U);
+}
