Log why a response was rejected, and test responses cut at every byte

Users reported that a backend server stopped in the middle of a response head and closed, and that clients got a 200 with an empty or short body, framed as whole. This does not happen with the gateway's code: the new tests cut responses with a length, in chunks, without a length, after interim responses, after a late response and to a HEAD request after each of their bytes, with a close, a reset and a reset after the data was read. A response without a length is complete only at a close, never at a reset. What cannot be told is a head that has lost its line with the length and still ends with an empty line: if the connection closes then, it is a valid response with an empty body, and the seal tells nothing about the length.

What was missing is the cause in the log, which showed BAD_ANSWER for all of them. response_rejected now tells a truncated head, a truncated body, malformed data and a connection closed after a response to another request. A connection that ends after an interim response counts as lost, not as a truncated response.

--- a/src/gateway/backend_runner.cpp
+++ b/src/gateway/backend_runner.cpp
@@ -157,11 +157,13 @@
         out = notRun(wire::CONNECT_FAILED);
         break;
     case BackendError::ConnectionLost:
-    case BackendError::InvalidResponse:
         out.outcome = wire::MAY_HAVE_RUN;
-        out.reason = result.error == BackendError::InvalidResponse ? wire::BAD_ANSWER : wire::CONNECTION_LOST;
+        out.reason = wire::CONNECTION_LOST;
         out.reachedBackend = true;
         break;
+    case BackendError::InvalidResponse:
+        out = rejectAnswer(call, result.response, toString(result.fault));
+        break;
     }
     out.instance = m_instance;
     return out;
--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -39,6 +39,23 @@
 
 } // namespace
 
+const char *toString(ResponseFault fault)
+{
+    switch (fault) {
+    case ResponseFault::None:
+        return "none";
+    case ResponseFault::Malformed:
+        return "malformed";
+    case ResponseFault::TruncatedHead:
+        return "truncated_head";
+    case ResponseFault::TruncatedBody:
+        return "truncated_body";
+    case ResponseFault::OtherRequest:
+        return "other_request";
+    }
+    return "unknown";
+}
+
 BackendConnection::BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader)
     : m_loop(loop)
     , m_echoHeader(std::move(echoHeader))
@@ -160,7 +177,7 @@
         const auto n = m_parser.feed({ static_cast<const char *>(chunk.iov_base), chunk.iov_len });
         evbuffer_drain(in, n);
         if (m_parser.error()) {
-            fail(BackendError::InvalidResponse);
+            fail(BackendError::InvalidResponse, ResponseFault::Malformed);
             return;
         }
         if (auto message = m_parser.take()) {
@@ -184,7 +201,7 @@
         ++m_droppedResponses;
         m_droppedId = result.response.header(m_echoHeader).value_or("");
         if (!message.keepAlive) {
-            fail(BackendError::InvalidResponse);
+            fail(BackendError::InvalidResponse, ResponseFault::OtherRequest);
         }
         return;
     }
@@ -244,10 +261,14 @@
             }
         }
     }
-    it.fail(it.m_parser.isInMessage() ? BackendError::InvalidResponse : BackendError::ConnectionLost);
+    if (it.m_parser.isInMessage()) {
+        it.fail(BackendError::InvalidResponse, it.m_parser.hasHeaders() ? ResponseFault::TruncatedBody : ResponseFault::TruncatedHead);
+    } else {
+        it.fail(BackendError::ConnectionLost);
+    }
 }
 
-void BackendConnection::fail(BackendError error)
+void BackendConnection::fail(BackendError error, ResponseFault fault)
 {
     m_keepAlive = false;
     m_connectTimer.cancel();
@@ -259,6 +280,7 @@
     if (m_responseHandler) {
         BackendResult result;
         result.error = error;
+        result.fault = fault;
         result.droppedResponses = m_droppedResponses;
         result.droppedId = m_droppedId;
         std::exchange(m_responseHandler, nullptr)(std::move(result));
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -24,9 +24,22 @@
     InvalidResponse, ///< The received data is not a complete response to this request.
 };
 
+/// Why the received data is not a valid response.
+enum class ResponseFault {
+    None,
+    Malformed, ///< Not HTTP, or its length is contradictory or given in an unsupported way.
+    TruncatedHead, ///< The connection ended within the status line or headers.
+    TruncatedBody, ///< The connection ended within the body.
+    OtherRequest, ///< The connection ends after a response to another request.
+};
+
+/// Name of the fault as it appears in a log line.
+const char *toString(ResponseFault fault);
+
 struct BackendResult
 {
     BackendError error = BackendError::None;
+    ResponseFault fault = ResponseFault::None; ///< Set if the response is invalid.
     HttpResponse response; ///< Valid if there is no error.
     /// The response names the id of the request, or names none and is the first response to the only request of its connection. Any other
     /// response may be an extra copy of the response to an earlier request.
@@ -75,7 +88,7 @@
     void finish(internal::ParsedMessage message);
     bool isLate(const HttpResponse &response) const;
     bool isIdentified(const HttpResponse &response) const;
-    void fail(BackendError error);
+    void fail(BackendError error, ResponseFault fault = ResponseFault::None);
     void close();
 
     static void onRead(bufferevent *stream, void *self);
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -175,6 +175,8 @@
     auto &it = self(parser);
     const bool interim = parser->type == HTTP_RESPONSE && it.m_message.status >= 100 && it.m_message.status < 200;
     if (interim) {
+        it.m_inMessage = false;
+        it.m_hasHeaders = false;
         return 0;
     }
     it.m_complete = true;
--- a/test/gateway/test_backend_runner.cpp
+++ b/test/gateway/test_backend_runner.cpp
@@ -189,6 +189,20 @@
     EXPECT_EQ(run("two"), 1U);
 }
 
+TEST_F(BackendRunnerTest, LogsWhereAResponseWasCut)
+{
+    m_accepted.at(run("one")).write("HTTP/1.1 200 OK\r\nToucandeck-Answer-Seal: s\r\nContent-Le");
+    m_accepted.back().close();
+    ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    EXPECT_EQ(m_result->outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(logged("response_rejected", "cause"), "truncated_head");
+    m_accepted.at(run("two")).write("HTTP/1.1 200 OK\r\nToucandeck-Answer-Seal: s\r\nContent-Length: 2\r\n\r\no");
+    m_accepted.back().reset();
+    ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    EXPECT_EQ(m_result->outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(logged("response_rejected", "cause"), "truncated_body");
+}
+
 TEST_F(BackendRunnerTest, ConnectionsAreReplacedAfterManyRefusals)
 {
     constexpr int kRefusals = 600;
--- a/test/http/raw_socket.h
+++ b/test/http/raw_socket.h
@@ -45,6 +45,14 @@
         }
     }
 
+    /// Closes the connection with a TCP reset.
+    void reset()
+    {
+        const linger abort{ 1, 0 };
+        ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+        close();
+    }
+
     void write(const std::string &text) const
     {
         EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
--- /dev/null
+++ b/test/http/test_truncated_response.cpp
@@ -0,0 +1,156 @@
+// Guards against truncated responses that are accepted as complete.
+#include "http/backend_connection.h"
+
+#include "link/listener.h"
+#include "raw_socket.h"
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// How the backend server ends the connection.
+enum class Ending {
+    Close,
+    Reset,
+    ResetAfterRead, ///< The sent data has been read before the reset.
+};
+
+constexpr Ending kEndings[] = { Ending::Close, Ending::Reset, Ending::ResetAfterRead };
+
+class TruncatedResponseTest : public testing::Test
+{
+protected:
+    TruncatedResponseTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_address{ "127.0.0.1", freePort() }
+    {
+        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
+                         m_accepted = std::make_unique<RawSocket>(descriptor);
+                     }).value();
+    }
+
+    /// The result of a request whose connection carries @p text and then ends.
+    BackendResult resultOf(const std::string &text, Ending ending, const std::string &method = "GET")
+    {
+        m_accepted.reset();
+        BackendConnection connection(*m_loop, m_address, "X-Id");
+        HttpRequest request;
+        request.method = method;
+        request.headers.push_back({ "X-Id", "one" });
+        std::optional<BackendResult> result;
+        connection.send(request, "one", [&result](BackendResult it) { result = std::move(it); });
+        EXPECT_TRUE(runUntil([this] { return m_accepted && m_accepted->receivedText().find("\r\n\r\n") != std::string::npos; }));
+        m_accepted->write(text);
+        if (ending == Ending::ResetAfterRead) {
+            m_loop->runUntil([&result] { return result.has_value(); }, milliseconds(1));
+        }
+        if (ending == Ending::Close) {
+            m_accepted->close();
+        } else {
+            m_accepted->reset();
+        }
+        EXPECT_TRUE(runUntil([&result] { return result.has_value(); }));
+        return result.value_or(BackendResult{});
+    }
+
+    bool runUntil(const std::function<bool()> &done)
+    {
+        return m_loop->runUntil(done, seconds(5));
+    }
+
+    /// Expects an error for every prefix of the text that is shorter than @p end bytes.
+    void expectNoPrefixIsComplete(const std::string &text, std::size_t end, Ending ending, const std::string &method = "GET")
+    {
+        for (std::size_t n = 0; n < end; ++n) {
+            const auto result = resultOf(text.substr(0, n), ending, method);
+            EXPECT_NE(result.error, BackendError::None) << "cut after " << n << " bytes: " << text.substr(0, n);
+        }
+    }
+
+    SystemClock m_clock;
+    std::unique_ptr<EventLoop> m_loop;
+    SocketAddress m_address;
+    std::unique_ptr<RawSocket> m_accepted;
+    std::unique_ptr<Listener> m_listener;
+};
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Seal: s\r\n";
+const std::string kSized = kHead + "Content-Length: 10\r\n\r\n0123456789";
+const std::string kChunked = kHead + "Transfer-Encoding: chunked\r\n\r\n5\r\n01234\r\n5;x=1\r\n56789\r\n0\r\nT: t\r\n\r\n";
+const std::string kUnsized = kHead + "\r\n0123456789";
+const std::string kChunkedBody = "\r\n2\r\nok\r\n0\r\n\r\n";
+const std::string kInterim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+
+} // namespace
+
+TEST_F(TruncatedResponseTest, AResponseWithLengthIsCompleteOnlyWithAllItsBytes)
+{
+    for (const auto ending : kEndings) {
+        expectNoPrefixIsComplete(kSized, kSized.size(), ending);
+    }
+    EXPECT_EQ(resultOf(kSized, Ending::Close).response.body, "0123456789");
+}
+
+TEST_F(TruncatedResponseTest, AChunkedResponseIsCompleteOnlyWithItsTrailers)
+{
+    for (const auto ending : kEndings) {
+        expectNoPrefixIsComplete(kChunked, kChunked.size(), ending);
+    }
+    EXPECT_EQ(resultOf(kChunked, Ending::Close).response.body, "0123456789");
+}
+
+TEST_F(TruncatedResponseTest, AnInterimResponseCompletesNothing)
+{
+    for (const auto ending : kEndings) {
+        expectNoPrefixIsComplete(kInterim + kSized, kInterim.size() + kSized.size(), ending);
+    }
+    EXPECT_EQ(resultOf(kInterim + kSized, Ending::Close).response.body, "0123456789");
+}
+
+TEST_F(TruncatedResponseTest, AResponseWithoutLengthNeedsItsWholeHead)
+{
+    expectNoPrefixIsComplete(kUnsized, kUnsized.find("\r\n\r\n") + 4, Ending::Close);
+    EXPECT_EQ(resultOf(kUnsized, Ending::Close).response.body, "0123456789");
+}
+
+TEST_F(TruncatedResponseTest, AResponseWithoutLengthIsNeverCompleteAfterAReset)
+{
+    expectNoPrefixIsComplete(kUnsized, kUnsized.size() + 1, Ending::Reset);
+    expectNoPrefixIsComplete(kUnsized, kUnsized.size() + 1, Ending::ResetAfterRead);
+}
+
+TEST_F(TruncatedResponseTest, TheResponseToAHeadRequestNeedsItsWholeHead)
+{
+    const auto text = kHead + "Content-Length: 10\r\n\r\n";
+    for (const auto ending : kEndings) {
+        expectNoPrefixIsComplete(text, text.size(), ending, "HEAD");
+    }
+    EXPECT_EQ(resultOf(text, Ending::Close, "HEAD").error, BackendError::None);
+}
+
+TEST_F(TruncatedResponseTest, ALateResponseCompletesNothing)
+{
+    const std::string late = "HTTP/1.1 200 OK\r\nX-Id: zero\r\nContent-Length: 1\r\n\r\na";
+    for (const auto ending : kEndings) {
+        expectNoPrefixIsComplete(late + kSized, late.size() + kSized.size(), ending);
+    }
+    EXPECT_EQ(resultOf(late + kSized, Ending::Close).response.body, "0123456789");
+}
+
+TEST_F(TruncatedResponseTest, ContradictoryLengthsAreRejected)
+{
+    for (const char *lengths : { "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+                                 "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+                                 "Content-Length: 2\r\nContent-Length: 2\r\n",
+                                 "Content-Length: 2\r\nContent-Length: 9\r\n",
+                                 "Content-Length: 2, 2\r\n",
+                                 "Content-Length: -1\r\n",
+                                 "Content-Length:\r\n",
+                                 "Content-Length: 2x\r\n",
+                                 "Content-Length: 99999999999999999999\r\n" }) {
+        EXPECT_EQ(resultOf(kHead + lengths + kChunkedBody, Ending::Close).error, BackendError::InvalidResponse) << lengths;
+    }
+}
