Reject responses in a transfer encoding that is not decoded

A response with "Transfer-Encoding: gzip", or with chunked beside another encoding, was read up to the end of its connection. The bytes as sent, encoding and chunk sizes included, reached the client as the body, framed as whole and without the header, which belongs to one connection only. The parser decodes nothing but "chunked", and takes any other value as a body without a length.

Change: a response with a transfer encoding other than a single "chunked" is malformed; its request may have run. The test on the code before:

../test/http/test_truncated_response.cpp:167: Failure resultOf(kHead + encoding + kChunkedBody, Ending::Close).error Which is: 4-byte object <00-00 00-00> BackendError::InvalidResponse Which is: 4-byte object <04-00 00-00> Transfer-Encoding: gzip [ FAILED ] TruncatedResponseTest.UnsupportedTransferEncodingsAreRejected

It failed so for all six values. Now: test_http 39 passed, test_gateway 78 passed.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -103,6 +103,22 @@
     return 1;
 }
 
+bool MessageParser::hasUnsupportedEncoding() const
+{
+    bool chunked = false;
+    for (const auto &it : m_message.headers) {
+        if (!equalHeaderNames(it.name, "Transfer-Encoding")) {
+            continue;
+        }
+        const auto value = std::string_view(it.value).substr(0, it.value.find_last_not_of(" \t") + 1);
+        if (chunked || !equalHeaderNames(value, "chunked")) {
+            return true;
+        }
+        chunked = true;
+    }
+    return false;
+}
+
 int MessageParser::onBegin(http_parser *parser)
 {
     auto &it = self(parser);
@@ -156,6 +172,9 @@
         // Tunnels and protocol upgrades are not supported; 2 makes the parser expect neither a body nor another message.
         return parser->upgrade != 0 ? 2 : 0;
     }
+    if (it.hasUnsupportedEncoding()) {
+        return -1;
+    }
     return it.m_noBody ? 1 : 0;
 }
 
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -92,6 +92,8 @@
     static int onComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
 
+    /// True if the body has a transfer encoding other than a single "chunked".
+    bool hasUnsupportedEncoding() const;
     int countHeaderBytes(std::size_t n);
     void updateError();
 
--- a/test/http/test_truncated_response.cpp
+++ b/test/http/test_truncated_response.cpp
@@ -154,3 +154,19 @@
         EXPECT_EQ(resultOf(kHead + lengths + kChunkedBody, Ending::Close).error, BackendError::InvalidResponse) << lengths;
     }
 }
+
+// A body in a transfer encoding that was not decoded was delivered as the body of the response.
+TEST_F(TruncatedResponseTest, UnsupportedTransferEncodingsAreRejected)
+{
+    for (const char *encoding : { "Transfer-Encoding: gzip\r\n",
+                                  "Transfer-Encoding: chunked, gzip\r\n",
+                                  "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n",
+                                  "Transfer-Encoding: gzip, chunked\r\n",
+                                  "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                  "Transfer-Encoding: identity\r\n" }) {
+        EXPECT_EQ(resultOf(kHead + encoding + kChunkedBody, Ending::Close).error, BackendError::InvalidResponse) << encoding;
+    }
+    for (const char *encoding : { "transfer-encoding: Chunked\r\n", "Transfer-Encoding:chunked \r\n" }) {
+        EXPECT_EQ(resultOf(kHead + encoding + kChunkedBody, Ending::Close).response.body, "ok") << encoding;
+    }
+}
