End responses that have no body with their head, whatever length they state

A valid 304 states the length of a body that it does not carry. The gateway waited for that body: the client got no answer until the deadline, or a failure when the backend server closed the connection. With a faulty 204 or 304 the bytes that followed became its body, although they belong to no request. A length in an interim response made the gateway read the head of the final response as a body.

Cause: http_parser honours Content-Length for every status. Change: responses with status 1xx, 204 and 304 end with their head; bytes after a final one close the connection, as after any response. The tests on the code before:

../test/http/test_truncated_response.cpp:180: Failure result.response.body Which is: "ok" "" 204 [ FAILED ] TruncatedResponseTest.StatusesWithoutBodyHaveNone ../test/http/test_truncated_response.cpp:189: Failure result.error Which is: 4-byte object <04-00 00-00> BackendError::None Which is: 4-byte object <00-00 00-00> 204 [ FAILED ] TruncatedResponseTest.StatusesWithoutBodyEndWithTheirHead ../test/http/test_truncated_response.cpp:197: Failure result.error Which is: 4-byte object <04-00 00-00> BackendError::None Which is: 4-byte object <00-00 00-00> [ FAILED ] TruncatedResponseTest.AnInterimResponseEndsWithItsHead

Now: test_http 42 passed, test_gateway 78 passed.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -6,6 +6,22 @@
 namespace Toucandeck::internal
 {
 
+namespace
+{
+
+bool isInterim(int status)
+{
+    return status >= 100 && status < 200;
+}
+
+/// True for a status whose response has no body, whatever its headers say (RFC 9112, 6.3).
+bool isBodyless(int status)
+{
+    return isInterim(status) || status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
+} // namespace
+
 MessageParser::MessageParser(Kind kind)
     : m_maxHeaderBytes(64U << 10U)
     , m_maxBodyBytes(std::numeric_limits<std::size_t>::max())
@@ -175,7 +191,7 @@
     if (it.hasUnsupportedEncoding()) {
         return -1;
     }
-    return it.m_noBody ? 1 : 0;
+    return it.m_noBody || isBodyless(it.m_message.status) ? 1 : 0;
 }
 
 int MessageParser::onBody(http_parser *parser, const char *data, std::size_t n)
@@ -192,8 +208,7 @@
 int MessageParser::onComplete(http_parser *parser)
 {
     auto &it = self(parser);
-    const bool interim = parser->type == HTTP_RESPONSE && it.m_message.status >= 100 && it.m_message.status < 200;
-    if (interim) {
+    if (parser->type == HTTP_RESPONSE && isInterim(it.m_message.status)) {
         it.m_inMessage = false;
         it.m_hasHeaders = false;
         return 0;
--- a/test/http/test_truncated_response.cpp
+++ b/test/http/test_truncated_response.cpp
@@ -170,3 +170,30 @@
         EXPECT_EQ(resultOf(kHead + encoding + kChunkedBody, Ending::Close).response.body, "ok") << encoding;
     }
 }
+
+// Bytes after the head of a 204 or 304 with a length were delivered as its body.
+TEST_F(TruncatedResponseTest, StatusesWithoutBodyHaveNone)
+{
+    for (const std::string status : { "204", "304" }) {
+        const auto result = resultOf("HTTP/1.1 " + status + " X\r\nX-Id: one\r\nContent-Length: 2\r\n\r\nok", Ending::Close);
+        EXPECT_EQ(result.error, BackendError::None) << status;
+        EXPECT_EQ(result.response.body, "") << status;
+    }
+}
+
+// A valid 304 with a length and without a body got no answer until its connection was closed.
+TEST_F(TruncatedResponseTest, StatusesWithoutBodyEndWithTheirHead)
+{
+    for (const std::string status : { "204", "304" }) {
+        const auto result = resultOf("HTTP/1.1 " + status + " X\r\nX-Id: one\r\nContent-Length: 2\r\n\r\n", Ending::Close);
+        EXPECT_EQ(result.error, BackendError::None) << status;
+    }
+}
+
+// A length in an interim response made the head of the response after it count as a body.
+TEST_F(TruncatedResponseTest, AnInterimResponseEndsWithItsHead)
+{
+    const auto result = resultOf("HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n" + kSized, Ending::Close);
+    EXPECT_EQ(result.error, BackendError::None);
+    EXPECT_EQ(result.response.body, "0123456789");
+}
