Limit what a backend server may send in response to a request

A faulty backend server may send bytes without end. The gateway limited each head to 64 KiB, but each interim response and each late response to another request started the count anew, chunk extensions counted for nothing, and bodies had no limit. Such a request kept its slot until its deadline, and a body grew until the process was out of memory, which ends every request on that VM.

Change: for each request, everything received except bodies and chunk sizes is limited to 64 KiB, and bodies to 8 MiB, each over the response, its interim responses and discarded late responses together. A stated length above the limit ends the request at once. The bodies of all responses in progress are limited to 32 MiB, counted as allocated; above that the largest is given up, so that ordinary responses pass beside very large ones. At a limit the request ends as one that may have run, its connection is closed, and its slot is free. response_rejected shows head_too_large, body_too_large or responses_too_large.

Endless header lines, header values, reason phrases, chunk extensions and trailers were limited before.

Now: test_http 58 passed, test_gateway 81 passed, Events.* of test_daemon 2 passed.

--- a/src/gateway/backend_runner.cpp
+++ b/src/gateway/backend_runner.cpp
@@ -18,6 +18,7 @@
 /// A persistent connection is reused only during this share of the backend server's idle limit: a request sent while the backend server
 /// closes the connection may have run.
 constexpr double kIdleShare = 0.6;
+constexpr std::size_t kMaxResponseMemory = 32U << 20U; ///< Bytes, of all responses in progress.
 constexpr milliseconds kMinDeadline{ 1 };
 
 constexpr int kMisdirectedRequest = 421; ///< The request was sent to another instance than expected and was not run.
@@ -51,6 +52,7 @@
     , m_logger(logger)
     , m_headers(headers)
     , m_address(address)
+    , m_responseMemory(loop, kMaxResponseMemory)
 {
 }
 
@@ -83,7 +85,7 @@
 {
     auto connection = takeIdle(call.requestId);
     if (!connection) {
-        connection = std::make_unique<BackendConnection>(m_loop, m_address, m_headers.requestId);
+        connection = std::make_unique<BackendConnection>(m_loop, m_address, m_headers.requestId, &m_responseMemory);
         ++m_openedConnections;
     }
     auto *it = connection.get();
--- a/src/gateway/backend_runner.h
+++ b/src/gateway/backend_runner.h
@@ -57,6 +57,7 @@
     const HeaderNames &m_headers;
     SocketAddress m_address;
     std::string m_instance;
+    ResponseMemory m_responseMemory; ///< Outlives the connections.
     ConnectionRefusedHandler m_connectionRefusedHandler;
     std::list<Connection> m_idleConnections; ///< Most recently used first.
     std::unordered_map<std::uint64_t, Connection> m_busyConnections; ///< By id of the call.
--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -37,6 +37,19 @@
     return ec == std::errc() ? std::optional(seconds(n)) : std::nullopt;
 }
 
+ResponseFault faultOf(internal::ParseError error)
+{
+    switch (error) {
+    case internal::ParseError::Malformed:
+        return ResponseFault::Malformed;
+    case internal::ParseError::HeadersTooLarge:
+        return ResponseFault::HeadTooLarge;
+    case internal::ParseError::BodyTooLarge:
+        return ResponseFault::BodyTooLarge;
+    }
+    return ResponseFault::Malformed;
+}
+
 } // namespace
 
 const char *toString(ResponseFault fault)
@@ -50,20 +63,28 @@
         return "truncated_head";
     case ResponseFault::TruncatedBody:
         return "truncated_body";
+    case ResponseFault::HeadTooLarge:
+        return "head_too_large";
+    case ResponseFault::BodyTooLarge:
+        return "body_too_large";
+    case ResponseFault::ResponsesTooLarge:
+        return "responses_too_large";
     case ResponseFault::OtherRequest:
         return "other_request";
     }
     return "unknown";
 }
 
-BackendConnection::BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader)
+BackendConnection::BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader, ResponseMemory *memory)
     : m_loop(loop)
     , m_echoHeader(std::move(echoHeader))
+    , m_memory(memory)
     , m_parser(internal::MessageParser::Kind::Response)
     , m_idleSince(loop.clock().now())
     , m_idleTimeout(kDefaultIdleTimeout)
     , m_alive(std::make_shared<bool>(true))
 {
+    m_parser.setLimits(kMaxHeadBytes, kMaxBodyBytes);
     connect(address);
 }
 
@@ -104,6 +125,7 @@
         });
         return;
     }
+    m_parser.startExchange();
     m_parser.expectNoBody(request.method == "HEAD");
     write(request);
 }
@@ -177,9 +199,10 @@
         const auto n = m_parser.feed({ static_cast<const char *>(chunk.iov_base), chunk.iov_len });
         evbuffer_drain(in, n);
         if (m_parser.error()) {
-            fail(BackendError::InvalidResponse, ResponseFault::Malformed);
+            fail(BackendError::InvalidResponse, faultOf(*m_parser.error()));
             return;
         }
+        recordMemory(m_parser.bodyCapacity());
         if (auto message = m_parser.take()) {
             const auto alive = m_alive;
             finish(std::move(*message));
@@ -192,6 +215,7 @@
 
 void BackendConnection::finish(internal::ParsedMessage message)
 {
+    recordMemory(0);
     BackendResult result;
     result.response = { message.status, std::move(message.headers), std::move(message.body) };
     result.identified = isIdentified(result.response);
@@ -289,10 +313,24 @@
 
 void BackendConnection::close()
 {
+    recordMemory(0);
     if (m_stream != nullptr) {
         bufferevent_free(m_stream);
         m_stream = nullptr;
     }
 }
 
+void BackendConnection::abandonResponse()
+{
+    fail(BackendError::InvalidResponse, ResponseFault::ResponsesTooLarge);
+}
+
+void BackendConnection::recordMemory(std::size_t bytes)
+{
+    if (m_memory != nullptr && bytes != m_recordedMemory) {
+        m_recordedMemory = bytes;
+        m_memory->set(*this, bytes);
+    }
+}
+
 } // namespace Toucandeck
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/message_parser.h"
+#include "http/response_memory.h"
 
 #include "link/socket_address.h"
 #include "runtime/event_loop.h"
@@ -30,6 +31,9 @@
     Malformed, ///< Not HTTP, or its length is contradictory or given in an unsupported way.
     TruncatedHead, ///< The connection ended within the status line or headers.
     TruncatedBody, ///< The connection ended within the body.
+    HeadTooLarge, ///< Status lines, headers, chunk extensions and trailers exceed their limit.
+    BodyTooLarge, ///< The bodies exceed their limit.
+    ResponsesTooLarge, ///< The responses in progress on all connections exceed their limit, and this one is the largest.
     OtherRequest, ///< The connection ends after a response to another request.
 };
 
@@ -49,14 +53,20 @@
 };
 
 /// Client side of one HTTP/1.1 connection to a backend server; carries one request at a time.
-class BackendConnection
+class BackendConnection : private ResponseMemory::User
 {
 public:
+    /// Limits for each request: they count for the sum of its response, interim responses and late responses to other requests.
+    static constexpr std::size_t kMaxHeadBytes = 64U << 10U; ///< Of everything but bodies.
+    static constexpr std::size_t kMaxBodyBytes = 8U << 20U;
+
     using ResponseHandler = std::function<void(BackendResult)>;
 
     /// @param echoHeader name of the header in which the backend server returns the request id.
-    BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader);
-    ~BackendConnection();
+    /// @param memory limits the responses of several connections together; null for no such limit. It must exist while a request is in
+    /// progress.
+    BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader, ResponseMemory *memory = nullptr);
+    ~BackendConnection() override;
 
     BackendConnection(const BackendConnection &) = delete;
     BackendConnection &operator=(const BackendConnection &) = delete;
@@ -90,12 +100,16 @@
     bool isIdentified(const HttpResponse &response) const;
     void fail(BackendError error, ResponseFault fault = ResponseFault::None);
     void close();
+    void abandonResponse() override;
+    void recordMemory(std::size_t bytes);
 
     static void onRead(bufferevent *stream, void *self);
     static void onEvent(bufferevent *stream, short what, void *self);
 
     EventLoop &m_loop;
     std::string m_echoHeader;
+    ResponseMemory *m_memory;
+    std::size_t m_recordedMemory = 0; ///< Bytes; zero if no request is in progress.
     bufferevent *m_stream = nullptr;
     internal::MessageParser m_parser;
     bool m_established = false;
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+constexpr std::size_t kChunkFramingBytes = 16; ///< Not counted as header bytes: the size and line ends of a chunk.
+
 bool isInterim(int status)
 {
     return status >= 100 && status < 200;
@@ -36,6 +38,13 @@
     m_maxBodyBytes = maxBodyBytes;
 }
 
+void MessageParser::startExchange()
+{
+    m_receivedBytes = 0;
+    m_bodyBytes = 0;
+    m_chunks = 0;
+}
+
 void MessageParser::expectNoBody(bool noBody)
 {
     m_noBody = noBody;
@@ -50,10 +59,20 @@
         http_parser_pause(&m_parser, 0);
     }
     const auto n = http_parser_execute(&m_parser, &callbacks(), data.data(), data.size());
+    m_receivedBytes += n;
     updateError();
+    checkExchangeLimits();
     return n;
 }
 
+void MessageParser::checkExchangeLimits()
+{
+    const auto uncounted = m_bodyBytes + m_chunks * kChunkFramingBytes;
+    if (!m_error && m_parser.type == HTTP_RESPONSE && m_receivedBytes > uncounted + m_maxHeaderBytes) {
+        m_error = ParseError::HeadersTooLarge;
+    }
+}
+
 void MessageParser::feedEof()
 {
     if (m_error || m_complete) {
@@ -88,6 +107,11 @@
     return m_error;
 }
 
+std::size_t MessageParser::bodyCapacity() const
+{
+    return m_message.body.capacity();
+}
+
 bool MessageParser::isInMessage() const
 {
     return m_inMessage;
@@ -140,6 +164,9 @@
     auto &it = self(parser);
     it.m_message = {};
     it.m_headerBytes = 0;
+    if (parser->type == HTTP_REQUEST) {
+        it.startExchange();
+    }
     it.m_inMessage = true;
     it.m_hasHeaders = false;
     it.m_inValue = false;
@@ -191,13 +218,33 @@
     if (it.hasUnsupportedEncoding()) {
         return -1;
     }
-    return it.m_noBody || isBodyless(it.m_message.status) ? 1 : 0;
+    if (it.m_noBody || isBodyless(it.m_message.status)) {
+        return 1;
+    }
+    if (it.announcesTooLargeBody()) {
+        it.m_error = ParseError::BodyTooLarge;
+        return -1;
+    }
+    return 0;
+}
+
+bool MessageParser::announcesTooLargeBody() const
+{
+    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    return hasLength && m_parser.content_length > m_maxBodyBytes - m_bodyBytes;
+}
+
+int MessageParser::onChunkHeader(http_parser *parser)
+{
+    self(parser).m_chunks += parser->content_length > 0 ? 1 : 0;
+    return 0;
 }
 
 int MessageParser::onBody(http_parser *parser, const char *data, std::size_t n)
 {
     auto &it = self(parser);
-    if (it.m_message.body.size() + n > it.m_maxBodyBytes) {
+    it.m_bodyBytes += n;
+    if (it.m_bodyBytes > it.m_maxBodyBytes) {
         it.m_error = ParseError::BodyTooLarge;
         return 1;
     }
@@ -228,6 +275,7 @@
         it.on_header_field = &MessageParser::onField;
         it.on_header_value = &MessageParser::onValue;
         it.on_headers_complete = &MessageParser::onHeadersComplete;
+        it.on_chunk_header = &MessageParser::onChunkHeader;
         it.on_body = &MessageParser::onBody;
         it.on_message_complete = &MessageParser::onComplete;
         return it;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -57,8 +57,13 @@
     MessageParser(const MessageParser &) = delete;
     MessageParser &operator=(const MessageParser &) = delete;
 
+    /// Sets the limits of each request, or of all responses since the start of an exchange together.
+    /// @param maxHeaderBytes limit on the start line and headers; for responses, on everything that is neither body nor chunk size.
     void setLimits(std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
 
+    /// Starts an exchange: the limits count from here on. For responses.
+    void startExchange();
+
     /// Sets whether the next response has no body because it answers a HEAD request.
     void expectNoBody(bool noBody);
 
@@ -74,6 +79,9 @@
 
     const std::optional<ParseError> &error() const;
 
+    /// Memory that the body of the current message occupies.
+    std::size_t bodyCapacity() const;
+
     /// True from the first byte of a message until take() returns it.
     bool isInMessage() const;
     /// True once the headers of the current message are complete.
@@ -88,6 +96,7 @@
     static int onField(http_parser *parser, const char *data, std::size_t n);
     static int onValue(http_parser *parser, const char *data, std::size_t n);
     static int onHeadersComplete(http_parser *parser);
+    static int onChunkHeader(http_parser *parser);
     static int onBody(http_parser *parser, const char *data, std::size_t n);
     static int onComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
@@ -96,11 +105,16 @@
     bool hasUnsupportedEncoding() const;
     int countHeaderBytes(std::size_t n);
     void updateError();
+    void checkExchangeLimits();
+    bool announcesTooLargeBody() const;
 
     http_parser m_parser{};
     std::size_t m_maxHeaderBytes;
     std::size_t m_maxBodyBytes;
-    std::size_t m_headerBytes = 0;
+    std::size_t m_headerBytes = 0; ///< Of the current message.
+    std::size_t m_receivedBytes = 0; ///< Since the start of the exchange, as are the next two.
+    std::size_t m_bodyBytes = 0;
+    std::size_t m_chunks = 0; ///< Without empty ones.
     ParsedMessage m_message;
     bool m_inMessage = false;
     bool m_hasHeaders = false;
--- a/test/gateway/test_backend_runner.cpp
+++ b/test/gateway/test_backend_runner.cpp
@@ -1,4 +1,5 @@
-// Guards against requests reported as not run although the backend server runs them.
+// Guards against requests reported as not run although the backend server runs them, and against responses without end that take all
+// memory.
 #include "gateway/backend_runner.h"
 
 #include "gateway/fakes.h"
@@ -28,6 +29,7 @@
     std::size_t run(const std::string &id, const std::string &body = {})
     {
         auto call = callNamed(id, m_clock);
+        call.deadline = m_clock.now() + m_timeLimit;
         call.request.method = "POST";
         call.request.target = "/" + std::to_string(++m_lastCall);
         call.request.body = body;
@@ -95,6 +97,7 @@
     std::unique_ptr<Listener> m_listener;
     std::optional<CallResult> m_result;
     std::uint64_t m_lastCall = 0;
+    Duration m_timeLimit = seconds(60); ///< Of the calls.
 };
 
 } // namespace
@@ -213,3 +216,59 @@
     EXPECT_GT(m_runner.openedConnections(), 1U);
     EXPECT_LT(m_runner.openedConnections(), 10U);
 }
+
+// A body without end grew until the memory of the process was used up.
+TEST_F(BackendRunnerTest, AnEndlessBodyEndsItsCallAndTheNextOneIsServed)
+{
+    constexpr std::size_t kEnoughBytes = 64U << 20U;
+    auto &server = m_accepted.at(run("one"));
+    server.write("HTTP/1.1 200 OK\r\nToucandeck-Answer-Seal: s\r\n\r\n");
+    std::size_t sent = 0;
+    runUntil([this, &server, &sent] {
+        sent += server.tryWrite(std::string(64U << 10U, 'b'));
+        return m_result.has_value() || sent > kEnoughBytes;
+    });
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(m_result->reason, wire::BAD_ANSWER);
+    EXPECT_EQ(logged("response_rejected", "cause"), "body_too_large");
+    EXPECT_EQ(answer(run("two"), success("two")).outcome, wire::ANSWERED);
+}
+
+TEST_F(BackendRunnerTest, LogsAHeadWithoutEnd)
+{
+    auto &server = m_accepted.at(run("one"));
+    runUntil([this, &server] {
+        server.tryWrite("HTTP/1.1 103 Early Hints\r\n\r\n");
+        return m_result.has_value();
+    });
+    EXPECT_EQ(logged("response_rejected", "cause"), "head_too_large");
+}
+
+// Several responses, each below the limit of one, used up the memory of the process together.
+TEST_F(BackendRunnerTest, LargeResponsesInProgressTogetherDoNotPreventOrdinaryOnes)
+{
+    constexpr int kLargeResponses = 12;
+    const std::string body(7U << 20U, 'b');
+    for (int i = 0; i < kLargeResponses; ++i) {
+        auto &server = m_accepted.at(run("large" + std::to_string(i)));
+        const std::string text = "HTTP/1.1 200 OK\r\nToucandeck-Answer-Seal: s\r\n\r\n" + body;
+        std::size_t sent = 0;
+        runUntil([&server, &text, &sent] {
+            sent += server.tryWrite(std::string_view(text).substr(sent));
+            return sent == text.size() || server.isClosed();
+        });
+    }
+    const std::string ordinary(1U << 20U, 'o');
+    const auto carrier = run("ordinary");
+    const std::string text = "HTTP/1.1 200 OK\r\n" + idLine("ordinary")
+        + "Toucandeck-Answer-Seal: s\r\nContent-Length: " + std::to_string(ordinary.size()) + "\r\n\r\n" + ordinary;
+    std::size_t sent = 0;
+    EXPECT_TRUE(runUntil([this, &text, &sent, carrier] {
+        sent += m_accepted[carrier].tryWrite(std::string_view(text).substr(sent));
+        return m_result.has_value() && m_result->outcome == wire::ANSWERED;
+    }));
+    const auto open = std::count_if(m_accepted.begin(), m_accepted.end(), [](auto &it) { return !it.isClosed(); });
+    EXPECT_LE(open, 5); // Four large responses and the ordinary one.
+    EXPECT_EQ(logged("response_rejected", "cause"), "responses_too_large");
+}
--- a/test/http/raw_socket.h
+++ b/test/http/raw_socket.h
@@ -58,6 +58,13 @@
         EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
     }
 
+    /// Writes as much as the socket takes without waiting; returns the number of bytes.
+    std::size_t tryWrite(std::string_view text) const
+    {
+        const auto n = ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return n < 0 ? 0 : static_cast<std::size_t>(n);
+    }
+
     /// All text received since the connection was opened.
     const std::string &receivedText()
     {
@@ -66,7 +73,7 @@
         while ((n = ::recv(m_descriptor, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
             m_receivedText.append(buf, static_cast<std::size_t>(n));
         }
-        m_closed = m_closed || n == 0;
+        m_closed = m_closed || n == 0 || (n < 0 && errno == ECONNRESET);
         return m_receivedText;
     }
 
--- /dev/null
+++ b/test/http/test_response_limits.cpp
@@ -0,0 +1,196 @@
+// Guards against responses without end: they must end their request and connection at a limit.
+#include "http/backend_connection.h"
+
+#include "link/listener.h"
+#include "raw_socket.h"
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr std::size_t kKiB = 1024;
+constexpr std::size_t kMiB = 1024 * kKiB;
+constexpr std::size_t kSocketBuffers = 16 * kMiB; ///< Bytes that the kernel may hold beyond those that the connection has read.
+constexpr std::size_t kGiveUpBytes = 64 * kMiB;
+
+class ResponseLimitsTest : public testing::Test
+{
+protected:
+    ResponseLimitsTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_address{ "127.0.0.1", freePort() }
+    {
+        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
+                         m_accepted = std::make_unique<RawSocket>(descriptor);
+                     }).value();
+        m_connection = std::make_unique<BackendConnection>(*m_loop, m_address, "X-Id");
+        HttpRequest request;
+        request.headers.push_back({ "X-Id", "one" });
+        m_connection->send(request, "one", [this](BackendResult result) { m_result = std::move(result); });
+        EXPECT_TRUE(runUntil([this] { return m_accepted && m_accepted->receivedText().find("\r\n\r\n") != std::string::npos; }));
+    }
+
+    bool runUntil(const std::function<bool()> &done)
+    {
+        return m_loop->runUntil(done, seconds(5));
+    }
+
+    /// Sends the start, then the unit again and again until the request ends. Returns the number of bytes sent.
+    std::size_t flood(const std::string &start, const std::string &unit)
+    {
+        std::string units;
+        while (units.size() < 64 * kKiB) {
+            units += unit;
+        }
+        m_accepted->write(start);
+        std::size_t sent = start.size();
+        std::size_t offset = 0; // The unit that was sent in part is continued.
+        runUntil([this, &units, &sent, &offset] {
+            const auto n = m_accepted->tryWrite(std::string_view(units).substr(offset));
+            sent += n;
+            offset = (offset + n) % units.size();
+            return m_result.has_value() || sent > kGiveUpBytes;
+        });
+        return sent;
+    }
+
+    void expectEndsWithin(std::size_t limit, const std::string &start, const std::string &unit)
+    {
+        EXPECT_LT(flood(start, unit), limit + kSocketBuffers);
+        ASSERT_TRUE(m_result);
+        EXPECT_EQ(m_result->error, BackendError::InvalidResponse);
+        EXPECT_FALSE(m_connection->isReusable());
+        EXPECT_TRUE(runUntil([this] { return m_accepted->isClosed(); }));
+    }
+
+    /// Sends a whole response in parts that fit into the socket.
+    void answer(const std::string &text)
+    {
+        std::size_t sent = 0;
+        EXPECT_TRUE(runUntil([this, &text, &sent] {
+            sent += m_accepted->tryWrite(std::string_view(text).substr(sent));
+            return m_result.has_value();
+        }));
+    }
+
+    SystemClock m_clock;
+    std::unique_ptr<EventLoop> m_loop;
+    SocketAddress m_address;
+    std::unique_ptr<RawSocket> m_accepted;
+    std::unique_ptr<Listener> m_listener;
+    std::unique_ptr<BackendConnection> m_connection;
+    std::optional<BackendResult> m_result;
+};
+
+const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: one\r\n";
+
+} // namespace
+
+TEST_F(ResponseLimitsTest, EndlessHeaderLines)
+{
+    expectEndsWithin(128 * kKiB, kHead, "X-Filler: " + std::string(kKiB, 'x') + "\r\n");
+}
+
+TEST_F(ResponseLimitsTest, AnEndlessHeaderValue)
+{
+    expectEndsWithin(128 * kKiB, kHead + "X-Filler: ", std::string(kKiB, 'x'));
+}
+
+TEST_F(ResponseLimitsTest, AnEndlessReasonPhrase)
+{
+    expectEndsWithin(128 * kKiB, "HTTP/1.1 200 ", std::string(kKiB, 'x'));
+}
+
+// Each interim response started the count of header bytes anew.
+TEST_F(ResponseLimitsTest, EndlessInterimResponses)
+{
+    expectEndsWithin(128 * kKiB, "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+}
+
+// Each late response to another request started the count of header bytes anew.
+TEST_F(ResponseLimitsTest, EndlessLateResponses)
+{
+    expectEndsWithin(128 * kKiB, "", "HTTP/1.1 200 OK\r\nX-Id: zero\r\nContent-Length: 1\r\n\r\na");
+}
+
+TEST_F(ResponseLimitsTest, EndlessLateResponsesWithLargeBodies)
+{
+    const std::string body(32 * kKiB, 'b');
+    expectEndsWithin(9 * kMiB, "", "HTTP/1.1 200 OK\r\nX-Id: zero\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+}
+
+TEST_F(ResponseLimitsTest, AnEndlessBodyWithoutLength)
+{
+    expectEndsWithin(9 * kMiB, kHead + "\r\n", std::string(kKiB, 'b'));
+}
+
+TEST_F(ResponseLimitsTest, AnEndlessChunkedBody)
+{
+    expectEndsWithin(9 * kMiB, kHead + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n");
+}
+
+TEST_F(ResponseLimitsTest, AnEndlessChunkExtension)
+{
+    expectEndsWithin(128 * kKiB, kHead + "Transfer-Encoding: chunked\r\n\r\n1;", std::string(kKiB, 'x'));
+}
+
+// Chunk extensions and trailers did not count as header bytes.
+TEST_F(ResponseLimitsTest, EndlessChunksWithLongExtensions)
+{
+    expectEndsWithin(256 * kKiB, kHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + std::string(kKiB, 'x') + "\r\nb\r\n");
+}
+
+TEST_F(ResponseLimitsTest, EndlessTrailers)
+{
+    expectEndsWithin(128 * kKiB, kHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: " + std::string(kKiB, 'x') + "\r\n");
+}
+
+// The body was read although its stated length is above the limit.
+TEST_F(ResponseLimitsTest, ALengthAboveTheLimitEndsTheRequestAtOnce)
+{
+    m_accepted->write(kHead + "Content-Length: 1000000000\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
+    EXPECT_EQ(m_result->error, BackendError::InvalidResponse);
+}
+
+TEST_F(ResponseLimitsTest, ALargeBodyPasses)
+{
+    const std::string body(4 * kMiB, 'b');
+    answer(kHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    EXPECT_EQ(m_result->error, BackendError::None);
+    EXPECT_EQ(m_result->response.body.size(), body.size());
+}
+
+TEST_F(ResponseLimitsTest, ABodyInSmallChunksPasses)
+{
+    std::string text = kHead + "Transfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < kMiB; ++i) {
+        text += "1\r\nb\r\n";
+    }
+    answer(text + "0\r\n\r\n");
+    EXPECT_EQ(m_result->error, BackendError::None);
+    EXPECT_EQ(m_result->response.body.size(), kMiB);
+}
+
+TEST_F(ResponseLimitsTest, ALongHeadPasses)
+{
+    answer("HTTP/1.1 103 Early Hints\r\nLink: " + std::string(20 * kKiB, 'x') + "\r\n\r\n" + kHead
+           + "X-Filler: " + std::string(20 * kKiB, 'x') + "\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_EQ(m_result->error, BackendError::None);
+}
+
+// The limits count for each request, not for the connection.
+TEST_F(ResponseLimitsTest, ManyResponsesOnOneConnectionPass)
+{
+    constexpr int kRequests = 200;
+    for (int i = 0; i < kRequests; ++i) {
+        answer(kHead + "X-Filler: " + std::string(kKiB, 'x') + "\r\nContent-Length: 65536\r\n\r\n" + std::string(64 * kKiB, 'b'));
+        ASSERT_EQ(m_result->error, BackendError::None);
+        ASSERT_TRUE(m_connection->isReusable());
+        m_result.reset();
+        m_connection->send({}, "one", [this](BackendResult result) { m_result = std::move(result); });
+    }
+}
