--- a/src/gateway/backend_runner.h
+++ b/src/gateway/backend_runner.h
@@ -41,10 +41,15 @@
 private:
     using Connection = std::unique_ptr<BackendConnection>;
 
-    Connection takeIdle();
+    /// An idle connection that may carry the request; none if there is no such connection.
+    Connection takeIdle(const std::string &requestId);
     HttpRequest backendRequest(const Call &call) const;
     CallResult interpret(const Call &call, BackendResult result) const;
-    CallResult interpretAnswer(const Call &call, HttpResponse response) const;
+    CallResult interpretAnswer(const Call &call, BackendResult result) const;
+    CallResult rejectAnswer(const Call &call, const HttpResponse &response, const char *cause) const;
+    void logDropped(const Call &call, const BackendResult &result) const;
+    /// Keeps the connection for later calls if it can carry them; closes it otherwise.
+    void release(Connection connection, const Call &call, const CallResult &result);
     void finish(std::uint64_t id, const Call &call, BackendResult result, const CallDone &done);
 
     EventLoop &m_loop;
@@ -52,6 +57,7 @@
     const HeaderNames &m_headers;
     SocketAddress m_address;
     std::string m_instance;
+    ResponseMemory m_responseMemory; ///< Outlives the connections.
     ConnectionRefusedHandler m_connectionRefusedHandler;
     std::list<Connection> m_idleConnections; ///< Most recently used first.
     std::unordered_map<std::uint64_t, Connection> m_busyConnections; ///< By id of the call.
--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "http/backend_connection.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
@@ -19,6 +20,7 @@
 
 constexpr std::chrono::milliseconds kConnectTimeout{ 500 }; ///< Short, because the backend server runs on the same VM.
 constexpr seconds kDefaultIdleTimeout{ 4 }; ///< For backend servers that advertise no timeout.
+constexpr std::size_t kMaxExcludedIds = 256; ///< Per connection.
 
 /// Value of N in the header "Keep-Alive: timeout=N".
 std::optional<seconds> advertisedIdleTimeout(const HttpResponse &response)
@@ -35,16 +37,54 @@
     return ec == std::errc() ? std::optional(seconds(n)) : std::nullopt;
 }
 
+ResponseFault faultOf(internal::ParseError error)
+{
+    switch (error) {
+    case internal::ParseError::Malformed:
+        return ResponseFault::Malformed;
+    case internal::ParseError::HeadersTooLarge:
+        return ResponseFault::HeadTooLarge;
+    case internal::ParseError::BodyTooLarge:
+        return ResponseFault::BodyTooLarge;
+    }
+    return ResponseFault::Malformed;
+}
+
 } // namespace
 
-BackendConnection::BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader)
+const char *toString(ResponseFault fault)
+{
+    switch (fault) {
+    case ResponseFault::None:
+        return "none";
+    case ResponseFault::Malformed:
+        return "malformed";
+    case ResponseFault::TruncatedHead:
+        return "truncated_head";
+    case ResponseFault::TruncatedBody:
+        return "truncated_body";
+    case ResponseFault::HeadTooLarge:
+        return "head_too_large";
+    case ResponseFault::BodyTooLarge:
+        return "body_too_large";
+    case ResponseFault::ResponsesTooLarge:
+        return "responses_too_large";
+    case ResponseFault::OtherRequest:
+        return "other_request";
+    }
+    return "unknown";
+}
+
+BackendConnection::BackendConnection(EventLoop &loop, const SocketAddress &address, std::string echoHeader, ResponseMemory *memory)
     : m_loop(loop)
     , m_echoHeader(std::move(echoHeader))
+    , m_memory(memory)
     , m_parser(internal::MessageParser::Kind::Response)
     , m_idleSince(loop.clock().now())
     , m_idleTimeout(kDefaultIdleTimeout)
     , m_alive(std::make_shared<bool>(true))
 {
+    m_parser.setLimits(kMaxHeadBytes, kMaxBodyBytes);
     connect(address);
 }
 
@@ -75,6 +115,8 @@
 {
     m_responseHandler = std::move(handler);
     m_requestId = std::move(requestId);
+    m_droppedResponses = 0;
+    m_droppedId.clear();
     if (m_stream == nullptr) {
         m_loop.runSoon([this, alive = m_alive] {
             if (*alive) {
@@ -83,6 +125,7 @@
         });
         return;
     }
+    m_parser.startExchange();
     m_parser.expectNoBody(request.method == "HEAD");
     write(request);
 }
@@ -104,9 +147,19 @@
     bufferevent_write(m_stream, request.body.data(), request.body.size());
 }
 
+void BackendConnection::excludeRequestId(const std::string &requestId)
+{
+    m_excludedIds.push_back(std::hash<std::string>()(requestId));
+}
+
+bool BackendConnection::mayCarry(const std::string &requestId) const
+{
+    return std::find(m_excludedIds.begin(), m_excludedIds.end(), std::hash<std::string>()(requestId)) == m_excludedIds.end();
+}
+
 bool BackendConnection::isReusable() const
 {
-    return m_stream != nullptr && m_keepAlive && !m_responseHandler;
+    return m_stream != nullptr && m_keepAlive && !m_responseHandler && m_excludedIds.size() < kMaxExcludedIds;
 }
 
 bool BackendConnection::isEstablished() const
@@ -146,9 +199,10 @@
         const auto n = m_parser.feed({ static_cast<const char *>(chunk.iov_base), chunk.iov_len });
         evbuffer_drain(in, n);
         if (m_parser.error()) {
-            fail(BackendError::InvalidResponse);
+            fail(BackendError::InvalidResponse, faultOf(*m_parser.error()));
             return;
         }
+        recordMemory(m_parser.bodyCapacity());
         if (auto message = m_parser.take()) {
             const auto alive = m_alive;
             finish(std::move(*message));
@@ -161,16 +215,22 @@
 
 void BackendConnection::finish(internal::ParsedMessage message)
 {
+    recordMemory(0);
     BackendResult result;
     result.response = { message.status, std::move(message.headers), std::move(message.body) };
-    const auto echoed = result.response.header(m_echoHeader);
-    if (!m_requestId.empty() && echoed && *echoed != m_requestId) {
-        m_keepAlive = false; // Late response to an earlier request; the expected one may still follow.
+    result.identified = isIdentified(result.response);
+    ++m_receivedResponses;
+    if (isLate(result.response)) {
+        m_keepAlive = false; // The expected response may still follow.
+        ++m_droppedResponses;
+        m_droppedId = result.response.header(m_echoHeader).value_or("");
         if (!message.keepAlive) {
-            fail(BackendError::InvalidResponse);
+            fail(BackendError::InvalidResponse, ResponseFault::OtherRequest);
         }
         return;
     }
+    result.droppedResponses = m_droppedResponses;
+    result.droppedId = m_droppedId;
     m_keepAlive = m_keepAlive && message.keepAlive;
     // With data after the response, or with part of the request unsent, the next response could be misread.
     const bool buffersEmpty
@@ -183,6 +243,21 @@
     std::exchange(m_responseHandler, nullptr)(std::move(result));
 }
 
+bool BackendConnection::isLate(const HttpResponse &response) const
+{
+    const auto echoed = response.header(m_echoHeader);
+    return !m_requestId.empty() && echoed && *echoed != m_requestId;
+}
+
+bool BackendConnection::isIdentified(const HttpResponse &response) const
+{
+    const auto echoed = response.header(m_echoHeader);
+    if (!echoed) {
+        return m_receivedResponses == 0;
+    }
+    return !m_requestId.empty() && *echoed == m_requestId;
+}
+
 void BackendConnection::onEvent(bufferevent * /*stream*/, short what, void *self)
 {
     auto &it = *static_cast<BackendConnection *>(self);
@@ -210,10 +285,14 @@
             }
         }
     }
-    it.fail(it.m_parser.isInMessage() ? BackendError::InvalidResponse : BackendError::ConnectionLost);
+    if (it.m_parser.isInMessage()) {
+        it.fail(BackendError::InvalidResponse, it.m_parser.hasHeaders() ? ResponseFault::TruncatedBody : ResponseFault::TruncatedHead);
+    } else {
+        it.fail(BackendError::ConnectionLost);
+    }
 }
 
-void BackendConnection::fail(BackendError error)
+void BackendConnection::fail(BackendError error, ResponseFault fault)
 {
     m_keepAlive = false;
     m_connectTimer.cancel();
@@ -223,16 +302,35 @@
         return;
     }
     if (m_responseHandler) {
-        std::exchange(m_responseHandler, nullptr)({ error, {} });
+        BackendResult result;
+        result.error = error;
+        result.fault = fault;
+        result.droppedResponses = m_droppedResponses;
+        result.droppedId = m_droppedId;
+        std::exchange(m_responseHandler, nullptr)(std::move(result));
     }
 }
 
 void BackendConnection::close()
 {
+    recordMemory(0);
     if (m_stream != nullptr) {
         bufferevent_free(m_stream);
         m_stream = nullptr;
     }
 }
 
+void BackendConnection::abandonResponse()
+{
+    fail(BackendError::InvalidResponse, ResponseFault::ResponsesTooLarge);
+}
+
+void BackendConnection::recordMemory(std::size_t bytes)
+{
+    if (m_memory != nullptr && bytes != m_recordedMemory) {
+        m_recordedMemory = bytes;
+        m_memory->set(*this, bytes);
+    }
+}
+
 } // namespace Toucandeck
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -6,6 +6,24 @@
 namespace Toucandeck::internal
 {
 
+namespace
+{
+
+constexpr std::size_t kChunkFramingBytes = 16; ///< Not counted as header bytes: the size and line ends of a chunk.
+
+bool isInterim(int status)
+{
+    return status >= 100 && status < 200;
+}
+
+/// True for a status whose response has no body, whatever its headers say (RFC 9112, 6.3).
+bool isBodyless(int status)
+{
+    return isInterim(status) || status == HTTP_STATUS_NO_CONTENT || status == HTTP_STATUS_NOT_MODIFIED;
+}
+
+} // namespace
+
 MessageParser::MessageParser(Kind kind)
     : m_maxHeaderBytes(64U << 10U)
     , m_maxBodyBytes(std::numeric_limits<std::size_t>::max())
@@ -20,6 +38,13 @@
     m_maxBodyBytes = maxBodyBytes;
 }
 
+void MessageParser::startExchange()
+{
+    m_receivedBytes = 0;
+    m_bodyBytes = 0;
+    m_chunks = 0;
+}
+
 void MessageParser::expectNoBody(bool noBody)
 {
     m_noBody = noBody;
@@ -34,10 +59,20 @@
         http_parser_pause(&m_parser, 0);
     }
     const auto n = http_parser_execute(&m_parser, &callbacks(), data.data(), data.size());
+    m_receivedBytes += n;
     updateError();
+    checkExchangeLimits();
     return n;
 }
 
+void MessageParser::checkExchangeLimits()
+{
+    const auto uncounted = m_bodyBytes + m_chunks * kChunkFramingBytes;
+    if (!m_error && m_parser.type == HTTP_RESPONSE && m_receivedBytes > uncounted + m_maxHeaderBytes) {
+        m_error = ParseError::HeadersTooLarge;
+    }
+}
+
 void MessageParser::feedEof()
 {
     if (m_error || m_complete) {
@@ -72,6 +107,11 @@
     return m_error;
 }
 
+std::size_t MessageParser::bodyCapacity() const
+{
+    return m_message.body.capacity();
+}
+
 bool MessageParser::isInMessage() const
 {
     return m_inMessage;
@@ -103,11 +143,30 @@
     return 1;
 }
 
+bool MessageParser::hasUnsupportedEncoding() const
+{
+    bool chunked = false;
+    for (const auto &it : m_message.headers) {
+        if (!equalHeaderNames(it.name, "Transfer-Encoding")) {
+            continue;
+        }
+        const auto value = std::string_view(it.value).substr(0, it.value.find_last_not_of(" \t") + 1);
+        if (chunked || !equalHeaderNames(value, "chunked")) {
+            return true;
+        }
+        chunked = true;
+    }
+    return false;
+}
+
 int MessageParser::onBegin(http_parser *parser)
 {
     auto &it = self(parser);
     it.m_message = {};
     it.m_headerBytes = 0;
+    if (parser->type == HTTP_REQUEST) {
+        it.startExchange();
+    }
     it.m_inMessage = true;
     it.m_hasHeaders = false;
     it.m_inValue = false;
@@ -156,13 +215,36 @@
         // Tunnels and protocol upgrades are not supported; 2 makes the parser expect neither a body nor another message.
         return parser->upgrade != 0 ? 2 : 0;
     }
-    return it.m_noBody ? 1 : 0;
+    if (it.hasUnsupportedEncoding()) {
+        return -1;
+    }
+    if (it.m_noBody || isBodyless(it.m_message.status)) {
+        return 1;
+    }
+    if (it.announcesTooLargeBody()) {
+        it.m_error = ParseError::BodyTooLarge;
+        return -1;
+    }
+    return 0;
+}
+
+bool MessageParser::announcesTooLargeBody() const
+{
+    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    return hasLength && m_parser.content_length > m_maxBodyBytes - m_bodyBytes;
+}
+
+int MessageParser::onChunkHeader(http_parser *parser)
+{
+    self(parser).m_chunks += parser->content_length > 0 ? 1 : 0;
+    return 0;
 }
 
 int MessageParser::onBody(http_parser *parser, const char *data, std::size_t n)
 {
     auto &it = self(parser);
-    if (it.m_message.body.size() + n > it.m_maxBodyBytes) {
+    it.m_bodyBytes += n;
+    if (it.m_bodyBytes > it.m_maxBodyBytes) {
         it.m_error = ParseError::BodyTooLarge;
         return 1;
     }
@@ -173,8 +255,9 @@
 int MessageParser::onComplete(http_parser *parser)
 {
     auto &it = self(parser);
-    const bool interim = parser->type == HTTP_RESPONSE && it.m_message.status >= 100 && it.m_message.status < 200;
-    if (interim) {
+    if (parser->type == HTTP_RESPONSE && isInterim(it.m_message.status)) {
+        it.m_inMessage = false;
+        it.m_hasHeaders = false;
         return 0;
     }
     it.m_complete = true;
@@ -192,6 +275,7 @@
         it.on_header_field = &MessageParser::onField;
         it.on_header_value = &MessageParser::onValue;
         it.on_headers_complete = &MessageParser::onHeadersComplete;
+        it.on_chunk_header = &MessageParser::onChunkHeader;
         it.on_body = &MessageParser::onBody;
         it.on_message_complete = &MessageParser::onComplete;
         return it;
--- a/test/http/raw_socket.h
+++ b/test/http/raw_socket.h
@@ -51,15 +51,24 @@
         }
     }
 
+    /// Closes the connection with a TCP reset.
+    void reset()
+    {
+        const linger abort{ 1, 0 };
+        ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+        close();
+    }
+
     void write(const std::string &text) const
     {
         EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
     }
 
-    /// As write(), without a failure if the connection is closed.
-    void writeIfOpen(const std::string &text) const
+    /// Writes as much as the socket takes without waiting; returns the number of bytes.
+    std::size_t tryWrite(std::string_view text) const
     {
-        ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL);
+        const auto n = ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        return n < 0 ? 0 : static_cast<std::size_t>(n);
     }
 
     /// What receiveSome() and receivedText() have received.
@@ -91,7 +100,7 @@
         while ((n = ::recv(m_descriptor, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
             m_receivedText.append(buf, static_cast<std::size_t>(n));
         }
-        m_closed = m_closed || n == 0;
+        m_closed = m_closed || n == 0 || (n < 0 && errno == ECONNRESET);
         return m_receivedText;
     }
 
--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -112,7 +112,7 @@
         }
     });
     ASSERT_TRUE(runUntil([this] { return m_server->unfinishedRequests() == 0 && m_server->lingeringConnections() == 0; }));
-    client.writeIfOpen("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.tryWrite("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
     m_server.reset();
     runUntil([&client] { return client.isClosedByPeer(); });
     const auto &text = client.receivedSoFar();
