Close a backend connection after a refusal that says not-run

A faulty backend server wrote an earlier refusal once more on a kept connection. The repeat was taken as the answer to the next request: its caller was told "not-run, try again" although the backend server was running the request, and a retry could run it at a second instance.

Two causes in the HTTP client of toucandeckd. Answers carry no request id, so a repeat that arrives after the next request was written cannot be told from its answer. And evhttp leaves bytes behind an answer in its input buffer, where isUsable() does not look (it peeks at the socket), and reads them as the next answer.

A connection is now closed after an answer with the verdict not-run, so no kept connection has carried a refusal that could be repeated. It is also closed if bytes are left behind an answer, whatever the answer was. HttpResult::connectionKept tells the admission controller, which until now counted every answered request's connection as kept. Backend servers need no change; the price is a new connection after each refusal. Not covered: an ordinary answer that is repeated after the next request was written; only an echoed request id could reveal that.

--- a/src/daemon/request_executor_completion.cpp
+++ b/src/daemon/request_executor_completion.cpp
@@ -88,7 +88,7 @@
     m_executedCounter.Increment();
     auto &response = *result.response;
     const bool shed = response.status == 429 || response.status == 503;
-    releaseSlot(work, shed ? AnswerKind::Shed : AnswerKind::Ok, true);
+    releaseSlot(work, shed ? AnswerKind::Shed : AnswerKind::Ok, result.connectionKept);
     // A backend server may state the verdict. Without one, a shed request may have been started.
     const auto statedVerdict = verdictFromString(response.header("Toucandeck-Verdict").value_or(""));
     const auto verdict = statedVerdict.value_or(shed ? Verdict::MayHaveRun : Verdict::Ran);
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -83,8 +83,7 @@
     }
     m_active[id] = { pool, connection, std::move(handler) };
     m_startingRequest = id;
-    connection->start(
-        *method, request, timeout, [this, id](HttpResult result, bool reusable) { onFinished(id, std::move(result), reusable); });
+    connection->start(*method, request, timeout, [this, id](HttpResult result) { onFinished(id, std::move(result)); });
     m_startingRequest = 0;
     return id;
 }
@@ -130,12 +129,12 @@
     m_loop.runSoon([owned] {});
 }
 
-void HttpClient::onFinished(RequestId id, HttpResult result, bool reusable)
+void HttpClient::onFinished(RequestId id, HttpResult result)
 {
     const auto it = m_active.find(id);
     const auto active = std::move(it->second);
     m_active.erase(it);
-    if (reusable) {
+    if (result.connectionKept) {
         active.pool->idle.push_back(active.connection);
     } else {
         discard(*active.pool, active.connection);
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -29,6 +29,7 @@
     Verdict verdict = Verdict::NotRun;
     ErrorCode code = ErrorCode::Unavailable; ///< If there is no response: Unavailable, Overloaded or DeadlineExceeded.
     std::string error; ///< If there is no response: human-readable error message.
+    bool connectionKept = false; ///< The connection is open and may carry another request.
 };
 
 struct HttpClientOptions
@@ -43,6 +44,7 @@
 
 /// HTTP/1.1 client with persistent connections per target ("IP:PORT"), one request at a time on each.
 /// Requests are never resent: if the connection fails after the first byte was written, the request fails with MayHaveRun.
+/// A connection is closed after an answer that states the verdict not-run, so that a repeated refusal cannot answer another request.
 class HttpClient
 {
 public:
@@ -81,7 +83,7 @@
     Pool *poolFor(const std::string &target);
     internal::HttpClientConnection *takeIdle(Pool &pool);
     void discard(Pool &pool, internal::HttpClientConnection *connection);
-    void onFinished(RequestId id, HttpResult result, bool reusable);
+    void onFinished(RequestId id, HttpResult result);
     void failSoon(RequestId id, Handler handler, ErrorCode code, std::string error);
     void deliverSoon(RequestId id, Handler handler, HttpResult result);
     void closeLongIdle();
--- a/src/runtime/http_client_connection.cpp
+++ b/src/runtime/http_client_connection.cpp
@@ -114,14 +114,25 @@
     HttpResult result;
     result.verdict = Verdict::Ran;
     result.response = HttpResponse{ status, readHeaders(request), readBody(request) };
-    finish(std::move(result), keepsAlive(request));
+    result.connectionKept = keepsAlive(request);
+    finish(std::move(result));
 }
 
 bool HttpClientConnection::keepsAlive(evhttp_request *request) const
 {
-    const char *connection = evhttp_find_header(evhttp_request_get_input_headers(request), "Connection");
+    const auto *headers = evhttp_request_get_input_headers(request);
+    const char *connection = evhttp_find_header(headers, "Connection");
     const bool isHttp11OrLater = request->major > 1 || (request->major == 1 && request->minor >= 1);
-    return isHttp11OrLater && (connection == nullptr || !equalHeaderNames(connection, "close")) && bufferevent_getfd(m_bev) >= 0;
+    if (!isHttp11OrLater || (connection != nullptr && equalHeaderNames(connection, "close")) || bufferevent_getfd(m_bev) < 0) {
+        return false;
+    }
+    // Bytes behind the answer would be read as the answer to the next request.
+    if (evbuffer_get_length(bufferevent_get_input(m_bev)) > 0) {
+        return false;
+    }
+    // Answers carry no request id: a refusal that is repeated later could not be told from the answer to the next request.
+    const char *verdict = evhttp_find_header(headers, "Toucandeck-Verdict");
+    return verdict == nullptr || verdictFromString(verdict) != Verdict::NotRun;
 }
 
 void HttpClientConnection::fail(ErrorCode code, std::string error)
@@ -133,17 +144,17 @@
     auto done = std::exchange(m_done, nullptr);
     cancel();
     m_done = std::move(done);
-    finish(std::move(result), false);
+    finish(std::move(result));
 }
 
-void HttpClientConnection::finish(HttpResult result, bool reusable)
+void HttpClientConnection::finish(HttpResult result)
 {
     m_timeout.cancel();
     m_connectTimeout.cancel();
     m_idleSince = m_loop.clock().now();
     const auto done = std::exchange(m_done, nullptr);
     if (done) {
-        done(std::move(result), reusable);
+        done(std::move(result));
     }
 }
 
--- a/src/runtime/http_client_connection.h
+++ b/src/runtime/http_client_connection.h
@@ -17,8 +17,7 @@
 class HttpClientConnection
 {
 public:
-    /// Receives the result and whether the connection can be reused for another request.
-    using Done = std::function<void(HttpResult result, bool reusable)>;
+    using Done = std::function<void(HttpResult result)>;
 
     /// @param host IPv4 address.
     HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, const std::string &host, std::uint16_t port);
@@ -37,7 +36,7 @@
 private:
     void onCompleted(evhttp_request *request);
     void fail(ErrorCode code, std::string error);
-    void finish(HttpResult result, bool reusable);
+    void finish(HttpResult result);
     bool keepsAlive(evhttp_request *request) const;
 
     EventLoop &m_loop;
