Parse answers of backend servers strictly

Callers could get an answer that the backend server had not given: the first of two Content-Length headers decided the length of the body, a sign or "0x" before a length was accepted, "Transfer-Encoding: gzip, chunked" was read to the end of the connection with the chunk sizes in the body, an interim answer other than 100 was passed on as the answer (103 with an empty body), and a trailer field Toucandeck-Verdict replaced the verdict. A status line such as "HTTP/1.1 2x0" held the request until its deadline. A valid chunk extension ("6;x=y") made the answer invalid. All of that is evhttp's parsing, and none of it can be switched off.

HttpClientConnection now uses a bufferevent and HttpResponseParser, which accepts one length in digits or the coding "chunked", nothing else, and discards interim answers and trailer fields. The alternative, a check beside evhttp, would have to parse the same bytes a second time and agree with evhttp on each of them. What is incomplete or invalid is no response and has the verdict may-have-run once the request was written, as before. An answer without a length still ends with its connection (FIN, not RST).

AnswerCutAtAnyByteIsNoResponse and AnswerWithoutLengthIsCompleteOnlyAtTheOrdinaryEnd stay as guards.

New with this code, not run before: RequestHeaderWithALineBreakIsNotSent (libevent dropped such headers itself) and the two random properties of HttpResponseParser.

--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -60,13 +60,13 @@
 HttpClient::RequestId HttpClient::send(const std::string &target, HttpRequest request, Duration timeout, Handler handler)
 {
     const auto id = m_nextId++;
-    const auto method = internal::methodCode(request.method);
+    const bool isKnownMethod = internal::methodCode(request.method).has_value();
     auto *pool = poolFor(target);
-    if (!method || pool == nullptr) {
+    if (!isKnownMethod || pool == nullptr) {
         failSoon(id,
                  std::move(handler),
                  ErrorCode::InvalidArgument,
-                 method ? "target " + target + " is not IP:PORT" : "unknown method " + request.method);
+                 isKnownMethod ? "target " + target + " is not IP:PORT" : "unknown method " + request.method);
         return id;
     }
     auto *connection = takeIdle(*pool);
@@ -83,7 +83,7 @@
     }
     m_active[id] = { pool, connection, std::move(handler) };
     m_startingRequest = id;
-    connection->start(*method, request, timeout, [this, id](HttpResult result) { onFinished(id, std::move(result)); });
+    connection->start(request, timeout, [this, id](HttpResult result) { onFinished(id, std::move(result)); });
     m_startingRequest = 0;
     return id;
 }
--- a/src/runtime/http_client_connection.cpp
+++ b/src/runtime/http_client_connection.cpp
@@ -1,12 +1,12 @@
 #include "runtime/http_client_connection.h"
 
-#include "runtime/evhttp_convert.h"
-
+#include <algorithm>
+#include <arpa/inet.h>
 #include <array>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
+#include <event2/event.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -16,123 +16,177 @@
 namespace
 {
 
-/// Long enough that libevent's own timeouts never fire first: they cannot be distinguished from other failures.
-constexpr int kLibraryTimeoutSeconds = 24 * 3600;
+/// Methods whose requests state a length even without a body (RFC 9110, 8.6).
+constexpr std::array<std::string_view, 3> kMethodsWithBody{ "POST", "PUT", "PATCH" };
 
-constexpr std::array<const char *, 6> kErrors{ "no data in time",  "connection closed before the answer was complete",
-                                               "malformed answer", "connection broke",
-                                               "cancelled",        "answer larger than the limit" };
+/// A line break would start another header.
+bool isSafe(const HttpHeader &header)
+{
+    constexpr std::string_view kLineBreaks("\r\n\0", 3);
+    return header.name.find_first_of(kLineBreaks) == std::string::npos && header.value.find_first_of(kLineBreaks) == std::string::npos;
+}
 
-const char *errorText(evhttp_request_error error)
+std::string serialize(const HttpRequest &request)
 {
-    const auto n = static_cast<std::size_t>(error);
-    return n < kErrors.size() ? kErrors[n] : "connection failed";
+    std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    const auto add
+        = [&text](std::string_view name, std::string_view value) { text.append(name).append(": ").append(value).append("\r\n"); };
+    for (const auto &it : request.headers) {
+        if (!isHopByHop(it.name) && isSafe(it)) {
+            add(it.name, it.value);
+        }
+    }
+    add("Host", request.header("Host").value_or("localhost"));
+    const bool hasBody = std::find(kMethodsWithBody.begin(), kMethodsWithBody.end(), request.method) != kMethodsWithBody.end();
+    if (hasBody || !request.body.empty()) {
+        add("Content-Length", std::to_string(request.body.size()));
+    }
+    text.append("\r\n").append(request.body);
+    return text;
 }
 
 } // namespace
 
-HttpClientConnection::HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, const std::string &host, std::uint16_t port)
+HttpClientConnection::HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, std::string host, std::uint16_t port)
     : m_loop(loop)
     , m_options(options)
-    , m_bev(bufferevent_socket_new(loop.base(), -1, 0))
-    , m_connection(evhttp_connection_base_bufferevent_new(loop.base(), nullptr, m_bev, host.c_str(), port))
+    , m_host(std::move(host))
+    , m_port(port)
+    , m_parser(options.maxHeaderBytes, options.maxBodyBytes)
     , m_idleSince(loop.clock().now())
 {
-    // A retry by libevent could run a request twice.
-    evhttp_connection_set_retries(m_connection, 0);
-    evhttp_connection_set_timeout(m_connection, kLibraryTimeoutSeconds);
-    evhttp_connection_set_max_headers_size(m_connection, static_cast<ev_ssize_t>(options.maxHeaderBytes));
-    evhttp_connection_set_max_body_size(m_connection, static_cast<ev_ssize_t>(options.maxBodyBytes));
-    evbuffer_add_cb(
-        bufferevent_get_output(m_bev),
-        [](evbuffer * /*output*/, const evbuffer_cb_info *info, void *self) {
-            if (info->n_added > 0) {
-                // libevent writes as soon as the socket is writable; a failure before the write cannot be distinguished from one after it.
-                static_cast<HttpClientConnection *>(self)->m_written = true;
-                static_cast<HttpClientConnection *>(self)->m_connectTimeout.cancel();
-            }
-        },
-        this);
 }
 
 HttpClientConnection::~HttpClientConnection()
 {
-    m_done = nullptr;
-    evhttp_connection_free(m_connection);
+    close();
 }
 
-void HttpClientConnection::start(int method, const HttpRequest &request, Duration timeout, Done done)
+void HttpClientConnection::start(const HttpRequest &request, Duration timeout, Done done)
 {
     m_done = std::move(done);
     m_written = false;
-    m_error.clear();
-    m_request = evhttp_request_new(
-        [](evhttp_request *answer, void *self) { static_cast<HttpClientConnection *>(self)->onCompleted(answer); }, this);
-    evhttp_request_set_error_cb(
-        m_request, [](evhttp_request_error error, void *self) { static_cast<HttpClientConnection *>(self)->m_error = errorText(error); });
-    addHeaders(m_request, request.headers);
-    auto *output = evhttp_request_get_output_headers(m_request);
-    const auto host = request.header("Host");
-    evhttp_add_header(output, "Host", host ? std::string(*host).c_str() : "localhost");
-    if (!request.body.empty()) {
-        evhttp_add_header(output, "Content-Length", std::to_string(request.body.size()).c_str());
-        evbuffer_add(evhttp_request_get_output_buffer(m_request), request.body.data(), request.body.size());
-    }
+    m_parser.begin(request.method == "HEAD");
+    m_unsentRequest = serialize(request);
     m_timeout = m_loop.after(timeout, [this] { fail(ErrorCode::DeadlineExceeded, "no complete answer before the deadline"); });
-    if (bufferevent_getfd(m_bev) < 0) {
-        m_connectTimeout
-            = m_loop.after(m_options.connectTimeout, [this] { fail(ErrorCode::Unavailable, "connection not established in time"); });
+    if (m_established) {
+        write();
+        return;
     }
-    if (evhttp_make_request(m_connection, m_request, static_cast<evhttp_cmd_type>(method), request.target.c_str()) != 0) {
-        m_request = nullptr;
-        fail(ErrorCode::Unavailable, "connection refused");
+    m_connectTimeout
+        = m_loop.after(m_options.connectTimeout, [this] { fail(ErrorCode::Unavailable, "connection not established in time"); });
+    if (!connect()) {
+        fail(ErrorCode::Unavailable, "connection could not be opened");
     }
 }
 
-bool HttpClientConnection::cancel()
+bool HttpClientConnection::connect()
 {
-    m_done = nullptr;
-    m_timeout.cancel();
-    m_connectTimeout.cancel();
-    if (m_request != nullptr) {
-        evhttp_cancel_request(std::exchange(m_request, nullptr));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_port);
+    inet_pton(AF_INET, m_host.c_str(), &address.sin_addr);
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return false;
     }
-    return m_written;
+    m_stream = bufferevent_socket_new(m_loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(
+        m_stream,
+        [](bufferevent * /*stream*/, void *self) { static_cast<HttpClientConnection *>(self)->readResponse(); },
+        nullptr,
+        [](bufferevent * /*stream*/, short what, void *self) { static_cast<HttpClientConnection *>(self)->onEvent(what); },
+        this);
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+    return bufferevent_socket_connect(m_stream, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0;
+}
+
+void HttpClientConnection::write()
+{
+    // libevent writes as soon as the socket is writable; a failure before the write cannot be distinguished from one after it.
+    m_written = true;
+    bufferevent_write(m_stream, m_unsentRequest.data(), m_unsentRequest.size());
+    m_unsentRequest = {};
 }
 
-void HttpClientConnection::onCompleted(evhttp_request *request)
+void HttpClientConnection::readResponse()
 {
-    m_request = nullptr;
     if (!m_done) {
+        close(); // Bytes that no request asked for.
         return;
     }
-    const int status = request != nullptr ? evhttp_request_get_response_code(request) : 0;
-    if (status == 0) {
-        fail(ErrorCode::Unavailable, m_error.empty() ? "connection refused or lost" : m_error);
-        return;
+    auto *input = bufferevent_get_input(m_stream);
+    evbuffer_iovec block{};
+    while (evbuffer_peek(input, -1, nullptr, &block, 1) > 0 && block.iov_len > 0) {
+        evbuffer_drain(input, m_parser.feed({ static_cast<const char *>(block.iov_base), block.iov_len }));
+        if (!m_parser.error().empty()) {
+            fail(ErrorCode::Unavailable, m_parser.error());
+            return;
+        }
+        if (m_parser.isComplete()) {
+            complete();
+            return;
+        }
+    }
+}
+
+void HttpClientConnection::onEvent(short what)
+{
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        m_established = true;
+        m_connectTimeout.cancel();
+        write();
+    } else if (!m_done) {
+        close();
+    } else if (!m_established) {
+        fail(ErrorCode::Unavailable, "connection refused");
+    } else if ((what & BEV_EVENT_EOF) != 0) {
+        onStreamEnd();
+    } else {
+        fail(ErrorCode::Unavailable, "connection broke");
     }
+}
+
+void HttpClientConnection::onStreamEnd()
+{
+    m_parser.feedEof();
+    if (m_parser.isComplete()) {
+        complete();
+    } else {
+        fail(ErrorCode::Unavailable, m_parser.error());
+    }
+}
+
+void HttpClientConnection::complete()
+{
     HttpResult result;
     result.verdict = Verdict::Ran;
-    result.response = HttpResponse{ status, readHeaders(request), readBody(request) };
-    result.connectionKept = keepsAlive(request);
+    result.response = m_parser.take();
+    result.connectionKept = keepsAlive(*result.response);
+    if (!result.connectionKept) {
+        close();
+    }
     finish(std::move(result));
 }
 
-bool HttpClientConnection::keepsAlive(evhttp_request *request) const
+bool HttpClientConnection::keepsAlive(const HttpResponse &response) const
 {
-    const auto *headers = evhttp_request_get_input_headers(request);
-    const char *connection = evhttp_find_header(headers, "Connection");
-    const bool isHttp11OrLater = request->major > 1 || (request->major == 1 && request->minor >= 1);
-    if (!isHttp11OrLater || (connection != nullptr && equalHeaderNames(connection, "close")) || bufferevent_getfd(m_bev) < 0) {
-        return false;
-    }
-    // Bytes behind the answer would be read as the answer to the next request.
-    if (evbuffer_get_length(bufferevent_get_input(m_bev)) > 0) {
+    // Bytes behind the answer would be read as the answer to the next request, and the rest of this request as the next one.
+    const auto unread = evbuffer_get_length(bufferevent_get_input(m_stream));
+    const auto unwritten = evbuffer_get_length(bufferevent_get_output(m_stream));
+    if (!m_parser.keepsAlive() || unread > 0 || unwritten > 0) {
         return false;
     }
     // Answers carry no request id: a refusal that is repeated later could not be told from the answer to the next request.
-    const char *verdict = evhttp_find_header(headers, "Toucandeck-Verdict");
-    return verdict == nullptr || verdictFromString(verdict) != Verdict::NotRun;
+    return verdictFromString(response.header("Toucandeck-Verdict").value_or("")) != Verdict::NotRun;
+}
+
+bool HttpClientConnection::cancel()
+{
+    m_done = nullptr;
+    m_timeout.cancel();
+    close();
+    return m_written;
 }
 
 void HttpClientConnection::fail(ErrorCode code, std::string error)
@@ -141,16 +195,13 @@
     result.verdict = m_written ? Verdict::MayHaveRun : Verdict::NotRun;
     result.code = code;
     result.error = std::move(error);
-    auto done = std::exchange(m_done, nullptr);
-    cancel();
-    m_done = std::move(done);
+    close();
     finish(std::move(result));
 }
 
 void HttpClientConnection::finish(HttpResult result)
 {
     m_timeout.cancel();
-    m_connectTimeout.cancel();
     m_idleSince = m_loop.clock().now();
     const auto done = std::exchange(m_done, nullptr);
     if (done) {
@@ -158,11 +209,23 @@
     }
 }
 
+void HttpClientConnection::close()
+{
+    m_connectTimeout.cancel();
+    m_established = false;
+    if (m_stream != nullptr) {
+        bufferevent_free(std::exchange(m_stream, nullptr));
+    }
+}
+
 bool HttpClientConnection::isUsable() const
 {
-    const int descriptor = bufferevent_getfd(m_bev);
+    if (m_stream == nullptr) {
+        return false;
+    }
     char buf = 0;
-    return descriptor >= 0 && recv(descriptor, &buf, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    const auto n = recv(bufferevent_getfd(m_stream), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 TimePoint HttpClientConnection::idleSince() const
--- a/test/runtime/test_http.cpp
+++ b/test/runtime/test_http.cpp
@@ -84,6 +84,17 @@
     EXPECT_EQ(client->idleConnections(server->address()), 1U);
 }
 
+// Guards against a header value of a caller that adds a header to the request.
+TEST_F(HttpTest, RequestHeaderWithALineBreakIsNotSent)
+{
+    send({ "POST", "/", { { "X-Bad", "a\r\nX-Injected: 1" }, { "X-Bad\nX-Injected", "1" }, { "X-Good", "1" } }, {} });
+    ASSERT_TRUE(untilExchanges(1));
+    EXPECT_FALSE(exchanges[0]->request().header("X-Injected"));
+    EXPECT_FALSE(exchanges[0]->request().header("X-Bad"));
+    EXPECT_EQ(exchanges[0]->request().header("X-Good"), "1");
+    EXPECT_EQ(exchanges[0]->request().header("Content-Length"), "0");
+}
+
 TEST_F(HttpTest, AnswersInAnyOrderReachTheirOwnRequest)
 {
     std::map<std::string, std::string> bodies;
--- a/test/runtime/test_http_answers.cpp
+++ b/test/runtime/test_http_answers.cpp
@@ -1,4 +1,4 @@
-// Guards against answers of a faulty backend server that are attributed to another request.
+// Guards against answers of a faulty backend server that are attributed to another request, or taken as complete though they are not.
 #include "raw_server.h"
 
 #include "runtime/http_client.h"
@@ -43,6 +43,25 @@
         return request(10s, method);
     }
 
+    /// Result of a request that the server answers with these bytes and the end of the connection.
+    HttpResult resultOfClosed(const std::string &bytes, bool reset)
+    {
+        onRequest = [bytes, reset](RawPeer &it) {
+            it.write(bytes);
+            reset ? it.reset() : it.finish();
+        };
+        return request();
+    }
+
+    void expectInvalid(const std::string &bytes)
+    {
+        const auto result = resultOf(bytes);
+        EXPECT_FALSE(result.response) << bytes;
+        EXPECT_EQ(result.verdict, Verdict::MayHaveRun) << bytes;
+        EXPECT_EQ(result.code, ErrorCode::Unavailable) << bytes << ": " << result.error;
+        client->closeIdle(server->address(), 1);
+    }
+
     RecordingLogger logger;
     std::unique_ptr<RawServer> server;
     std::unique_ptr<HttpClient> client;
@@ -118,6 +137,96 @@
     EXPECT_EQ(server->peers().size(), 1U);
 }
 
+// Guards against an answer that was cut off and is taken as complete.
+TEST_F(HttpAnswersTest, AnswerCutAtAnyByteIsNoResponse)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\nX-Name: value\r\n";
+    const std::vector<std::string> answers{
+        start + "Content-Length: 11\r\n\r\nhello world",
+        "HTTP/1.1 100 Continue\r\n\r\n" + start + "Content-Length: 3\r\n\r\nabc",
+        start + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\nX-Trailer: t\r\n\r\n",
+    };
+    for (const auto &answer : answers) {
+        for (std::size_t n = 0; n < answer.size(); ++n) {
+            for (const bool reset : { false, true }) {
+                const auto result = resultOfClosed(answer.substr(0, n), reset);
+                EXPECT_FALSE(result.response) << answer << " cut at " << n << (reset ? " by RST" : " by FIN");
+                EXPECT_EQ(result.verdict, Verdict::MayHaveRun) << answer << " cut at " << n << (reset ? " by RST" : " by FIN");
+            }
+        }
+        const auto whole = resultOf(answer);
+        EXPECT_TRUE(whole.response) << answer << whole.error;
+    }
+}
+
+// Guards against an answer without length that is taken as complete though its connection was reset or its head was cut off.
+TEST_F(HttpAnswersTest, AnswerWithoutLengthIsCompleteOnlyAtTheOrdinaryEnd)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Name: value\r\n\r\n";
+    const std::string answer = head + "hello";
+    for (std::size_t n = 0; n <= answer.size(); ++n) {
+        EXPECT_FALSE(resultOfClosed(answer.substr(0, n), true).response) << n;
+        const auto result = resultOfClosed(answer.substr(0, n), false);
+        EXPECT_EQ(result.response.has_value(), n >= head.size()) << n;
+        EXPECT_EQ(result.verdict, n >= head.size() ? Verdict::Ran : Verdict::MayHaveRun) << n;
+    }
+}
+
+// Guards against a body whose end is ambiguous and that is passed on short or with bytes of its framing.
+TEST_F(HttpAnswersTest, AmbiguousFramingIsNoResponse)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    expectInvalid(start + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc");
+    expectInvalid(start + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab");
+    expectInvalid(start + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+    expectInvalid(start + "Transfer-Encoding: gzip, chunked\r\nContent-Length: 2\r\n\r\nab");
+    for (const char *it : { "+2", "-2", "2x", "0x2", "2, 2", "", "99999999999999999999" }) {
+        expectInvalid(start + "Content-Length: " + it + "\r\n\r\nab");
+    }
+    for (const char *it : { "+2\r\nab", "0x2\r\nab", "-2\r\nab", "\r\n2\r\nab", "2\r\nabc", "ffffffffffffffffff\r\nab" }) {
+        expectInvalid(start + "Transfer-Encoding: chunked\r\n\r\n" + it + "\r\n0\r\n\r\n");
+    }
+    expectInvalid(start + "Content-Length : 2\r\n\r\nab");
+    EXPECT_FALSE(resultOfClosed(start + "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", false).response);
+    EXPECT_FALSE(resultOfClosed(start + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\nab", false).response);
+}
+
+// Guards against bytes that are no answer and are taken as one.
+TEST_F(HttpAnswersTest, BytesThatAreNoAnswerAreNoResponse)
+{
+    for (const char *it : { "nonsense\r\n\r\n",
+                            "HTTP/1.1 20 OK\r\n\r\n",
+                            "HTTP/1.1 2x0 OK\r\n\r\n",
+                            "HTTP/1.1 -20 OK\r\n\r\n",
+                            "HTTP/1.1 2000 OK\r\n\r\n",
+                            "HTTP/2.0 200 OK\r\n\r\n",
+                            "HTTP/1.1200 OK\r\n\r\n",
+                            "\r\n\r\n",
+                            "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+                            "HTTP/1.1 200 OK\r\n: no name\r\n\r\n",
+                            "HTTP/1.1 101 Switching Protocols\r\n\r\n" }) {
+        expectInvalid(it);
+    }
+}
+
+// Guards against an interim answer or a trailer field that is taken for the answer or for one of its headers.
+TEST_F(HttpAnswersTest, InterimAnswersAndTrailersAreNotPartOfTheAnswer)
+{
+    const auto interim = resultOf("HTTP/1.1 103 Early Hints\r\nLink: x\r\nContent-Length: 7\r\n\r\n"
+                                  "HTTP/1.1 100 Continue\r\nToucandeck-Verdict: not-run\r\n\r\n"
+                                  + std::string(kOk));
+    ASSERT_TRUE(interim.response) << interim.error;
+    EXPECT_EQ(interim.response->status, 200);
+    EXPECT_EQ(interim.response->body, "ok");
+    EXPECT_FALSE(interim.response->header("Link"));
+    EXPECT_FALSE(interim.response->header("Toucandeck-Verdict"));
+    const auto chunked
+        = resultOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nToucandeck-Verdict: not-run\r\n\r\n");
+    ASSERT_TRUE(chunked.response) << chunked.error;
+    EXPECT_EQ(chunked.response->body, "ok");
+    EXPECT_FALSE(chunked.response->header("Toucandeck-Verdict"));
+}
+
 // Guards against the body of an answer that has none and that is read as the start of the next answer.
 TEST_F(HttpAnswersTest, BodyOfAnAnswerWithoutOneIsNotTheNextAnswer)
 {
--- /dev/null
+++ b/test/runtime/test_http_response_parser.cpp
@@ -0,0 +1,73 @@
+// Guards against responses whose parsing depends on how the stream is cut into segments.
+#include "runtime/http_response_parser.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Toucandeck;
+using internal::HttpResponseParser;
+
+namespace
+{
+
+constexpr std::size_t kMaxHeaderBytes = 200;
+constexpr std::size_t kMaxBodyBytes = 40;
+
+/// What a parser reports after it was fed segments of at most @p segment bytes and the end of the stream.
+std::string outcome(const std::string &stream, std::size_t segment)
+{
+    HttpResponseParser parser(kMaxHeaderBytes, kMaxBodyBytes);
+    parser.begin(false);
+    std::size_t consumed = 0;
+    for (std::size_t i = 0; i < stream.size() && !parser.isComplete() && parser.error().empty(); i += segment) {
+        consumed += parser.feed(std::string_view(stream).substr(i, segment));
+    }
+    parser.feedEof();
+    if (!parser.isComplete()) {
+        return parser.error();
+    }
+    const auto response = parser.take();
+    return std::to_string(consumed) + " " + std::to_string(response.status) + " " + response.body;
+}
+
+rc::Gen<std::string> genStream()
+{
+    const auto piece = rc::gen::element<std::string>("HTTP/1.1 200 OK\r\n",
+                                                     "HTTP/1.1 103 Early Hints\n",
+                                                     "HTTP/1.0 204\r\n",
+                                                     "Content-Length: 5\r\n",
+                                                     "Transfer-Encoding: chunked\r\n",
+                                                     "X: y\r\n",
+                                                     " z\r\n",
+                                                     "\r\n",
+                                                     "\n",
+                                                     "5\r\n",
+                                                     "5;a=b\r\n",
+                                                     "hello",
+                                                     "0\r\n",
+                                                     "\r",
+                                                     "\t",
+                                                     ":",
+                                                     "g");
+    return rc::gen::map(rc::gen::container<std::vector<std::string>>(piece), [](const std::vector<std::string> &pieces) {
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        for (const auto &it : pieces) {
+            text += it;
+        }
+        return text;
+    });
+}
+
+} // namespace
+
+RC_GTEST_PROP(HttpResponseParser, OutcomeDoesNotDependOnTheSegments, ())
+{
+    const auto stream = *genStream();
+    const auto segment = *rc::gen::inRange<std::size_t>(1, 12);
+    RC_ASSERT(outcome(stream, segment) == outcome(stream, stream.size()));
+}
+
+RC_GTEST_PROP(HttpResponseParser, AnyBytesAreParsedOrRejected, (const std::string &bytes))
+{
+    outcome(bytes, 1);
+}
