Bound all bytes of an answer and all incomplete answers together

A backend server that sends bytes without end held its request until the deadline, and evhttp stored what it sent without any limit: the line with the size of a chunk (extension or digits), and everything that arrived while the request was still being written. Interim answers had a limit each, not together. A body was limited to 8 MiB, but not the bodies of all connections together, and the number of connections follows from what the backend server announces.

All bytes of a response outside of its body now count towards one limit (maxHeaderBytes, 64 KiB), interim responses, chunk extensions and trailer fields included; only the size of a chunk is free, since the limit on the body bounds the number of chunks. ByteBudget limits the bodies of all incomplete responses of a client to 64 MiB (maxTotalBodyBytes). A request that meets a limit fails at once with may-have-run, and its connection is closed.

--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "log/logger.h"
+#include "runtime/byte_budget.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_message.h"
 
@@ -38,8 +39,10 @@
     Duration connectTimeout = std::chrono::milliseconds(1000);
     /// Idle time after which a connection is closed. Shorter than the servers' idle timeout, so that servers rarely close one first.
     Duration idleClose = std::chrono::seconds(20);
-    std::size_t maxHeaderBytes = 64U << 10U;
+    std::size_t maxHeaderBytes = 64U << 10U; ///< A response with more bytes outside of its body fails the request.
     std::size_t maxBodyBytes = 8U << 20U; ///< A larger response fails the request.
+    /// Limit on the bodies of all incomplete responses together. The request whose response exceeds it fails.
+    std::size_t maxTotalBodyBytes = 64U << 20U;
 };
 
 /// HTTP/1.1 client with persistent connections per target ("IP:PORT"), one request at a time on each.
@@ -91,6 +94,7 @@
     EventLoop &m_loop;
     HttpClientOptions m_options;
     Logger &m_logger;
+    internal::ByteBudget m_bodies;
     RequestId m_nextId = 1;
     RequestId m_startingRequest = 0; ///< Request whose send() is in progress.
     std::uint64_t m_staleConnections = 0;
--- a/src/runtime/http_client_connection.cpp
+++ b/src/runtime/http_client_connection.cpp
@@ -47,9 +47,11 @@
 
 } // namespace
 
-HttpClientConnection::HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, std::string host, std::uint16_t port)
+HttpClientConnection::HttpClientConnection(
+    EventLoop &loop, const HttpClientOptions &options, ByteBudget &bodies, std::string host, std::uint16_t port)
     : m_loop(loop)
     , m_options(options)
+    , m_bodies(bodies)
     , m_host(std::move(host))
     , m_port(port)
     , m_parser(options.maxHeaderBytes, options.maxBodyBytes)
@@ -123,6 +125,10 @@
             fail(ErrorCode::Unavailable, m_parser.error());
             return;
         }
+        if (!takeBodyBytes()) {
+            fail(ErrorCode::Unavailable, "all answers together are larger than the limit");
+            return;
+        }
         if (m_parser.isComplete()) {
             complete();
             return;
@@ -130,6 +136,21 @@
     }
 }
 
+bool HttpClientConnection::takeBodyBytes()
+{
+    const auto n = m_parser.bodyBytes() - m_takenBodyBytes;
+    if (!m_bodies.take(n)) {
+        return false;
+    }
+    m_takenBodyBytes += n;
+    return true;
+}
+
+void HttpClientConnection::releaseBodyBytes()
+{
+    m_bodies.release(std::exchange(m_takenBodyBytes, 0));
+}
+
 void HttpClientConnection::onEvent(short what)
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
@@ -185,6 +206,7 @@
 {
     m_done = nullptr;
     m_timeout.cancel();
+    releaseBodyBytes();
     close();
     return m_written;
 }
@@ -202,6 +224,7 @@
 void HttpClientConnection::finish(HttpResult result)
 {
     m_timeout.cancel();
+    releaseBodyBytes();
     m_idleSince = m_loop.clock().now();
     const auto done = std::exchange(m_done, nullptr);
     if (done) {
--- a/src/runtime/http_client_connection.h
+++ b/src/runtime/http_client_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "runtime/byte_budget.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_client.h"
 #include "runtime/http_response_parser.h"
@@ -19,7 +20,8 @@
     using Done = std::function<void(HttpResult result)>;
 
     /// @param host IPv4 address.
-    HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, std::string host, std::uint16_t port);
+    /// @param bodies limits the bodies of all incomplete answers of the client.
+    HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, ByteBudget &bodies, std::string host, std::uint16_t port);
     ~HttpClientConnection();
     HttpClientConnection(const HttpClientConnection &) = delete;
     HttpClientConnection &operator=(const HttpClientConnection &) = delete;
@@ -36,6 +38,8 @@
     bool connect();
     void write();
     void readResponse();
+    bool takeBodyBytes();
+    void releaseBodyBytes();
     void onEvent(short what);
     void onStreamEnd();
     void complete();
@@ -46,10 +50,12 @@
 
     EventLoop &m_loop;
     const HttpClientOptions &m_options;
+    ByteBudget &m_bodies;
     std::string m_host;
     std::uint16_t m_port;
     bufferevent *m_stream = nullptr;
     HttpResponseParser m_parser;
+    std::size_t m_takenBodyBytes = 0; ///< Taken from m_bodies.
     std::string m_unsentRequest; ///< Request that waits for the connection to be established.
     Done m_done;
     bool m_established = false;
--- a/src/runtime/http_response_parser.cpp
+++ b/src/runtime/http_response_parser.cpp
@@ -20,6 +20,9 @@
 /// Bounds the memory of many short headers.
 constexpr std::size_t kMaxHeaderLines = 1000;
 
+/// Size of a chunk in 16 hexadecimal digits and the line break.
+constexpr std::size_t kMaxChunkSizeBytes = 18;
+
 constexpr int kSwitchingProtocols = 101;
 constexpr int kOk = 200;
 constexpr int kNoContent = 204;
@@ -118,21 +121,28 @@
 {
     const auto end = data.find('\n');
     const auto n = end == std::string_view::npos ? data.size() : end + 1;
-    m_headerBytes += n;
-    if (m_headerBytes > m_maxHeaderBytes) {
+    m_line.append(data, 0, n);
+    if (m_line.size() > m_maxHeaderBytes - m_headerBytes) {
         fail(kTooLarge);
         return n;
     }
-    m_line.append(data, 0, n);
     if (end == std::string_view::npos) {
         return n;
     }
     const auto line = std::exchange(m_line, {});
+    m_headerBytes += line.size() - std::min(line.size(), freeLineBytes());
     const auto length = line.ends_with("\r\n") ? line.size() - 2 : line.size() - 1;
     (this->*m_onLine)(std::string_view(line).substr(0, length));
     return n;
 }
 
+std::size_t HttpResponseParser::freeLineBytes() const
+{
+    // The limit on the body bounds the number of chunks, so their sizes are not counted; chunk extensions are.
+    const bool isChunkLine = m_onLine == &HttpResponseParser::onChunkSizeLine || m_onLine == &HttpResponseParser::onChunkEndLine;
+    return isChunkLine ? kMaxChunkSizeBytes : 0;
+}
+
 std::size_t HttpResponseParser::feedBody(std::string_view data)
 {
     const auto n = std::min(data.size(), m_bodyRemaining);
@@ -205,7 +215,6 @@
     }
     if (status < kOk) {
         m_response.headers.clear();
-        m_headerBytes = 0;
         m_onLine = &HttpResponseParser::onStatusLine;
         return;
     }
@@ -262,7 +271,6 @@
         return;
     }
     m_bodyRemaining = n;
-    m_headerBytes = 0;
     m_onLine = nullptr;
 }
 
--- a/src/runtime/http_response_parser.h
+++ b/src/runtime/http_response_parser.h
@@ -15,7 +15,7 @@
 class HttpResponseParser
 {
 public:
-    /// @param maxHeaderBytes limit on the status line and headers, and on the framing of each chunk.
+    /// @param maxHeaderBytes limit on all bytes of a response outside of its body, interim responses included.
     HttpResponseParser(std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
 
     /// Prepares for the response to a request; one to a HEAD request has no body.
@@ -42,6 +42,8 @@
     using LineHandler = void (HttpResponseParser::*)(std::string_view line);
 
     std::size_t feedLine(std::string_view data);
+    /// Bytes of the current line that do not count towards the limit.
+    std::size_t freeLineBytes() const;
     std::size_t feedBody(std::string_view data);
     void onStatusLine(std::string_view line);
     void onHeaderLine(std::string_view line);
--- a/test/runtime/test_http_answers.cpp
+++ b/test/runtime/test_http_answers.cpp
@@ -1,4 +1,5 @@
-// Guards against answers of a faulty backend server that are attributed to another request, or taken as complete though they are not.
+// Guards against answers of a faulty backend server that are attributed to another request, taken as complete though they are not, or read
+// without limit.
 #include "raw_server.h"
 
 #include "runtime/http_client.h"
@@ -18,11 +19,12 @@
     {
         LoopFixture::SetUp();
         server = std::make_unique<RawServer>(*loop, [this](RawPeer &it) { onRequest(it); });
-        client = std::make_unique<HttpClient>(*loop, HttpClientOptions(), logger);
+        client = std::make_unique<HttpClient>(*loop, options, logger);
     }
 
     void TearDown() override
     {
+        pump.cancel();
         client.reset();
         server.reset();
     }
@@ -53,6 +55,33 @@
         return request();
     }
 
+    /// Expects that a request answered with @p start and then with @p part again and again ends at a limit.
+    void expectLimit(const std::string &start, const std::string &part)
+    {
+        const auto label = start.substr(0, 60) + "..." + part.substr(0, 40);
+        onRequest = [this, start, part](RawPeer &it) {
+            it.write(start);
+            pump = loop->every(100us, [&it, part] { it.write(part); });
+        };
+        const auto result = request(5s);
+        pump.cancel();
+        EXPECT_FALSE(result.response) << label;
+        EXPECT_EQ(result.verdict, Verdict::MayHaveRun) << label;
+        EXPECT_EQ(result.code, ErrorCode::Unavailable) << label << ": " << result.error;
+        expectClosedAndUsable(label);
+    }
+
+    /// Expects that the client has closed the last connection and that another request is served.
+    void expectClosedAndUsable(const std::string &label)
+    {
+        EXPECT_EQ(client->idleConnections(server->address()), 0U) << label;
+        auto &last = *server->peers().back();
+        EXPECT_TRUE(runUntil([&last] { return last.isClosed(); })) << label;
+        const auto next = resultOf(std::string(kOk));
+        EXPECT_TRUE(next.response && next.response->body == "ok") << label << ": " << next.error;
+        client->closeIdle(server->address(), 1);
+    }
+
     void expectInvalid(const std::string &bytes)
     {
         const auto result = resultOf(bytes);
@@ -62,10 +91,17 @@
         client->closeIdle(server->address(), 1);
     }
 
+    HttpClientOptions options = [] {
+        HttpClientOptions it;
+        it.maxHeaderBytes = 4096;
+        it.maxBodyBytes = 65536;
+        return it;
+    }();
     RecordingLogger logger;
     std::unique_ptr<RawServer> server;
     std::unique_ptr<HttpClient> client;
     std::function<void(RawPeer &)> onRequest;
+    EventLoop::Watch pump;
 };
 
 } // namespace
@@ -245,3 +281,90 @@
     EXPECT_EQ(head.response->body, "");
     EXPECT_EQ(client->idleConnections(server->address()), 1U);
 }
+
+// Guards against an answer without end that is read until the deadline.
+TEST_F(HttpAnswersTest, EndlessAnswerEndsAtTheLimit)
+{
+    const std::string start = "HTTP/1.1 200 OK\r\n";
+    const std::string block(8192, 'a');
+    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+    expectLimit("", block);
+    expectLimit("HTTP/1.1 200 ", block);
+    expectLimit(start, "X-Name: value\r\n");
+    expectLimit(start + "X-Name: ", block);
+    expectLimit("", "HTTP/1.1 100 Continue\r\n\r\n");
+    expectLimit("", "HTTP/1.1 102 Processing\r\nX-Name: value\r\n\r\n");
+    expectLimit(start + "\r\n", block);
+    expectLimit(start + "Content-Length: 10000000\r\n\r\n", block);
+    expectLimit(chunked, "1000\r\n" + std::string(4096, 'b') + "\r\n");
+    expectLimit(chunked + "fffffff\r\n", block);
+    expectLimit(chunked + "2;", block);
+    expectLimit(chunked + std::string(100, '0'), std::string(100, '0'));
+    expectLimit(chunked, "1;" + block.substr(0, 200) + "\r\nx\r\n");
+    expectLimit(chunked + "0\r\n", "X-Name: value\r\n");
+    expectLimit(chunked + "0\r\nX-Name: ", block);
+}
+
+// Guards against an answer that arrives before the request was read, and whose bytes are stored without limit.
+TEST_F(HttpAnswersTest, EndlessAnswerToAnUnreadRequestEndsAtTheLimit)
+{
+    const std::string block(8192, 'a');
+    onRequest = [this, &block](RawPeer &it) {
+        it.stopReading();
+        pump = loop->every(100us, [&it, &block] { it.write(block); });
+    };
+    std::optional<HttpResult> result;
+    client->send(
+        server->address(), { "POST", "/", {}, std::string(32U << 20U, 'x') }, 5s, [&result](HttpResult it) { result = std::move(it); });
+    ASSERT_TRUE(runUntil([&] { return result.has_value(); }));
+    pump.cancel();
+    EXPECT_FALSE(result->response);
+    EXPECT_EQ(result->verdict, Verdict::MayHaveRun);
+    EXPECT_EQ(result->code, ErrorCode::Unavailable) << result->error;
+}
+
+// Guards against large answers on many connections that exhaust the memory together.
+TEST_F(HttpAnswersTest, IncompleteAnswersTogetherAreBounded)
+{
+    constexpr std::size_t kRequests = 10;
+    constexpr std::size_t kSent = 7U << 20U;
+    const std::string block(65536, 'a');
+    client = std::make_unique<HttpClient>(*loop, HttpClientOptions(), logger);
+    onRequest = [](RawPeer &it) { it.write("HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n"); };
+    pump = loop->every(100us, [&] {
+        for (const auto &it : server->peers()) {
+            if (it->requests() > 0 && it->sentBytes() < kSent) {
+                it->write(block);
+            }
+        }
+    });
+    std::vector<HttpResult> results;
+    for (std::size_t i = 0; i < kRequests; ++i) {
+        client->send(server->address(), {}, 30s, [&results](HttpResult it) { results.push_back(std::move(it)); });
+    }
+    ASSERT_TRUE(runUntil([&results] { return !results.empty(); }));
+    EXPECT_FALSE(results[0].response);
+    EXPECT_EQ(results[0].verdict, Verdict::MayHaveRun);
+    EXPECT_EQ(results[0].code, ErrorCode::Unavailable) << results[0].error;
+    pump.cancel();
+    client = std::make_unique<HttpClient>(*loop, HttpClientOptions(), logger);
+    EXPECT_TRUE(resultOf(std::string(kOk)).response);
+}
+
+// Guards against an answer that trickles and holds its request beyond the deadline.
+TEST_F(HttpAnswersTest, TricklingAnswerEndsAtTheDeadline)
+{
+    for (const char *start :
+         { "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" }) {
+        onRequest = [this, start](RawPeer &it) {
+            it.write(start);
+            pump = loop->every(2ms, [&it] { it.write("a"); });
+        };
+        const auto result = request(50ms);
+        pump.cancel();
+        EXPECT_FALSE(result.response) << start;
+        EXPECT_EQ(result.code, ErrorCode::DeadlineExceeded) << start;
+        EXPECT_EQ(result.verdict, Verdict::MayHaveRun) << start;
+        expectClosedAndUsable(start);
+    }
+}
