--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -48,6 +48,7 @@
     : m_loop(loop)
     , m_options(options)
     , m_logger(logger)
+    , m_bodies(options.maxTotalBodyBytes)
     , m_idleTimer(loop.every(std::max<Duration>(options.idleClose / 4, std::chrono::milliseconds(1)), [this] { closeLongIdle(); }))
 {
 }
@@ -60,13 +61,13 @@
 HttpClient::RequestId HttpClient::send(const std::string &target, HttpRequest request, Duration timeout, Handler handler)
 {
     const auto id = m_nextId++;
-    const auto method = internal::methodCode(request.method);
+    const bool isKnownMethod = internal::methodCode(request.method).has_value();
     auto *pool = poolFor(target);
-    if (!method || pool == nullptr) {
+    if (!isKnownMethod || pool == nullptr) {
         failSoon(id,
                  std::move(handler),
                  ErrorCode::InvalidArgument,
-                 method ? "target " + target + " is not IP:PORT" : "unknown method " + request.method);
+                 isKnownMethod ? "target " + target + " is not IP:PORT" : "unknown method " + request.method);
         return id;
     }
     auto *connection = takeIdle(*pool);
@@ -75,7 +76,7 @@
             failSoon(id, std::move(handler), ErrorCode::Overloaded, "all connections to " + target + " are in use");
             return id;
         }
-        pool->all.push_back(std::make_unique<internal::HttpClientConnection>(m_loop, m_options, pool->host, pool->port));
+        pool->all.push_back(std::make_unique<internal::HttpClientConnection>(m_loop, m_options, m_bodies, pool->host, pool->port));
         connection = pool->all.back().get();
     }
     if (!request.header("Host")) {
@@ -83,8 +84,7 @@
     }
     m_active[id] = { pool, connection, std::move(handler) };
     m_startingRequest = id;
-    connection->start(
-        *method, request, timeout, [this, id](HttpResult result, bool reusable) { onFinished(id, std::move(result), reusable); });
+    connection->start(request, timeout, [this, id](HttpResult result) { onFinished(id, std::move(result)); });
     m_startingRequest = 0;
     return id;
 }
@@ -130,12 +130,12 @@
     m_loop.runSoon([owned] {});
 }
 
-void HttpClient::onFinished(RequestId id, HttpResult result, bool reusable)
+void HttpClient::onFinished(RequestId id, HttpResult result)
 {
     const auto it = m_active.find(id);
     const auto active = std::move(it->second);
     m_active.erase(it);
-    if (reusable) {
+    if (result.connectionKept) {
         active.pool->idle.push_back(active.connection);
     } else {
         discard(*active.pool, active.connection);
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "log/logger.h"
+#include "runtime/byte_budget.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_message.h"
 
@@ -29,6 +30,7 @@
     Verdict verdict = Verdict::NotRun;
     ErrorCode code = ErrorCode::Unavailable; ///< If there is no response: Unavailable, Overloaded or DeadlineExceeded.
     std::string error; ///< If there is no response: human-readable error message.
+    bool connectionKept = false; ///< The connection is open and may carry another request.
 };
 
 struct HttpClientOptions
@@ -37,12 +39,15 @@
     Duration connectTimeout = std::chrono::milliseconds(1000);
     /// Idle time after which a connection is closed. Shorter than the servers' idle timeout, so that servers rarely close one first.
     Duration idleClose = std::chrono::seconds(20);
-    std::size_t maxHeaderBytes = 64U << 10U;
+    std::size_t maxHeaderBytes = 64U << 10U; ///< A response with more bytes outside of its body fails the request.
     std::size_t maxBodyBytes = 8U << 20U; ///< A larger response fails the request.
+    /// Limit on the bodies of all incomplete responses together. The request whose response exceeds it fails.
+    std::size_t maxTotalBodyBytes = 64U << 20U;
 };
 
 /// HTTP/1.1 client with persistent connections per target ("IP:PORT"), one request at a time on each.
 /// Requests are never resent: if the connection fails after the first byte was written, the request fails with MayHaveRun.
+/// A connection is closed after an answer that states the verdict not-run, so that a repeated refusal cannot answer another request.
 class HttpClient
 {
 public:
@@ -81,7 +86,7 @@
     Pool *poolFor(const std::string &target);
     internal::HttpClientConnection *takeIdle(Pool &pool);
     void discard(Pool &pool, internal::HttpClientConnection *connection);
-    void onFinished(RequestId id, HttpResult result, bool reusable);
+    void onFinished(RequestId id, HttpResult result);
     void failSoon(RequestId id, Handler handler, ErrorCode code, std::string error);
     void deliverSoon(RequestId id, Handler handler, HttpResult result);
     void closeLongIdle();
@@ -89,6 +94,7 @@
     EventLoop &m_loop;
     HttpClientOptions m_options;
     Logger &m_logger;
+    internal::ByteBudget m_bodies;
     RequestId m_nextId = 1;
     RequestId m_startingRequest = 0; ///< Request whose send() is in progress.
     std::uint64_t m_staleConnections = 0;
--- a/src/runtime/http_client_connection.h
+++ b/src/runtime/http_client_connection.h
@@ -1,14 +1,14 @@
 #pragma once
 
+#include "runtime/byte_budget.h"
 #include "runtime/event_loop.h"
 #include "runtime/http_client.h"
+#include "runtime/http_response_parser.h"
 
 #include <functional>
 #include <string>
 
 struct bufferevent;
-struct evhttp_connection;
-struct evhttp_request;
 
 namespace Toucandeck::internal
 {
@@ -17,17 +17,17 @@
 class HttpClientConnection
 {
 public:
-    /// Receives the result and whether the connection can be reused for another request.
-    using Done = std::function<void(HttpResult result, bool reusable)>;
+    using Done = std::function<void(HttpResult result)>;
 
     /// @param host IPv4 address.
-    HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, const std::string &host, std::uint16_t port);
+    /// @param bodies limits the bodies of all incomplete answers of the client.
+    HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, ByteBudget &bodies, std::string host, std::uint16_t port);
     ~HttpClientConnection();
     HttpClientConnection(const HttpClientConnection &) = delete;
     HttpClientConnection &operator=(const HttpClientConnection &) = delete;
 
     /// Starts the request; @p done is called once, possibly from within this call, and must not destroy this connection.
-    void start(int method, const HttpRequest &request, Duration timeout, Done done);
+    void start(const HttpRequest &request, Duration timeout, Done done);
     /// Closes the connection without calling the handler; returns true if the request may have been written.
     bool cancel();
     /// False if the peer has closed the idle connection or sent unsolicited data.
@@ -35,19 +35,31 @@
     TimePoint idleSince() const;
 
 private:
-    void onCompleted(evhttp_request *request);
+    bool connect();
+    void write();
+    void readResponse();
+    bool takeBodyBytes();
+    void releaseBodyBytes();
+    void onEvent(short what);
+    void onStreamEnd();
+    void complete();
+    bool keepsAlive(const HttpResponse &response) const;
     void fail(ErrorCode code, std::string error);
-    void finish(HttpResult result, bool reusable);
-    bool keepsAlive(evhttp_request *request) const;
+    void finish(HttpResult result);
+    void close();
 
     EventLoop &m_loop;
     const HttpClientOptions &m_options;
-    bufferevent *m_bev;
-    evhttp_connection *m_connection;
-    evhttp_request *m_request = nullptr;
+    ByteBudget &m_bodies;
+    std::string m_host;
+    std::uint16_t m_port;
+    bufferevent *m_stream = nullptr;
+    HttpResponseParser m_parser;
+    std::size_t m_takenBodyBytes = 0; ///< Taken from m_bodies.
+    std::string m_unsentRequest; ///< Request that waits for the connection to be established.
     Done m_done;
+    bool m_established = false;
     bool m_written = false; ///< True if any byte of the current request may have been sent.
-    std::string m_error;
     TimePoint m_idleSince;
     EventLoop::Watch m_timeout;
     EventLoop::Watch m_connectTimeout;
