Drop the records of a moved hot key at its former owner

Callers could be refused with "the idempotency table is full": after a hot key had moved to another router, its former owner kept the idempotency records of the key until their retention of 10 minutes had passed. A hot key has the most records, and they count towards the memory limit of the table.

RecordTransfer::hasLeftView() compared only partitions with the view, so that a move of hot keys alone counted as complete at once, and only the records of partitions were dropped. It now also waits until the view names another owner of the hot keys, and drops their records. IdempotencyTable selects records by key and partition, which also replaces one pass over the table for each hot key by one for all.

The test on the code before:

test_record_transfer.cpp:296: Failure Expected equality of these values: executor.records().size() Which is: 2 1U Which is: 1

Run: test_daemon and test_admission, all passed.

--- a/src/admission/idempotency_table.cpp
+++ b/src/admission/idempotency_table.cpp
@@ -51,9 +51,9 @@
     }
 }
 
-bool contains(std::span<const PartitionId> partitions, PartitionId partition)
+IdempotencyTable::RecordFilter inPartitions(std::span<const PartitionId> partitions)
 {
-    return std::find(partitions.begin(), partitions.end(), partition) != partitions.end();
+    return [partitions](KeyHash, PartitionId it) { return std::find(partitions.begin(), partitions.end(), it) != partitions.end(); };
 }
 
 } // namespace
@@ -197,11 +197,16 @@
 }
 
 std::vector<wire::IdempotencyRecord> IdempotencyTable::exportRecords(std::string_view service, std::span<const PartitionId> partitions)
+{
+    return exportRecords(service, inPartitions(partitions));
+}
+
+std::vector<wire::IdempotencyRecord> IdempotencyTable::exportRecords(std::string_view service, const RecordFilter &isSelected)
 {
     removeExpired();
     std::vector<wire::IdempotencyRecord> exported;
     for (const auto &[id, record] : m_records) {
-        if (id.service != service || !contains(partitions, record.partition)) {
+        if (id.service != service || !isSelected(id.keyHash, record.partition)) {
             continue;
         }
         auto &it = exported.emplace_back();
@@ -243,11 +248,16 @@
 }
 
 void IdempotencyTable::drop(std::string_view service, std::span<const PartitionId> partitions)
+{
+    drop(service, inPartitions(partitions));
+}
+
+void IdempotencyTable::drop(std::string_view service, const RecordFilter &isSelected)
 {
     for (auto it = m_records.begin(); it != m_records.end();) {
         const auto next = std::next(it);
-        if (it->first.service == service && contains(partitions, it->second.partition)) {
-            TOUCANDECK_ASSERT(it->second.state != State::Running, "running requests end before their partition moves");
+        if (it->first.service == service && isSelected(it->first.keyHash, it->second.partition)) {
+            TOUCANDECK_ASSERT(it->second.state != State::Running, "running requests end before their key moves");
             erase(it);
         }
         it = next;
--- a/src/admission/idempotency_table.h
+++ b/src/admission/idempotency_table.h
@@ -6,6 +6,7 @@
 #include "common/clock.h"
 #include "common/result.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <span>
@@ -57,6 +58,9 @@
 class IdempotencyTable
 {
 public:
+    /// Selects the records of a service by the hash of their key and its partition.
+    using RecordFilter = std::function<bool(KeyHash, PartitionId)>;
+
     explicit IdempotencyTable(const Clock &clock, IdempotencyOptions options = {});
     ~IdempotencyTable();
     IdempotencyTable(const IdempotencyTable &) = delete;
@@ -75,15 +79,18 @@
     /// Removes a waiter that no longer waits.
     void removeWaiter(const IdempotencyId &id, std::uint64_t waiter);
 
-    /// Returns the records of the partitions for a graceful move, those of running requests as unknown. The table keeps them until
-    /// drop().
+    /// Returns the selected records for a graceful move, those of running requests as unknown. The table keeps them until drop().
+    std::vector<wire::IdempotencyRecord> exportRecords(std::string_view service, const RecordFilter &isSelected);
+    /// Returns all records of the partitions.
     std::vector<wire::IdempotencyRecord> exportRecords(std::string_view service, std::span<const PartitionId> partitions);
 
     /// Adds records of the previous owner. Every record that is new here is kept, but its answer is dropped if the memory limit is reached;
     /// its outcome is then unknown. @p partitions is the number of partitions of the service.
     void importRecords(std::span<const wire::IdempotencyRecord> records, std::uint32_t partitions);
 
-    /// Removes the records of partitions that the new owner has acknowledged. No request of these may be running.
+    /// Removes the selected records, which the new owner has acknowledged. No request of these may be running.
+    void drop(std::string_view service, const RecordFilter &isSelected);
+    /// Removes all records of the partitions.
     void drop(std::string_view service, std::span<const PartitionId> partitions);
 
     /// Whether a request of the partition is running.
--- a/src/daemon/record_transfer.cpp
+++ b/src/daemon/record_transfer.cpp
@@ -1,6 +1,5 @@
 #include "daemon/record_transfer.h"
 
-#include "common/key_hash.h"
 #include "daemon/events.h"
 #include "state/view.h"
 
@@ -23,14 +22,17 @@
     return a.service == b.service && a.partitions == b.partitions && a.hotKeys == b.hotKeys;
 }
 
+template<class Item>
+bool contains(const std::vector<Item> &items, Item item)
+{
+    return std::find(items.begin(), items.end(), item) != items.end();
+}
+
 /// Removes the partitions and hot keys of @p removed from @p items.
 void subtract(OwnedItems &items, const OwnedItems &removed)
 {
-    std::erase_if(items.partitions, [&removed](auto it) {
-        return std::find(removed.partitions.begin(), removed.partitions.end(), it) != removed.partitions.end();
-    });
-    std::erase_if(items.hotKeys,
-                  [&removed](auto it) { return std::find(removed.hotKeys.begin(), removed.hotKeys.end(), it) != removed.hotKeys.end(); });
+    std::erase_if(items.partitions, [&removed](auto it) { return contains(removed.partitions, it); });
+    std::erase_if(items.hotKeys, [&removed](auto it) { return contains(removed.hotKeys, it); });
 }
 
 } // namespace
@@ -80,7 +82,7 @@
         if (!it.isReleased || !hasLeftView(it)) {
             return false;
         }
-        m_executor.records().drop(it.items.service, it.items.partitions);
+        dropRecords(it.items);
         return true;
     });
 }
@@ -106,17 +108,16 @@
 
 std::vector<wire::IdempotencyRecord> RecordTransfer::recordsOf(const OwnedItems &items)
 {
-    auto records = m_executor.records().exportRecords(items.service, items.partitions);
-    const auto partitions = m_agent.view().serviceSettings(items.service).partitions;
-    for (const auto key : items.hotKeys) {
-        const auto partition = partitionOf(key, std::max(1U, partitions));
-        for (auto &it : m_executor.records().exportRecords(items.service, std::span(&partition, 1))) {
-            if (it.key_hash() == key.value) {
-                records.push_back(std::move(it));
-            }
-        }
-    }
-    return records;
+    return m_executor.records().exportRecords(items.service, [&items](KeyHash key, PartitionId partition) {
+        return contains(items.partitions, partition) || contains(items.hotKeys, key);
+    });
+}
+
+void RecordTransfer::dropRecords(const OwnedItems &items)
+{
+    m_executor.records().drop(items.service, [&items](KeyHash key, PartitionId partition) {
+        return contains(items.partitions, partition) || contains(items.hotKeys, key);
+    });
 }
 
 void RecordTransfer::exportRecords(Move &move)
@@ -165,11 +166,12 @@
 
 bool RecordTransfer::hasLeftView(const Move &move) const
 {
-    const auto owns = [this, &move](PartitionId it) {
+    const auto owns = [this, &move](auto it) {
         const auto owner = m_agent.view().ownerOf(move.items.service, it);
         return owner && owner->session == m_agent.session();
     };
-    return std::none_of(move.items.partitions.begin(), move.items.partitions.end(), owns);
+    return std::none_of(move.items.partitions.begin(), move.items.partitions.end(), owns)
+        && std::none_of(move.items.hotKeys.begin(), move.items.hotKeys.end(), owns);
 }
 
 void RecordTransfer::receive(const std::string &sender, const wire::TransferRecords &records)
--- a/src/daemon/record_transfer.h
+++ b/src/daemon/record_transfer.h
@@ -26,8 +26,8 @@
     void receive(const std::string &sender, const wire::TransferRecords &records);
     void receive(const wire::TransferAck &ack);
 
-    /// Advances the moves, resends unacknowledged messages, and drops the records of released partitions once the view no
-    /// longer names this router as their owner. Call every 10 ms.
+    /// Advances the moves, resends unacknowledged messages, and drops the records of released items once the view no longer
+    /// names this router as their owner. Call every 10 ms.
     void tick();
 
 private:
@@ -47,6 +47,7 @@
     void sendUnacknowledged(Move &move);
     bool hasLeftView(const Move &move) const;
     std::vector<wire::IdempotencyRecord> recordsOf(const OwnedItems &items);
+    void dropRecords(const OwnedItems &items);
 
     RouterParts m_parts;
     RouterAgent &m_agent;
