Keep the records of a hot key when only its partition moves

Callers could see a request with an idempotency key run twice, or a router end during their requests. Both need a router that owns a hot key by an override, or is still moving it away, while the partition of the key moves to another router.

The release of a partition counted the records of all its keys. A hot key with an override has its own owner, so RequestExecutor::drain() rightly doesn't wait for its requests; but RecordTransfer sent its records to the receiver of the partition and dropped them at the router that still served the key. A repeat of a finished request then found no record and ran again. With a request for the key still running, IdempotencyTable aborted the process, because it drops no running record. The receiver kept a copy that was outdated by the time the key came to it, and an import overwrites no record.

RecordTransfer now sends the records of a key with an override only with the key, and drops no record of a key that the view says it owns.

The tests on the code before:

test_record_transfer.cpp:308: Failure Expected equality of these values: transferredKeys Which is: { 8-byte object <0A-00 00-00 00-00 00-00>, 8-byte object <06-00 00-00 00-00 00-00> } std::vector{ kColdKey } Which is: { 8-byte object <0A-00 00-00 00-00 00-00> } test_record_transfer.cpp:311: Failure Value of: hasAnswer(kHotKey) Actual: false Expected: true

and, in RunningRequestForAHotKeyOutlastsTheMoveOfItsPartition,

assertion failed: it->second.state != State::Running (running requests end before their partition moves) at idempotency_table.cpp:250

Run: test_daemon, all passed; the tests of the file 20 times, all passed. Not run: a soak with moves of hot keys and their partitions at the same time.

--- a/src/daemon/record_transfer.cpp
+++ b/src/daemon/record_transfer.cpp
@@ -106,17 +106,26 @@
     }
 }
 
+template<class Item>
+bool RecordTransfer::owns(const std::string &service, Item item) const
+{
+    const auto owner = m_agent.view().ownerOf(service, item);
+    return owner && owner->session == m_agent.session();
+}
+
 std::vector<wire::IdempotencyRecord> RecordTransfer::recordsOf(const OwnedItems &items)
 {
-    return m_executor.records().exportRecords(items.service, [&items](KeyHash key, PartitionId partition) {
-        return contains(items.partitions, partition) || contains(items.hotKeys, key);
+    const auto &hotKeys = m_agent.view().hotKeys(items.service);
+    return m_executor.records().exportRecords(items.service, [&](KeyHash key, PartitionId partition) {
+        // A hot key doesn't move with its partition.
+        return hotKeys.contains(key) ? contains(items.hotKeys, key) : contains(items.partitions, partition);
     });
 }
 
 void RecordTransfer::dropRecords(const OwnedItems &items)
 {
-    m_executor.records().drop(items.service, [&items](KeyHash key, PartitionId partition) {
-        return contains(items.partitions, partition) || contains(items.hotKeys, key);
+    m_executor.records().drop(items.service, [&](KeyHash key, PartitionId partition) {
+        return (contains(items.partitions, partition) || contains(items.hotKeys, key)) && !owns(items.service, key);
     });
 }
 
@@ -166,12 +175,10 @@
 
 bool RecordTransfer::hasLeftView(const Move &move) const
 {
-    const auto owns = [this, &move](auto it) {
-        const auto owner = m_agent.view().ownerOf(move.items.service, it);
-        return owner && owner->session == m_agent.session();
-    };
-    return std::none_of(move.items.partitions.begin(), move.items.partitions.end(), owns)
-        && std::none_of(move.items.hotKeys.begin(), move.items.hotKeys.end(), owns);
+    const auto &items = move.items;
+    const auto isOwned = [this, &items](auto it) { return owns(items.service, it); };
+    return std::none_of(items.partitions.begin(), items.partitions.end(), isOwned)
+        && std::none_of(items.hotKeys.begin(), items.hotKeys.end(), isOwned);
 }
 
 void RecordTransfer::receive(const std::string &sender, const wire::TransferRecords &records)
--- a/src/daemon/record_transfer.h
+++ b/src/daemon/record_transfer.h
@@ -45,6 +45,9 @@
     void advance(Move &move);
     void exportRecords(Move &move);
     void sendUnacknowledged(Move &move);
+    /// Whether the view names this router as owner of the partition or key.
+    template<class Item>
+    bool owns(const std::string &service, Item item) const;
     bool hasLeftView(const Move &move) const;
     std::vector<wire::IdempotencyRecord> recordsOf(const OwnedItems &items);
     void dropRecords(const OwnedItems &items);
--- a/test/daemon/test_record_transfer.cpp
+++ b/test/daemon/test_record_transfer.cpp
@@ -203,6 +203,17 @@
         sendView();
     }
 
+    /// Afterwards this router owns the hot key by an override.
+    void moveHotKeyAwayAndBack()
+    {
+        beginHotKeyMove(kOther);
+        ASSERT_TRUE(runUntilReleased());
+        completeHotKeyMove();
+        transfer.tick();
+        beginHotKeyMove(agent.session().value);
+        completeHotKeyMove();
+    }
+
     void beginRequest(KeyHash key)
     {
         IdempotencyRequest request;
@@ -285,3 +296,31 @@
     EXPECT_EQ(executor.records().size(), 1U);
     EXPECT_TRUE(hasAnswer(kColdKey));
 }
+
+// Guards against a second run of a request for a hot key whose partition has moved away while its router still owns the key.
+TEST_F(RecordTransferTest, RecordsOfAHotKeyStayWhenOnlyItsPartitionMoves)
+{
+    moveHotKeyAwayAndBack();
+    addRecord(kHotKey);
+    addRecord(kColdKey);
+    beginPartitionMove();
+    ASSERT_TRUE(runUntilReleased());
+    EXPECT_EQ(transferredKeys, std::vector{ kColdKey });
+    completePartitionMove();
+    transfer.tick();
+    EXPECT_TRUE(hasAnswer(kHotKey));
+    EXPECT_EQ(executor.records().size(), 1U);
+}
+
+// Guards against an abort of the router when a partition moves away during a request for a hot key that the router keeps.
+TEST_F(RecordTransferTest, RunningRequestForAHotKeyOutlastsTheMoveOfItsPartition)
+{
+    moveHotKeyAwayAndBack();
+    beginRequest(kHotKey);
+    beginPartitionMove();
+    ASSERT_TRUE(runUntilReleased());
+    completePartitionMove();
+    transfer.tick();
+    executor.records().complete({ "clue", kHotKey, "request" }, StoredAnswer{ 200, {}, "answer" });
+    EXPECT_TRUE(hasAnswer(kHotKey));
+}
