--- a/src/gateway/cold_limiter.cpp
+++ b/src/gateway/cold_limiter.cpp
@@ -39,16 +39,6 @@
     return at;
 }
 
-bool ColdLimiter::tryAcquire(TimePoint now)
-{
-    dropExpired(now);
-    if (nextSendTime(now) > now) {
-        return false;
-    }
-    m_sent.push_back(now);
-    return true;
-}
-
 void ColdLimiter::record(TimePoint now)
 {
     dropExpired(now);
--- a/src/gateway/cold_limiter.h
+++ b/src/gateway/cold_limiter.h
@@ -14,13 +14,10 @@
     /// @param perSecond is the maximum rate in requests per second; zero is unlimited.
     void setRate(double perSecond);
 
-    /// Records a request and returns true if one may be sent now.
-    bool tryAcquire(TimePoint now);
-
-    /// Earliest time at which tryAcquire() succeeds.
+    /// Earliest time at which a request may be sent, not before @p now.
     TimePoint nextSendTime(TimePoint now) const;
 
-    /// Records a request that is sent without tryAcquire(), also while the backend server is not known to be cold.
+    /// Records a request that is sent now. Call it also while the backend server is not known to be cold.
     void record(TimePoint now);
 
 private:
