--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -88,12 +88,6 @@
     return it != m_links.end() && it->second.channel;
 }
 
-bool PeerLinks::canSend(const std::string &peer) const
-{
-    const auto it = m_links.find(peer);
-    return it == m_links.end() || it->second.channel || m_loop.clock().now() >= it->second.retryAt;
-}
-
 void PeerLinks::onReceived(const std::string &peer, const wire::PeerMessage &message)
 {
     auto &link = m_links[peer];
--- a/src/link/peer_links.h
+++ b/src/link/peer_links.h
@@ -38,8 +38,6 @@
     void closeConnection(const std::string &peer);
 
     bool isOpen(const std::string &peer) const;
-    /// True if send() would not be rejected because of a recent failure.
-    bool canSend(const std::string &peer) const;
 
 private:
     struct Link
