--- a/src/link/message_channel.cpp
+++ b/src/link/message_channel.cpp
@@ -184,11 +184,6 @@
     return m_peer;
 }
 
-std::size_t MessageChannel::queuedBytes() const
-{
-    return m_stream != nullptr ? evbuffer_get_length(bufferevent_get_output(m_stream)) : 0;
-}
-
 void MessageChannel::onRead(bufferevent * /*stream*/, void *self)
 {
     const auto channel = static_cast<MessageChannel *>(self)->shared_from_this();
--- a/src/link/message_channel.h
+++ b/src/link/message_channel.h
@@ -66,8 +66,6 @@
     bool wasEstablished() const;
     /// IP address of the peer.
     const std::string &peer() const;
-    /// Number of bytes that are queued and not yet written to the socket.
-    std::size_t queuedBytes() const;
 
 private:
     MessageChannel(EventLoop &loop, std::string peer, Handlers handlers);
