Keep the keyed services when a manifest cannot be decoded

Callers of keyed services could get 503 for as long as such a manifest is in force: if a controller could not decode a committed manifest, for example after a downgrade, FleetController::readManifest() had already cleared the list of keyed services, so that no keys were assigned any more, not even those of lost backend servers.

The list is now a class of its own, KeyedServices, which can be tested without a replica group, and which keeps its names if the manifest cannot be decoded. The event manifest_unreadable is logged as before.

Not covered: a controller that has decoded no manifest since its start still knows no keyed services.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -36,7 +36,6 @@
 FleetController::FleetController(EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases)
     : m_loop(loop)
     , m_group(group)
-    , m_codec(codec)
     , m_logger(logger)
     , m_coordinator(loop.clock(),
                     logger,
@@ -49,6 +48,7 @@
                         m_group.propose(
                             command, [done = std::move(done)](std::optional<CommandOutcome> it) { done(it == CommandOutcome::Applied); });
                     })
+    , m_keyedServices(codec, logger)
     , m_timer(loop.every(kTickInterval, [this] { tick(); }))
 {
     group.setAppliedHandler([this](LogIndex, const wire::FleetCommand &command, CommandOutcome outcome) { onApplied(command, outcome); });
@@ -200,7 +200,7 @@
     readManifest();
     removeSilentRouters();
     if (m_group.isConfirmedLeader()) {
-        m_coordinator.tick(m_keyedServices, keyHolders());
+        m_coordinator.tick(m_keyedServices.names(), keyHolders());
     }
     pushChanges();
 }
@@ -208,25 +208,12 @@
 void FleetController::readManifest()
 {
     const auto &document = m_group.state().manifest();
-    if (document.version() == m_decodedVersion) {
+    if (document.version() == m_readVersion) {
         return;
     }
-    m_decodedVersion = document.version();
+    m_readVersion = document.version();
     m_history.update(document);
-    m_keyedServices.clear();
-    handleError(
-        [&]() -> Result<void> {
-            BOOST_LEAF_AUTO(manifest, m_codec.decode(document));
-            for (const auto &[name, service] : manifest.services) {
-                if (service.keyed) {
-                    m_keyedServices.push_back(name);
-                }
-            }
-            return {};
-        },
-        [&](const Error &error) {
-            m_logger.write(FleetEvents::kManifestUnreadable, { field("version", document.version()), field("error", error.message) });
-        });
+    m_keyedServices.update(document);
 }
 
 void FleetController::removeSilentRouters()
@@ -322,7 +309,7 @@
     if (manifest.version() <= session.manifestVersion) {
         return false;
     }
-    const bool historyIsCurrent = m_decodedVersion == manifest.version();
+    const bool historyIsCurrent = m_readVersion == manifest.version();
     if (auto change = historyIsCurrent ? m_history.changesSince(session.manifestVersion) : std::nullopt) {
         *update.mutable_manifest_change() = std::move(*change);
     } else {
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "fleet/key_coordinator.h"
+#include "fleet/keyed_services.h"
 #include "fleet/manifest_history.h"
 #include "fleet/replica_group.h"
-#include "manifest/manifest_codec.h"
 
 #include <map>
 #include <memory>
@@ -68,7 +68,6 @@
 
     EventLoop &m_loop;
     ReplicaGroup &m_group;
-    const ManifestCodec &m_codec;
     Logger &m_logger;
     SlicePlanner m_planner;
     KeyCoordinator m_coordinator;
@@ -77,8 +76,8 @@
     std::uint64_t m_listRevision = 1;
     std::map<MessageChannel *, Session> m_sessions;
     ManifestHistory m_history;
-    std::vector<std::string> m_keyedServices;
-    std::uint64_t m_decodedVersion = 0; ///< Manifest version from which m_keyedServices was read.
+    KeyedServices m_keyedServices;
+    std::uint64_t m_readVersion = 0; ///< Manifest version of m_history and m_keyedServices.
     bool m_isLeader = false;
     TimePoint m_leaderSince;
     EventLoop::Watch m_timer;
