Report suppressed log lines without another event of their kind

Operators could read a log that lacked lines without any sign of it: JsonLogger reported the number of suppressed lines only with the next line of that kind, which may come much later or never, also not when the process ended.

flush() now writes a line without fields for each kind whose second has ended with suppressed lines, and the destructor writes it for all kinds.

--- a/src/log/json_logger.cpp
+++ b/src/log/json_logger.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kMaxBufferedBytes = 256U << 10U;
 constexpr int kLinesPerSecond = 100; ///< Limit for each kind of event.
+constexpr std::chrono::seconds kWindow{ 1 };
 constexpr std::size_t kLinePrefixBytes = 96; ///< Expected size of a line without its fields.
 
 void appendEscaped(std::string &buf, std::string_view text)
@@ -71,19 +72,21 @@
 
 JsonLogger::~JsonLogger()
 {
-    flush();
+    reportSuppressed(TimePoint::max());
+    writeBuffer();
 }
 
 bool JsonLogger::admit(const Event &event, std::uint64_t &suppressed)
 {
-    auto &window = m_windows[event.number];
+    auto &window = m_windows.try_emplace(event.number, Window{ event }).first->second;
     const auto now = m_clock.now();
-    if (now - window.start >= std::chrono::seconds(1)) {
+    if (now - window.start >= kWindow) {
         window.start = now;
         window.lines = 0;
     }
     if (window.lines >= kLinesPerSecond) {
         ++window.suppressed;
+        m_hasSuppressed = true;
         return false;
     }
     ++window.lines;
@@ -97,20 +100,47 @@
     if (event.level < m_lowest || !admit(event, suppressed)) {
         return;
     }
-    auto line = formatJsonLine(m_clock.wallNow(), m_process, event, fields);
+    append(formatJsonLine(m_clock.wallNow(), m_process, event, fields), suppressed);
+}
+
+bool JsonLogger::append(std::string line, std::uint64_t suppressed)
+{
     if (suppressed != 0) {
         line.pop_back();
         line += fmt::format(",\"suppressed\":{}}}", suppressed);
     }
     if (m_buf.size() + line.size() >= kMaxBufferedBytes) {
         ++m_droppedLines;
-        return;
+        return false;
     }
     m_buf += line;
     m_buf += '\n';
+    return true;
+}
+
+void JsonLogger::reportSuppressed(TimePoint now)
+{
+    if (!std::exchange(m_hasSuppressed, false)) {
+        return;
+    }
+    for (auto &[number, window] : m_windows) {
+        if (window.suppressed != 0 && now - window.start >= kWindow) {
+            window.start = now;
+            window.lines = 1;
+            const bool isWritten = append(formatJsonLine(m_clock.wallNow(), m_process, window.event, {}), window.suppressed);
+            window.suppressed = isWritten ? 0 : window.suppressed;
+        }
+        m_hasSuppressed = m_hasSuppressed || window.suppressed != 0;
+    }
 }
 
 void JsonLogger::flush()
+{
+    reportSuppressed(m_clock.now());
+    writeBuffer();
+}
+
+void JsonLogger::writeBuffer()
 {
     if (m_buf.empty()) {
         return;
--- a/src/log/json_logger.h
+++ b/src/log/json_logger.h
@@ -10,7 +10,7 @@
 
 /// Writes a JSON object per event to a file descriptor. Never blocks: lines are kept in a bounded buffer until flush() writes them, and
 /// a line that does not fit is dropped and counted. The number of lines per second is limited for each kind of event; the next line of
-/// that kind carries the number of omitted lines as "suppressed".
+/// that kind carries the number of omitted lines as "suppressed". If none follows within the second, a line without fields carries it.
 class JsonLogger : public Logger
 {
 public:
@@ -31,18 +31,24 @@
 private:
     struct Window
     {
+        Event event;
         TimePoint start;
         int lines = 0;
         std::uint64_t suppressed = 0;
     };
 
     bool admit(const Event &event, std::uint64_t &suppressed);
+    bool append(std::string line, std::uint64_t suppressed);
+    /// Reports the lines omitted in windows that ended by @p now.
+    void reportSuppressed(TimePoint now);
+    void writeBuffer();
 
     const Clock &m_clock;
     int m_descriptor;
     std::string m_process;
     LogLevel m_lowest;
-    std::map<int, Window> m_windows;
+    std::map<int, Window> m_windows; ///< By event number.
+    bool m_hasSuppressed = false; ///< A window may have suppressed lines.
     std::string m_buf;
     std::uint64_t m_droppedLines = 0;
 };
--- a/test/log/test_json_logger.cpp
+++ b/test/log/test_json_logger.cpp
@@ -81,6 +81,35 @@
     EXPECT_NE(read().find("\"suppressed\":900"), std::string::npos);
 }
 
+// Guards against omitted lines that no line reports, because no event of their kind follows.
+TEST_F(JsonLoggerTest, ReportsOmittedLinesWithoutAnotherEventOfTheirKind)
+{
+    JsonLogger logger(m_clock, m_pipe[1], "p", LogLevel::Info);
+    for (int i = 0; i < 103; ++i) {
+        logger.write(kSample, { field("text", "x") });
+    }
+    logger.flush();
+    EXPECT_EQ(read().find("suppressed"), std::string::npos);
+    m_clock.advance(std::chrono::seconds(1));
+    logger.flush();
+    EXPECT_NE(read().find(R"("level":"info","number":1,"event":"sample","process":"p","suppressed":3})"), std::string::npos);
+    m_clock.advance(std::chrono::seconds(1));
+    logger.flush();
+    EXPECT_EQ(read(), "");
+}
+
+// Guards against omitted lines that no line reports, because the process ends.
+TEST_F(JsonLoggerTest, ReportsOmittedLinesAtTheEnd)
+{
+    {
+        JsonLogger logger(m_clock, m_pipe[1], "p", LogLevel::Info);
+        for (int i = 0; i < 103; ++i) {
+            logger.write(kSample, {});
+        }
+    }
+    EXPECT_NE(read().find("\"suppressed\":3"), std::string::npos);
+}
+
 TEST_F(JsonLoggerTest, DropsLinesInsteadOfBlockingOnAReaderThatHasStopped)
 {
     JsonLogger logger(m_clock, m_pipe[1], "p", LogLevel::Info);
