Give the column key the same limits in the table and at the router

KeyExtractor accepted segment 64 and header names of any length, which the table rejects above 63 and 100 characters. No caller could see it, since every rule passes the table first, but the error text of the router named a limit that does not apply. Both now use the constants in common/key_limits.h.

The test on the code before, with only the constants added:

test_request_headers.cpp:78: Failure Value of: keyOf("segment:" + std::to_string(kMaxKeySegment + 1), "/a").starts_with("error: key '") Actual: false Expected: true test_request_headers.cpp:79: Failure Value of: keyOf("header:" + longestName + "x", "/a", { { longestName + "x", "k" } }).starts_with("error: key '") Actual: false Expected: true

Run: test_routing and test_state, all passed.

--- a/src/routing/key_extractor.cpp
+++ b/src/routing/key_extractor.cpp
@@ -1,5 +1,7 @@
 #include "routing/key_extractor.h"
 
+#include "common/key_limits.h"
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -13,12 +15,11 @@
 
 constexpr std::string_view kSegmentPrefix = "segment:";
 constexpr std::string_view kHeaderPrefix = "header:";
-constexpr unsigned kMaxSegments = 64;
 constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~"; // RFC 9110, 5.6.2
 
 bool isHeaderName(std::string_view name)
 {
-    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char it) {
+    return !name.empty() && name.size() <= kMaxKeyHeaderLength && std::all_of(name.begin(), name.end(), [](unsigned char it) {
         return std::isalnum(it) != 0 || kTokenPunctuation.find(static_cast<char>(it)) != std::string_view::npos;
     });
 }
@@ -69,7 +70,7 @@
         const auto number = text.substr(kSegmentPrefix.size());
         const auto parsed = std::from_chars(number.data(), number.data() + number.size(), extractor.m_segment);
         const bool isNumber = parsed.ec == std::errc() && parsed.ptr == number.data() + number.size();
-        if (isNumber && extractor.m_segment >= 1 && extractor.m_segment <= kMaxSegments) {
+        if (isNumber && extractor.m_segment >= 1 && extractor.m_segment <= kMaxKeySegment) {
             extractor.m_kind = Kind::Segment;
             return extractor;
         }
@@ -80,7 +81,7 @@
         return extractor;
     }
     return fail(ErrorCode::InvalidArgument,
-                fmt::format("key '{}' is none of 'none', 'segment:N' with N from 1 to {}, 'header:NAME'", text, kMaxSegments));
+                fmt::format("key '{}' is none of 'none', 'segment:N' with N from 1 to {}, 'header:NAME'", text, kMaxKeySegment));
 }
 
 bool KeyExtractor::isKeyed() const
--- a/src/state/effective_row.cpp
+++ b/src/state/effective_row.cpp
@@ -1,5 +1,7 @@
 #include "state/effective_row.h"
 
+#include "common/key_limits.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -9,9 +11,6 @@
 namespace
 {
 
-constexpr std::uint32_t maxSegment = 63;
-constexpr std::size_t maxHeaderLength = 100;
-
 bool isHeaderName(std::string_view text)
 {
     // Token characters (RFC 9110).
@@ -19,7 +18,7 @@
         return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9')
             || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
     };
-    return !text.empty() && text.size() <= maxHeaderLength && std::all_of(text.begin(), text.end(), isToken);
+    return !text.empty() && text.size() <= kMaxKeyHeaderLength && std::all_of(text.begin(), text.end(), isToken);
 }
 
 } // namespace
@@ -43,7 +42,8 @@
     settings.keySource = KeySource::Segment;
     const auto digits = text.substr(segmentPrefix.size());
     const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), settings.segment);
-    const bool valid = ec == std::errc() && end == digits.data() + digits.size() && settings.segment >= 1 && settings.segment <= maxSegment;
+    const bool valid
+        = ec == std::errc() && end == digits.data() + digits.size() && settings.segment >= 1 && settings.segment <= kMaxKeySegment;
     return valid ? std::optional(settings) : std::nullopt;
 }
 
--- a/src/state/table_columns.cpp
+++ b/src/state/table_columns.cpp
@@ -1,5 +1,6 @@
 #include "state/table_columns.h"
 
+#include "common/key_limits.h"
 #include "state/effective_row.h"
 #include "state/leave_time.h"
 
@@ -107,7 +108,8 @@
 
 std::string keyProblem(std::string_view text)
 {
-    return parseKeyColumn(text) ? std::string() : fmt::format("must be none, segment:N (N from 1 to 63) or header:NAME, not \"{}\"", text);
+    return parseKeyColumn(text) ? std::string()
+                                : fmt::format("must be none, segment:N (N from 1 to {}) or header:NAME, not \"{}\"", kMaxKeySegment, text);
 }
 
 constexpr TableColumn keyColumn{
--- a/test/routing/test_request_headers.cpp
+++ b/test/routing/test_request_headers.cpp
@@ -1,6 +1,8 @@
 // Guards against wrong keys and against malformed headers that are accepted or rejected without a reason in the message.
 #include "Toucandeck/Routing"
 
+#include "common/key_limits.h"
+
 #include <gtest/gtest.h>
 #include <map>
 
@@ -67,6 +69,16 @@
     EXPECT_EQ(keyOf("header:X-Team", "/"), "error: the request has no key: header 'X-Team' is missing or empty");
 }
 
+// Guards against a rule that the router accepts and the table rejects.
+TEST(KeyExtractor, HasTheLimitsOfTheColumnKey)
+{
+    const std::string longestName(kMaxKeyHeaderLength, 'x');
+    EXPECT_TRUE(KeyExtractor::parse("segment:" + std::to_string(kMaxKeySegment)));
+    EXPECT_TRUE(KeyExtractor::parse("header:" + longestName));
+    EXPECT_TRUE(keyOf("segment:" + std::to_string(kMaxKeySegment + 1), "/a").starts_with("error: key '"));
+    EXPECT_TRUE(keyOf("header:" + longestName + "x", "/a", { { longestName + "x", "k" } }).starts_with("error: key '"));
+}
+
 TEST(KeyExtractor, MalformedRulesAreErrors)
 {
     for (const auto *rule :
