--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -36,6 +36,7 @@
     , m_address(std::move(address))
     , m_maxHeartbeatAge(heartbeatInterval + kHeartbeatTransitTime)
     , m_maxAnswerDelay(std::min<Duration>(kMaxAnswerDelay, std::chrono::duration_cast<Duration>(heartbeatInterval * kAnswerDelayShare)))
+    , m_pendingReleases(logger)
 {
 }
 
@@ -139,7 +140,7 @@
     m_current->lastHeartbeat = now;
     m_current->coldUntil = now + it.coldRemaining;
     m_connectionRefusals = 0;
-    recordReleased(it);
+    m_pendingReleases.record(m_current->name, it, m_reportedHolds, m_sentRows);
     m_reportedHolds = it.holds;
     if (changed) {
         m_logger.write(GatewayEvents::kInstanceState,
@@ -153,68 +154,6 @@
     }
 }
 
-std::uint64_t LocalInstance::fencingTokenOf(KeyRange range) const
-{
-    for (const auto &it : m_sentRows) {
-        if (it.range.overlaps(range)) {
-            return it.fencingToken;
-        }
-    }
-    for (const auto &it : m_reportedHolds) {
-        if (it.range.overlaps(range)) {
-            return it.fencingToken;
-        }
-    }
-    return 0;
-}
-
-void LocalInstance::recordReleased(const Heartbeat &it)
-{
-    for (const auto &released : it.released) {
-        // The previous heartbeat contained the fencing token of the keys that are released now.
-        std::uint64_t fencingToken = 0;
-        for (const auto &held : m_reportedHolds) {
-            fencingToken = held.range.overlaps(released.range) ? held.fencingToken : fencingToken;
-        }
-        fencingToken = fencingToken != 0 ? fencingToken : fencingTokenOf(released.range);
-        for (const auto &range : withoutHeldKeys(released.range, fencingToken, it.holds)) {
-            recordReleased(range, fencingToken, released.handover, it.sequence);
-        }
-    }
-}
-
-std::vector<KeyRange> LocalInstance::withoutHeldKeys(KeyRange range, std::uint64_t fencingToken, const std::vector<HeldKeys> &holds)
-{
-    // Keys that the backend server holds again, because a new leader did not know of their release, are not released.
-    std::vector<KeyRange> remaining{ range };
-    for (const auto &held : holds) {
-        std::vector<KeyRange> next;
-        for (const auto &it : remaining) {
-            const auto parts = held.fencingToken == fencingToken ? difference(it, held.range) : std::vector<KeyRange>{ it };
-            next.insert(next.end(), parts.begin(), parts.end());
-        }
-        remaining = std::move(next);
-    }
-    return remaining;
-}
-
-void LocalInstance::recordReleased(KeyRange range, std::uint64_t fencingToken, const std::string &handover, std::uint64_t sequence)
-{
-    wire::FreedKeys keys;
-    keys.set_incarnation(m_current->name);
-    keys.set_from(range.from);
-    keys.set_to(range.to);
-    keys.set_fence(fencingToken);
-    keys.set_handover(handover);
-    m_logger.write(GatewayEvents::kKeysReleased,
-                   { field("incarnation", m_current->name),
-                     field("from", range.from),
-                     field("to", range.to),
-                     field("fence", fencingToken),
-                     field("sequence", sequence) });
-    m_pendingReleases.push_back({ std::move(keys), 0 });
-}
-
 void LocalInstance::deregister(const std::string &instance)
 {
     if (!m_current || m_current->instance != instance || m_current->deregistered) {
@@ -289,7 +228,7 @@
 
 void LocalInstance::onAnnouncementAcknowledged(std::uint64_t sequence)
 {
-    std::erase_if(m_pendingReleases, [sequence](const PendingRelease &it) { return it.announcement != 0 && it.announcement <= sequence; });
+    m_pendingReleases.onAnnouncementAcknowledged(sequence);
 }
 
 std::vector<KeyRow> LocalInstance::rowsToHold() const
@@ -299,23 +238,7 @@
     }
     // A new leader may grant released keys again if it does not know of their release. If the backend server held them again, they could
     // be granted to another one at the same time.
-    std::vector<KeyRow> rows = m_leasedRows;
-    for (const auto &it : m_pendingReleases) {
-        const KeyRange released{ it.keys.from(), it.keys.to() };
-        std::vector<KeyRow> remaining;
-        for (const auto &row : rows) {
-            if (row.fencingToken != it.keys.fence() || !row.range.overlaps(released)) {
-                remaining.push_back(row);
-                continue;
-            }
-            for (const auto &part : difference(row.range, released)) {
-                remaining.push_back(row);
-                remaining.back().range = part;
-            }
-        }
-        rows = std::move(remaining);
-    }
-    return rows;
+    return m_pendingReleases.removeFrom(m_leasedRows);
 }
 
 std::optional<HeartbeatAnswer> LocalInstance::currentAnswer() const
@@ -470,12 +393,7 @@
 
 void LocalInstance::addReleasedKeys(wire::Announce &announce)
 {
-    for (auto &it : m_pendingReleases) {
-        if (it.announcement == 0) {
-            it.announcement = announce.sequence();
-        }
-        *announce.add_freed() = it.keys;
-    }
+    m_pendingReleases.addTo(announce);
 }
 
 void LocalInstance::addDemand(wire::Announce &announce)
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -3,6 +3,7 @@
 #include "gateway/backend_admission.h"
 #include "gateway/demand_sampler.h"
 #include "gateway/heartbeat.h"
+#include "gateway/pending_releases.h"
 
 #include "log/logger.h"
 #include "runtime/event_loop.h"
@@ -94,20 +95,9 @@
         TimePoint lastHeartbeat;
     };
 
-    struct PendingRelease
-    {
-        wire::FreedKeys keys;
-        std::uint64_t announcement = 0; ///< Sequence number of the first announcement that contains it; zero if none does.
-    };
-
     bool isStale(const Heartbeat &it) const;
     void startIncarnation(const Heartbeat &it);
     void updateIncarnation(const Heartbeat &it);
-    void recordReleased(const Heartbeat &it);
-    void recordReleased(KeyRange range, std::uint64_t fencingToken, const std::string &handover, std::uint64_t sequence);
-    /// The parts of a range without the keys that are held under the fencing token.
-    static std::vector<KeyRange> withoutHeldKeys(KeyRange range, std::uint64_t fencingToken, const std::vector<HeldKeys> &holds);
-    std::uint64_t fencingTokenOf(KeyRange range) const;
     std::vector<KeyRow> rowsToHold() const;
     std::optional<HeartbeatAnswer> currentAnswer() const;
     bool mayDelayAnswer(const Heartbeat &it) const;
@@ -136,7 +126,7 @@
     std::vector<KeyRow> m_sentRows; ///< Rows in the latest answer to the backend server.
     TimePoint m_sentRowsExpiry; ///< End of the hold time in the latest answer.
     std::vector<HeldKeys> m_reportedHolds; ///< Keys held according to its latest heartbeat.
-    std::vector<PendingRelease> m_pendingReleases; ///< Not acknowledged by the controllers.
+    PendingReleases m_pendingReleases;
     DemandSampler m_demand;
     TimePoint m_lastSurgeReport;
     Duration m_meanServiceTime{};
