--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -134,6 +134,7 @@
         return row.holder == holder && row.fencingToken == it.fencingToken && row.range.overlaps(it.range);
     }
 
+    static std::optional<std::size_t> findHolder(const Holders &holders, const std::string &incarnation);
     /// Time by which each lease of the incarnation has expired by any permitted clock, including leases of the previous leader.
     TimePoint latestLeaseExpiry(const std::string &incarnation) const;
     /// True if keys of the incarnation may be assigned to another holder without their release.
