--- a/prove/ownership/checker.h
+++ b/prove/ownership/checker.h
@@ -12,8 +12,8 @@
 namespace Toucandeck::OwnershipRun
 {
 
-/// What a single global lock per key would allow, in real time: the last holder keeps the key until it has released it or its lease
-/// has ended, whatever the controllers believe.
+/// Model of a single global lock per key, in real time: the last holder keeps the key until it has released it or its lease has
+/// ended, independently of the state of the controllers.
 class Checker
 {
 public:
@@ -26,7 +26,7 @@
     void leaseExtended(SessionId session, Duration end);
     void admitted(const std::string &service, KeyHash key, SessionId session, const Admission &admission);
     void released(const std::string &service, KeyHash key, SessionId session);
-    /// The session admits nothing any more.
+    /// The session no longer admits requests.
     void closed(SessionId session);
 
     void domainOut(const std::string &domain, bool out);
--- a/prove/ownership/fake_log.cpp
+++ b/prove/ownership/fake_log.cpp
@@ -42,7 +42,7 @@
 void FakeLog::propose(Controller &controller, const wire::Command &command, Proposer::Done done)
 {
     if (&controller != m_leader) {
-        // A deposed leader that does not know it: nothing is ever committed.
+        // A deposed leader that has not learned of the new term: its proposals are never committed.
         controller.keepUntilDeposed(std::move(done));
         return;
     }
@@ -158,7 +158,7 @@
             if (m_term == term && reachesQuorum(winner)) {
                 winner.lead();
             } else if (m_term == term) {
-                // Never took over: the next election replaces it.
+                // It never became active as leader; the next election replaces it.
                 m_lastContact = m_time.now() - kMinElectionTimeout - m_timeout;
             }
         });
--- a/prove/ownership/fake_log.h
+++ b/prove/ownership/fake_log.h
@@ -27,10 +27,10 @@
 
     void propose(Controller &controller, const wire::Command &command, Proposer::Done done);
 
-    /// The controller has restarted: if it led, it leads no more.
+    /// Handles the restart of a controller; a leader loses its leadership.
     void restarted(const Controller &controller);
 
-    /// The controller that was elected last; it may not know it yet.
+    /// The controller that was elected last; it may not have been notified yet.
     Controller *leader() const;
     std::uint64_t term() const;
     const std::vector<std::string> &entries() const;
--- a/prove/ownership/faults.cpp
+++ b/prove/ownership/faults.cpp
@@ -16,7 +16,7 @@
 constexpr Duration kServedAgainBound = 1s;
 /// Longest restart, lease, election and re-balancing with a limit of moves in progress.
 constexpr Duration kHealTime = 6s;
-/// Time without owner during a graceful move: two commits, three messages and the longest drain, with room.
+/// Time without owner during a graceful move: two commits, three messages and the longest drain, with a margin.
 constexpr Duration kMoveBound = 300ms;
 constexpr std::uint32_t kTroublePermille = 30;
 
@@ -171,7 +171,7 @@
 
 void Faults::pauseRouter()
 {
-    // Pauses of about the lease are the ones that reveal mistakes at its end.
+    // Pauses of about the length of the lease reveal faults at its end.
     const bool isLong = m_world.random.below(2) == 0;
     anyRouter().pause(isLong ? between(1s, 5s) : between(50ms, 1s));
 }
@@ -259,7 +259,7 @@
         }
     }
     if (m_world.random.below(2) == 0) {
-        // These routers reach the old leader alone.
+        // These routers reach only the old leader.
         for (const auto &router : m_world.routers) {
             if (m_world.random.below(3) != 0) {
                 continue;
--- a/prove/ownership/faults.h
+++ b/prove/ownership/faults.h
@@ -18,7 +18,7 @@
     /// Injects faults at random moments for this long.
     void chaos(Duration length);
 
-    /// Ends all faults and waits until the deployment must be whole again.
+    /// Ends all faults and waits until the deployment must have recovered.
     void heal();
 
     /// Loses one random router, or the leader; checks that every key is served again within 1 s.
--- a/prove/ownership/main.cpp
+++ b/prove/ownership/main.cpp
@@ -37,7 +37,7 @@
     return options;
 }
 
-/// Alternates chaos with single losses until the time is over. The actions depend on the seed alone; the time decides only how many
+/// Alternates random faults with single losses until the time is over. The actions depend on the seed alone; the time decides only how many
 /// rounds there are.
 void rounds(Faults &faults, const World &world, std::chrono::steady_clock::time_point end)
 {
--- a/prove/ownership/network.h
+++ b/prove/ownership/network.h
@@ -14,7 +14,7 @@
 namespace Toucandeck::OwnershipRun
 {
 
-/// A simulated process: can be down or paused. What reaches a paused process waits until it goes on.
+/// A simulated process: can be down or paused. Messages to a paused process are delivered when it resumes.
 class Process
 {
 public:
@@ -33,7 +33,7 @@
     void run(std::function<void()> action);
 
 protected:
-    /// The first thing after a pause.
+    /// Called first after a pause.
     virtual void resumed()
     {
     }
@@ -49,7 +49,7 @@
     std::vector<std::function<void()>> m_waiting;
 };
 
-/// Delivers messages between processes late, twice, out of order or not at all.
+/// Simulated network between processes: delays, duplicates, reorders and drops messages.
 class Network
 {
 public:
--- a/prove/ownership/router.h
+++ b/prove/ownership/router.h
@@ -13,7 +13,7 @@
 namespace Toucandeck::OwnershipRun
 {
 
-/// A simulated router: an agent whose shell drains and releases as told.
+/// A simulated router: an agent with a listener that drains and releases on request.
 class Router : public Process, private ControllerLink, private AgentListener
 {
 public:
@@ -24,7 +24,7 @@
            const wire::RouterSession &description,
            std::vector<std::string> controllers);
 
-    /// Keys whose release has to be told to the checker.
+    /// Keys whose release is reported to the checker.
     void setKeys(std::vector<KeyHash> keys);
     /// Called first after a pause.
     void setResumedCallback(std::function<void(Router &)> callback);
@@ -34,7 +34,7 @@
     void closeGracefully();
     RouterAgent &agent();
 
-    /// Asks the agent as a dispatcher does, and tells the checker.
+    /// Requests an admission from the agent as a dispatcher does, and reports it to the checker.
     bool tryAdmit(KeyHash key);
     void tryUnkeyed();
 
--- a/prove/ownership/virtual_time.h
+++ b/prove/ownership/virtual_time.h
@@ -43,7 +43,7 @@
     std::priority_queue<Event, std::vector<Event>, Later> m_events;
 };
 
-/// Clock of one VM: off by a constant, and fast or slow by up to the drift bound.
+/// Clock of one VM, with a constant offset and a drift within the bound.
 class DriftingClock : public Clock
 {
 public:
--- a/prove/ownership/world.h
+++ b/prove/ownership/world.h
@@ -32,7 +32,7 @@
     void edit(const wire::TableRow &row);
     void setDomainState(const std::string &domain, wire::RowState state);
 
-    /// Leader that knows it, or nullptr.
+    /// Leader that has been notified of its election, or nullptr.
     Controller *leader();
     const std::vector<std::string> &domains() const;
 
