--- a/standin/backend_model.h
+++ b/standin/backend_model.h
@@ -16,21 +16,21 @@
 {
     std::uint32_t slots = 9;
     Duration meanServiceTime = std::chrono::milliseconds(4);
-    /// Requests that a completely cold server bears at a time.
+    /// Number of requests that a completely cold server can run at a time.
     std::uint32_t coldSlots = 2;
-    /// Time of work after which a cold server bears all its slots.
+    /// Time of work after which a cold server can use all its slots.
     Duration warmUp = std::chrono::seconds(2);
     bool startsCold = false;
     /// Checks epoch and end of the grant of each keyed request.
     bool fenced = true;
 };
 
-/// What the stand-in does with a request.
+/// Decision about a request.
 enum class BackendDecision {
     Run,
-    Shed, ///< More requests than the server bears now.
+    Shed, ///< More requests than the server can run now.
     StaleGrant, ///< The epoch is below the highest seen, or the grant has ended.
-    DeadlinePassed, ///< The time given has run out before the start.
+    DeadlinePassed, ///< The deadline passed before the start.
 };
 
 /// The part of a request that the decision depends on.
@@ -43,7 +43,7 @@
     std::optional<Duration> deadline;
 };
 
-/// Decides what a backend server with slots, cold start and fencing does. No input or output.
+/// Decisions of a backend server with slots, cold start and fencing. Performs no input or output.
 class BackendModel
 {
 public:
@@ -51,16 +51,16 @@
 
     /// Takes a slot if the answer is Run.
     BackendDecision begin(const BackendRequest &request);
-    /// Gives the slot back.
+    /// Frees the slot.
     void end();
 
     /// Time that the next request takes: exponential around the mean, times the slow factor.
     Duration nextServiceTime();
 
-    /// Requests that the server bears at a time now.
+    /// Number of requests that the server can run at a time now.
     std::uint32_t bearable() const;
     bool isCold() const;
-    /// Turns cold at once, as after losing its caches.
+    /// Makes the server cold at once, as after the loss of its caches.
     void turnCold();
     /// 1 is normal; 5 makes a straggler.
     void setSlowFactor(double factor);
--- a/standin/backend_server.cpp
+++ b/standin/backend_server.cpp
@@ -53,7 +53,7 @@
     return { status, { { "Content-Type", "text/plain" } }, std::move(body) };
 }
 
-/// Refusal before the work began; without the header a router must take the work as possibly run.
+/// Refusal before the work began; without the header a router must assume that the work may have run.
 HttpResponse notRun(int status, std::string body)
 {
     auto response = textResponse(status, std::move(body));
--- a/standin/backend_server.h
+++ b/standin/backend_server.h
@@ -23,14 +23,14 @@
     std::uint16_t port = 0; ///< HTTP port on 127.0.0.1; 0 takes a free one.
     std::string router; ///< HTTP address of the router beside it, "IP:PORT".
     std::uint32_t connections = 130;
-    std::string calls; ///< Service that it looks things up in while it serves a request that asks for it.
+    std::string calls; ///< Service that it calls while it serves a request that asks for it.
     std::string journal; ///< File for the execution journal; empty: none.
     Duration reportLag{}; ///< Age of the figures in its load reports.
     bool misleadingReports = false; ///< Reports the opposite of its load.
     BackendOptions model;
 };
 
-/// HTTP server that stands for a backend server: slots, cold start, shedding, grants, cancellation, deadlines, look-ups in another
+/// Stand-in for a backend server, over HTTP: slots, cold start, shedding, grants, cancellation, deadlines, look-ups in another
 /// service through the router beside it, load reports, and a journal of what it executed.
 ///
 /// Besides work it answers GET /standin/status, GET /standin/load and POST /standin/control (JSON: cold, slow_factor).
@@ -42,7 +42,7 @@
     ~BackendServer();
 
     std::string address() const;
-    /// Tells the router that this server leaves, finishes what runs, then calls @p done.
+    /// Notifies the router that this server leaves, completes the running requests, then calls @p done.
     void stop(std::function<void()> done);
 
 private:
--- a/standin/child_process.h
+++ b/standin/child_process.h
@@ -11,7 +11,7 @@
 namespace Toucandeck::Standin
 {
 
-/// A process started for a run on loopback. It is ended by its own id when the object goes.
+/// A process started for a run on loopback. The destructor ends it by its process id.
 class ChildProcess
 {
 public:
--- a/standin/free_ports.h
+++ b/standin/free_ports.h
@@ -6,7 +6,7 @@
 namespace Toucandeck::Standin
 {
 
-/// Ports on 127.0.0.1 that nobody listens on now.
+/// Ports on 127.0.0.1 without a listener.
 std::vector<std::uint16_t> freePorts(std::size_t count);
 
 } // namespace Toucandeck::Standin
--- a/standin/layout.h
+++ b/standin/layout.h
@@ -20,7 +20,7 @@
     std::chrono::milliseconds serviceTime{ 3 };
     std::uint32_t slots = 9;
     std::uint32_t connections = 130;
-    std::string calls; ///< Service that it looks things up in; empty: none.
+    std::string calls; ///< Service that it calls; empty: none.
 };
 
 /// Failure domains and services of one deployment; see etc/layouts.
--- a/standin/load_generator.cpp
+++ b/standin/load_generator.cpp
@@ -15,7 +15,7 @@
 // The rest of the look-ups go to services that take them at any instance.
 constexpr double kKeyedLookupShare = 0.7;
 constexpr Duration kResendPause = std::chrono::milliseconds(50);
-// The router answers by the deadline; a caller waits a little longer before it gives the attempt up.
+// The router answers by the deadline; a caller waits a little longer before it abandons the attempt.
 constexpr Duration kGiveUpMargin = std::chrono::milliseconds(500);
 
 /// Services divided by Idempotency-Key take look-ups at any instance.
--- a/standin/load_generator.h
+++ b/standin/load_generator.h
@@ -40,7 +40,7 @@
     ~LoadGenerator();
 
     void start();
-    /// Sends nothing new; calls @p done when every request has its last answer.
+    /// Stops sending new requests; calls @p done when every request has its last answer.
     void stop(std::function<void()> done);
 
     std::uint64_t sent() const;
--- a/standin/local_cluster.cpp
+++ b/standin/local_cluster.cpp
@@ -514,7 +514,7 @@
 
 std::vector<HttpResult> LocalCluster::callTogether(const std::vector<std::pair<std::string, HttpRequest>> &requests, Duration timeout)
 {
-    // Shared with the handlers, which may run after a wait that was given up.
+    // Shared with the handlers, which may run after this function has timed out.
     auto results = std::make_shared<std::vector<HttpResult>>(requests.size());
     auto open = std::make_shared<std::size_t>(requests.size());
     for (std::size_t n = 0; n < requests.size(); ++n) {
--- a/standin/local_cluster.h
+++ b/standin/local_cluster.h
@@ -32,7 +32,7 @@
 };
 
 /// Starts the processes of a layout on loopback: controllers, a router and a stand-in backend server per instance, and the network
-/// link between them. Every process is ended by its id when the object goes.
+/// link between them. The destructor ends every process by its id.
 class LocalCluster
 {
 public:
@@ -42,7 +42,7 @@
     /// Starts everything, gives the controllers their first membership, and writes the services' table rows. Returns when every
     /// instance is ready, or with Unavailable after @p limit.
     Result<void> start(Duration limit);
-    /// Ends everything gracefully (SIGTERM), then by SIGKILL what has not ended.
+    /// Ends all processes with SIGTERM, then with SIGKILL those that still run.
     void stop();
 
     /// Names: "controller-1", "router-clue-svc-1", "clue-svc-1", "link".
@@ -55,7 +55,7 @@
     std::string routerAddress(const std::string &instance) const;
     std::string backendAddress(const std::string &instance) const;
     std::string controllerAddress(const std::string &controller) const;
-    /// Name of the controller that leads; empty if none says so.
+    /// Name of the controller that leads; empty if none reports it.
     std::string leader();
 
     ChildProcess *process(const std::string &name);
@@ -68,7 +68,7 @@
     /// Cuts or restores all messages to a process ("router-..." or "controller-...").
     void setCut(const std::string &name, bool cut);
     void openAllLinks();
-    /// What went over the links since the start, by receiving process.
+    /// Traffic over the links since the start, by receiving process.
     std::map<std::string, LinkTraffic> linkTraffic();
 
     /// Sends an operators' request to the leader, following redirects, until an answer or @p limit.
--- a/standin/platform/platform_backend.cpp
+++ b/standin/platform/platform_backend.cpp
@@ -212,7 +212,7 @@
         m_held.clear();
         m_leaving.clear();
     }
-    // What nothing runs on any more is released, with a token for the next holder.
+    // Keys without running requests are released, with a token for the next holder.
     std::erase_if(m_leaving, [this](const Held &it) {
         if (isWorkedOn(it.range)) {
             return false;
--- a/standin/platform/platform_backend.h
+++ b/standin/platform/platform_backend.h
@@ -10,7 +10,7 @@
 namespace Toucandeck::Standin
 {
 
-/// Addresses and habits of a stand-in backend server.
+/// Settings of a stand-in backend server.
 struct PlatformBackendOptions
 {
     SocketAddress listen; ///< Where it accepts requests.
@@ -33,7 +33,7 @@
 
     /// Starts an incarnation. Errors: Io, if the address is in use.
     Result<void> start();
-    /// Ends at once, without a word.
+    /// Ends at once, without deregistering.
     void crash();
     /// Announces that it drains; leave() follows.
     void drain();
@@ -45,7 +45,7 @@
     std::size_t heldRows() const;
     const std::string &instance() const;
     std::uint64_t requestsRun() const;
-    /// Service that the latest request was said to come from.
+    /// Calling service according to the latest request.
     const std::string &latestCaller() const;
 
     /// The other backend servers, for the check that no two hold one key.
--- a/standin/platform/run_audit.h
+++ b/standin/platform/run_audit.h
@@ -9,7 +9,7 @@
 namespace Toucandeck::Standin
 {
 
-/// What the stand-in backend servers see, checked against the promises: who holds which key, and which requests ran.
+/// Checks what the stand-in backend servers observe against the guarantees: who holds which key, and which requests ran.
 class RunAudit
 {
 public:
--- a/standin/process_usage.h
+++ b/standin/process_usage.h
@@ -8,7 +8,7 @@
 namespace Toucandeck::Standin
 {
 
-/// What a process has used, from /proc.
+/// Resource usage of a process, from /proc.
 struct ProcessUsage
 {
     Duration cpu{}; ///< User and system time since its start.
