--- a/bench/ownership/deployment.h
+++ b/bench/ownership/deployment.h
@@ -9,7 +9,7 @@
 namespace Toucandeck::OwnershipBench
 {
 
-/// Partitions of one service and their owners while instances come and go.
+/// Partitions of one service and their owners while instances join and leave.
 class Deployment
 {
 public:
@@ -24,7 +24,7 @@
 
     /// Partitions that changed their owner since the start.
     std::uint64_t moved() const;
-    /// Least number for the same events: what a leaver owned, and what stood above the load bound once another instance had joined.
+    /// Minimum for the same events: the partitions of leaving instances, and those above the load bound after another instance joined.
     std::uint64_t leastMoves() const;
 
 private:
--- a/bench/ownership/main.cpp
+++ b/bench/ownership/main.cpp
@@ -27,7 +27,7 @@
     return values[values.size() / 2];
 }
 
-/// Instances come and go at Cluefire's size. Returns partitions moved over the least possible.
+/// Instances join and leave at Cluefire's size. Returns the ratio of partitions moved to the minimum.
 double churn(const Placement &placement, std::uint64_t seed)
 {
     SeededRandom random(seed);
--- a/bench/ownership/workload.h
+++ b/bench/ownership/workload.h
@@ -16,7 +16,7 @@
     std::uint32_t coldKeys;
     std::uint32_t hotKeys;
     double requestsPerSecond; ///< Of all instances together.
-    double hotMin; ///< Requests per second of the mildest hot key.
+    double hotMin; ///< Requests per second of the least loaded hot key.
     double hotMax;
 };
 
--- a/bench/processes/measurement.h
+++ b/bench/processes/measurement.h
@@ -12,7 +12,7 @@
 namespace Toucandeck::Bench
 {
 
-/// What every measurement gets.
+/// Options of all measurements.
 struct MeasureOptions
 {
     std::string binaryFolder;
