Keep a connection to a peer that cannot be reopened, and log the failure

Callers could see 503 and timeouts although the peer of their router was reachable: MessagePeer::reopen() closed down the event watch of the connection before it tried to create a new socket, and ignored the error if that failed, for example at the limit on open descriptors. The former connection stayed in place but no longer sent its queued messages, so that each message that found it blocked was dropped when its time in the queue had passed. The error was not logged, neither here nor when the first connection to a peer failed.

open() now replaces the connection only once the new socket is connected. Both failures are logged as message_transport_failed, an event that the catalogue lists and nothing wrote so far, at most once per second.

--- a/src/runtime/message_peer.cpp
+++ b/src/runtime/message_peer.cpp
@@ -30,9 +30,9 @@
                                                          const std::string &address,
                                                          const CurveKeys *keys,
                                                          const std::string &serverKey,
-                                                         std::function<void(std::size_t)> onDropped)
+                                                         Handlers handlers)
 {
-    auto peer = std::unique_ptr<MessagePeer>(new MessagePeer(loop, context, options, address, keys, serverKey, std::move(onDropped)));
+    auto peer = std::unique_ptr<MessagePeer>(new MessagePeer(loop, context, options, address, keys, serverKey, std::move(handlers)));
     BOOST_LEAF_CHECK(peer->open());
     return peer;
 }
@@ -43,44 +43,45 @@
                          const std::string &address,
                          const CurveKeys *keys,
                          const std::string &serverKey,
-                         std::function<void(std::size_t)> onDropped)
+                         Handlers handlers)
     : m_loop(loop)
     , m_context(context)
     , m_options(options)
     , m_address(address)
     , m_keys(keys)
     , m_serverKey(serverKey)
-    , m_onDropped(std::move(onDropped))
+    , m_handlers(std::move(handlers))
     , m_lastUse(loop.clock().now())
 {
 }
 
 Result<void> MessagePeer::open()
 {
-    m_readable.cancel();
-    BOOST_LEAF_ASSIGN(m_socket, m_context.socket(ZMQ_DEALER));
-    setOptions();
-    if (zmq_connect(m_socket.get(), m_address.c_str()) != 0) {
+    BOOST_LEAF_AUTO(socket, m_context.socket(ZMQ_DEALER));
+    setOptions(socket);
+    if (zmq_connect(socket.get(), m_address.c_str()) != 0) {
         return fail(ErrorCode::InvalidArgument, "message address " + m_address + ": " + zmq_strerror(zmq_errno()));
     }
+    m_readable.cancel();
+    m_socket = std::move(socket);
     m_readable = m_loop.onReadable(descriptorOf(m_socket), [this] { process(); });
     process();
     return {};
 }
 
-void MessagePeer::setOptions()
+void MessagePeer::setOptions(const ZmqSocket &socket) const
 {
     // Messages to an unreachable peer must not be queued in ZeroMQ: they would arrive long after their deadline.
-    setOption(m_socket, ZMQ_IMMEDIATE, 1);
-    setOption(m_socket, ZMQ_SNDHWM, m_options.highWaterMark);
-    setOption(m_socket, ZMQ_RECONNECT_IVL, kReconnectMs);
-    setOption(m_socket, ZMQ_RECONNECT_IVL_MAX, kMaxReconnectMs);
-    setOption(m_socket, ZMQ_CONNECT_TIMEOUT, kConnectTimeoutMs);
-    setOption(m_socket, ZMQ_TCP_MAXRT, kUnacknowledgedMs);
+    setOption(socket, ZMQ_IMMEDIATE, 1);
+    setOption(socket, ZMQ_SNDHWM, m_options.highWaterMark);
+    setOption(socket, ZMQ_RECONNECT_IVL, kReconnectMs);
+    setOption(socket, ZMQ_RECONNECT_IVL_MAX, kMaxReconnectMs);
+    setOption(socket, ZMQ_CONNECT_TIMEOUT, kConnectTimeoutMs);
+    setOption(socket, ZMQ_TCP_MAXRT, kUnacknowledgedMs);
     if (m_keys != nullptr) {
-        setOption(m_socket, ZMQ_CURVE_SERVERKEY, m_serverKey);
-        setOption(m_socket, ZMQ_CURVE_PUBLICKEY, m_keys->publicKey);
-        setOption(m_socket, ZMQ_CURVE_SECRETKEY, m_keys->secretKey);
+        setOption(socket, ZMQ_CURVE_SERVERKEY, m_serverKey);
+        setOption(socket, ZMQ_CURVE_PUBLICKEY, m_keys->publicKey);
+        setOption(socket, ZMQ_CURVE_SECRETKEY, m_keys->secretKey);
     }
 }
 
@@ -138,7 +139,7 @@
         m_dropTimer = m_loop.after(m_queue.front().queuedAt - oldest, [this] { dropOld(); });
     }
     if (n > 0) {
-        m_onDropped(n);
+        m_handlers.onDropped(n);
     }
     if (m_blockedSince && m_loop.clock().now() - *m_blockedSince > kReopenAfter) {
         reopen();
@@ -148,7 +149,7 @@
 void MessagePeer::reopen()
 {
     m_blockedSince = m_loop.clock().now();
-    handleError([this] { return open(); }, [](const Error & /*error*/) {});
+    handleError([this] { return open(); }, m_handlers.onReopenFailed);
 }
 
 } // namespace Toucandeck::internal
--- a/src/runtime/message_peer.h
+++ b/src/runtime/message_peer.h
@@ -16,14 +16,21 @@
 class MessagePeer
 {
 public:
-    /// @param keys own keys; null if CURVE is disabled. @param serverKey the peer's public key.
+    struct Handlers
+    {
+        std::function<void(std::size_t)> onDropped; ///< Called with the number of messages that were dropped after they were queued.
+        std::function<void(const Error &)> onReopenFailed; ///< The former connection stays in use.
+    };
+
+    /// @param keys own keys; null if CURVE is disabled. @param serverKey the peer's public key. Errors: Io if the limit on sockets is
+    /// reached, InvalidArgument if the address is malformed.
     static Result<std::unique_ptr<MessagePeer>> create(EventLoop &loop,
                                                        const MessageContext &context,
                                                        const MessageSocketOptions &options,
                                                        const std::string &address,
                                                        const CurveKeys *keys,
                                                        const std::string &serverKey,
-                                                       std::function<void(std::size_t)> onDropped);
+                                                       Handlers handlers);
 
     /// Sends or queues the message. Returns false if the queue is full; the message is then dropped.
     bool send(std::string frame);
@@ -42,8 +49,9 @@
                 const std::string &address,
                 const CurveKeys *keys,
                 const std::string &serverKey,
-                std::function<void(std::size_t)> onDropped);
-    void setOptions();
+                Handlers handlers);
+    void setOptions(const ZmqSocket &socket) const;
+    /// Replaces the connection, or fails and leaves it as it is.
     Result<void> open();
     void process();
     void dropOld();
@@ -55,7 +63,7 @@
     std::string m_address;
     const CurveKeys *m_keys;
     std::string m_serverKey;
-    std::function<void(std::size_t)> m_onDropped;
+    Handlers m_handlers;
     ZmqSocket m_socket;
     std::deque<QueuedMessage> m_queue; ///< Messages held until the connection is established or ZeroMQ's queue has room.
     TimePoint m_lastUse;
--- a/src/runtime/message_socket.cpp
+++ b/src/runtime/message_socket.cpp
@@ -39,12 +39,14 @@
     internal::LogThrottle droppedLog;
     internal::LogThrottle rejectedLog;
     internal::LogThrottle peerLimitLog;
+    internal::LogThrottle transportLog;
 
     Parts(const Clock &clock, Logger &logger)
         : undecodableLog(clock, logger, Events::kMessageUndecodable)
         , droppedLog(clock, logger, Events::kMessageDropped)
         , rejectedLog(clock, logger, Events::kPeerRejected)
         , peerLimitLog(clock, logger, Events::kPeerLimit)
+        , transportLog(clock, logger, Events::kMessageTransportFailed)
     {
     }
 };
@@ -224,15 +226,19 @@
     if (!address.starts_with("tcp://")) {
         return nullptr;
     }
-    auto onDropped = [this, address](std::size_t n) { recordDropped(address, n); };
+    const internal::MessagePeer::Handlers handlers{ [this, address](std::size_t n) { recordDropped(address, n); },
+                                                    [this](const Error &error) { m_parts->transportLog.write("error", error.message); } };
     const auto *keys = m_parts->keys ? &*m_parts->keys : nullptr;
     return handleError(
         [&]() -> Result<internal::MessagePeer *> {
             BOOST_LEAF_AUTO(
-                peer, internal::MessagePeer::create(m_loop, m_parts->context, m_options, address, keys, serverKeyOf(address), onDropped));
+                peer, internal::MessagePeer::create(m_loop, m_parts->context, m_options, address, keys, serverKeyOf(address), handlers));
             return (m_parts->peers[address] = std::move(peer)).get();
         },
-        [](const Error & /*error*/) -> internal::MessagePeer * { return nullptr; });
+        [this](const Error &error) -> internal::MessagePeer * {
+            m_parts->transportLog.write("error", error.message);
+            return nullptr;
+        });
 }
 
 std::string MessageSocket::serverKeyOf(const std::string &address) const
--- a/test/runtime/test_message_socket.cpp
+++ b/test/runtime/test_message_socket.cpp
@@ -1,10 +1,12 @@
 // Guards against lost, crossed or reordered messages, and against input from untrusted peers.
 #include "loopback.h"
 
+#include "runtime/events.h"
 #include "runtime/message_socket.h"
 
 #include <filesystem>
 #include <fstream>
+#include <sys/resource.h>
 #include <zmq.h>
 
 using namespace Toucandeck;
@@ -37,6 +39,31 @@
     return static_cast<std::uint16_t>(std::stoi(socket.address().substr(socket.address().rfind(':') + 1)));
 }
 
+/// While it exists, this process can open no further descriptors.
+class DescriptorLimit
+{
+public:
+    DescriptorLimit()
+    {
+        EXPECT_EQ(getrlimit(RLIMIT_NOFILE, &m_former), 0);
+        const int next = dup(STDERR_FILENO);
+        close(next);
+        const rlimit limit{ static_cast<rlim_t>(next), m_former.rlim_max };
+        EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    }
+
+    ~DescriptorLimit()
+    {
+        EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &m_former), 0);
+    }
+
+    DescriptorLimit(const DescriptorLimit &) = delete;
+    DescriptorLimit &operator=(const DescriptorLimit &) = delete;
+
+private:
+    rlimit m_former{};
+};
+
 /// Folder with a new secret key and a set of allowed keys that contains only @p others.
 struct KeyFolder
 {
@@ -163,6 +190,38 @@
     EXPECT_FALSE(socket->send("tcp://no port", request(1)));
 }
 
+// Guards against messages that are dropped without a trace because no socket can be created for their peer.
+TEST_F(MessageSocketTest, PeerWithoutASocketIsLogged)
+{
+    const auto socket = open();
+    const auto address = open()->address();
+    const DescriptorLimit limit;
+    EXPECT_FALSE(socket->send(address, request(1)));
+    EXPECT_EQ(logger.count(Events::kMessageTransportFailed), 1);
+}
+
+// Guards against a connection that no longer sends its queued messages after it could not be opened anew.
+TEST_F(MessageSocketTest, ConnectionOutlivesAFailureToReopenIt)
+{
+    MessageSocketOptions options;
+    options.maxQueueAge = 2500ms; // Longer than the blocked time after which a connection is reopened.
+    const auto socket = open({}, options);
+    options.address = open()->address();
+    {
+        const auto isDropped = [&] { return socket->counters().dropped == 1; };
+        EXPECT_TRUE(socket->send(options.address, request(1)));
+        const DescriptorLimit limit;
+        EXPECT_TRUE(runUntil(isDropped));
+    }
+    EXPECT_EQ(logger.count(Events::kMessageTransportFailed), 1);
+    EXPECT_TRUE(socket->send(options.address, request(2)));
+    const auto peer = valueOf(MessageSocket::create(*loop, options, logger));
+    std::uint64_t received = 0;
+    peer->setHandler([&](const wire::Envelope &it) { received = it.forward_request().request(); });
+    EXPECT_TRUE(runUntil([&] { return received == 2 || socket->counters().dropped == 2; }));
+    EXPECT_EQ(received, 2U);
+}
+
 TEST_F(MessageSocketTest, CurveAdmitsAllowedKeysAndRejectsOthers)
 {
     const KeyFolder known("known");
