--- a/src/daemon/record_transfer.cpp
+++ b/src/daemon/record_transfer.cpp
@@ -1,6 +1,5 @@
 #include "daemon/record_transfer.h"
 
-#include "common/key_hash.h"
 #include "daemon/events.h"
 #include "state/view.h"
 
@@ -23,14 +22,17 @@
     return a.service == b.service && a.partitions == b.partitions && a.hotKeys == b.hotKeys;
 }
 
+template<class Item>
+bool contains(const std::vector<Item> &items, Item item)
+{
+    return std::find(items.begin(), items.end(), item) != items.end();
+}
+
 /// Removes the partitions and hot keys of @p removed from @p items.
 void subtract(OwnedItems &items, const OwnedItems &removed)
 {
-    std::erase_if(items.partitions, [&removed](auto it) {
-        return std::find(removed.partitions.begin(), removed.partitions.end(), it) != removed.partitions.end();
-    });
-    std::erase_if(items.hotKeys,
-                  [&removed](auto it) { return std::find(removed.hotKeys.begin(), removed.hotKeys.end(), it) != removed.hotKeys.end(); });
+    std::erase_if(items.partitions, [&removed](auto it) { return contains(removed.partitions, it); });
+    std::erase_if(items.hotKeys, [&removed](auto it) { return contains(removed.hotKeys, it); });
 }
 
 } // namespace
@@ -80,7 +82,7 @@
         if (!it.isReleased || !hasLeftView(it)) {
             return false;
         }
-        m_executor.records().drop(it.items.service, it.items.partitions);
+        dropRecords(it.items);
         return true;
     });
 }
@@ -104,19 +106,27 @@
     }
 }
 
+template<class Item>
+bool RecordTransfer::owns(const std::string &service, Item item) const
+{
+    const auto owner = m_agent.view().ownerOf(service, item);
+    return owner && owner->session == m_agent.session();
+}
+
 std::vector<wire::IdempotencyRecord> RecordTransfer::recordsOf(const OwnedItems &items)
 {
-    auto records = m_executor.records().exportRecords(items.service, items.partitions);
-    const auto partitions = m_agent.view().serviceSettings(items.service).partitions;
-    for (const auto key : items.hotKeys) {
-        const auto partition = partitionOf(key, std::max(1U, partitions));
-        for (auto &it : m_executor.records().exportRecords(items.service, std::span(&partition, 1))) {
-            if (it.key_hash() == key.value) {
-                records.push_back(std::move(it));
-            }
-        }
-    }
-    return records;
+    const auto &hotKeys = m_agent.view().hotKeys(items.service);
+    return m_executor.records().exportRecords(items.service, [&](KeyHash key, PartitionId partition) {
+        // A hot key doesn't move with its partition.
+        return hotKeys.contains(key) ? contains(items.hotKeys, key) : contains(items.partitions, partition);
+    });
+}
+
+void RecordTransfer::dropRecords(const OwnedItems &items)
+{
+    m_executor.records().drop(items.service, [&](KeyHash key, PartitionId partition) {
+        return (contains(items.partitions, partition) || contains(items.hotKeys, key)) && !owns(items.service, key);
+    });
 }
 
 void RecordTransfer::exportRecords(Move &move)
@@ -165,11 +175,10 @@
 
 bool RecordTransfer::hasLeftView(const Move &move) const
 {
-    const auto owns = [this, &move](PartitionId it) {
-        const auto owner = m_agent.view().ownerOf(move.items.service, it);
-        return owner && owner->session == m_agent.session();
-    };
-    return std::none_of(move.items.partitions.begin(), move.items.partitions.end(), owns);
+    const auto &items = move.items;
+    const auto isOwned = [this, &items](auto it) { return owns(items.service, it); };
+    return std::none_of(items.partitions.begin(), items.partitions.end(), isOwned)
+        && std::none_of(items.hotKeys.begin(), items.hotKeys.end(), isOwned);
 }
 
 void RecordTransfer::receive(const std::string &sender, const wire::TransferRecords &records)
