Let a successor join the controllers before the voter that it replaces is removed

What operators could see: after a final fault with two lost disks (the number tolerated) the controllers never elected a leader again, although all other disks held the log: the acknowledged manifest and evacuations were gone (LOST), and nothing could be changed.

Cause: ReplicaGroup::nextMembership removed a voter that was silent for 1.5 s, or whose address a joining replica used, before the successor held the log. Four voters were left, with a quorum of three; two disks lost leave two of four for good, even when the removed voter comes back with everything on its disk. isDurable counted copies (a quorum of three of four) and not the voters that remain, so orders were acknowledged in this state. Class: a repair that lowers the redundancy below what is promised while it works.

Evidence: the decisions are now in MembershipRepair, which a test runs over real replicas in virtual time. With the former decisions: AcknowledgedOrdersSurviveTwoLostDisksWhileASilentVoterIsReplaced: 'an acknowledged order is gone; the disks were lost 100 ms after a successor appeared' (likewise 150 to 350 ms) AcknowledgedOrdersSurviveALostDiskWhileOneVoterIsGoneAndAnotherCutOff: 'an acknowledged order is gone; the disk was lost 200 ms after the replacement started' (likewise 250 to 350 ms) AnOrderIsDurableOnlyIfTheToleratedLossesLeaveAQuorum: '4 voters', Which is: true

Change: a joining replica is always added first; its predecessor at the same address is removed once the successor votes, a silent voter only while there are more voters than 2 x tolerated losses + 1. Orders are accepted only with that many voters, as then the tolerated losses leave a quorum. An even number of voters during the repair needs one voter more, which the successor is.

--- a/prove/consensus/fake_cluster.cpp
+++ b/prove/consensus/fake_cluster.cpp
@@ -158,6 +158,9 @@
 void FakeCluster::receive(int slot, const wire::ReplicaMessage &message)
 {
     auto &it = node(slot);
+    if (it.replica && onReceived) {
+        onReceived(slot, message);
+    }
     if (it.replica && isPaused(slot)) {
         it.inbox.push_back(message);
     } else if (it.replica) {
--- a/prove/consensus/fake_cluster.h
+++ b/prove/consensus/fake_cluster.h
@@ -81,6 +81,9 @@
     /// Called for each running slot after delivery and before flush(); may crash it.
     std::function<void(int slot)> beforeFlush;
 
+    /// Called for each message that a running process receives.
+    std::function<void(int slot, const wire::ReplicaMessage &)> onReceived;
+
 private:
     void receive(int slot, const wire::ReplicaMessage &message);
     void runNode(FakeNode &node, bool tick);
--- a/prove/consensus/fake_network.cpp
+++ b/prove/consensus/fake_network.cpp
@@ -60,6 +60,11 @@
     m_blocked.insert({ from, to });
 }
 
+bool FakeNetwork::isBlocked(int from, int to) const
+{
+    return m_blocked.contains({ from, to });
+}
+
 void FakeNetwork::heal()
 {
     m_blocked.clear();
--- a/prove/consensus/fake_network.h
+++ b/prove/consensus/fake_network.h
@@ -29,6 +29,7 @@
 
     /// Drops all messages from one slot to another until heal().
     void block(int from, int to);
+    bool isBlocked(int from, int to) const;
     void heal();
 
     /// Numbers of messages that were lost, duplicated, blocked and reordered, by these names.
--- a/src/fleet/replica_group.cpp
+++ b/src/fleet/replica_group.cpp
@@ -21,9 +21,6 @@
 constexpr milliseconds kJoinInterval{ 300 };
 constexpr milliseconds kRejoinAfter{ 2000 }; ///< Without a known leader.
 constexpr milliseconds kRepairInterval{ 200 };
-constexpr milliseconds kJoinRequestExpiry{ 1500 }; ///< Since the last join request of a replica.
-constexpr milliseconds kReplaceSilentAfter{ 1500 }; ///< A voter silent for this long is replaced by a joining replica.
-constexpr milliseconds kRemoveSurplusAfter{ 3000 }; ///< A voter silent for this long is removed if there are more than the target.
 
 /// Member of @p membership that @p other lacks; null if there is none.
 const Member *missingMember(const Membership &membership, const Membership &other)
@@ -88,6 +85,7 @@
     options.snapshotInterval = kSnapshotInterval;
     options.logger = &m_parts.logger;
     BOOST_LEAF_ASSIGN(m_replica, Replica::create(options, *m_store, m_state, *this, m_parts.loop.clock(), m_parts.random));
+    m_repair = std::make_unique<MembershipRepair>(m_parts.loop.clock(), m_replica->id(), m_options.toleratedLosses);
     m_parts.logger.write(FleetEvents::kReplicaStarted,
                          { field("replica", fmt::format("{:016x}", m_replica->id().value)),
                            field("members", m_replica->membership().members.size()),
@@ -147,7 +145,7 @@
         return;
     }
     m_isLeader = leads;
-    m_leadershipChange = m_parts.loop.clock().now();
+    m_repair->onLeadershipChanged();
     m_parts.logger.write(leads ? FleetEvents::kLeadershipGained : FleetEvents::kLeadershipLost,
                          { field("term", m_replica->term().value),
                            field("applied", m_replica->appliedIndex().value),
@@ -177,9 +175,8 @@
 {
     const ReplicaId replica{ request.replica() };
     if (m_replica->isLeaderReady() && !m_replica->membership().isVoter(replica)) {
-        Member member{ replica, ReplicaRole::Learner, request.failure_domain(), request.address(), request.operator_address() };
-        const bool added = m_joiningReplicas.insert_or_assign(replica, JoiningReplica{ member, m_parts.loop.clock().now() }).second;
-        if (added) {
+        const Member member{ replica, ReplicaRole::Learner, request.failure_domain(), request.address(), request.operator_address() };
+        if (m_repair->onJoinRequest(member)) {
             m_parts.logger.write(FleetEvents::kJoinAsked,
                                  { field("replica", fmt::format("{:016x}", replica.value)), field("address", request.address()) });
         }
@@ -202,67 +199,12 @@
     }
 }
 
-std::size_t ReplicaGroup::targetVoters() const
-{
-    return 2 * m_options.toleratedLosses + 1;
-}
-
-const Member *ReplicaGroup::longestSilentMember(Duration silence) const
-{
-    const auto now = m_parts.loop.clock().now();
-    const Member *silent = nullptr;
-    TimePoint earliest = TimePoint::max();
-    for (const auto &it : m_replica->membership().members) {
-        const auto lastMessage = m_lastMessageTimes.find(it.replica);
-        const auto last = std::max(lastMessage == m_lastMessageTimes.end() ? TimePoint::min() : lastMessage->second, m_leadershipChange);
-        if (it.replica != m_replica->id() && now - last >= silence && last < earliest) {
-            earliest = last;
-            silent = &it;
-        }
-    }
-    return silent;
-}
-
-const ReplicaGroup::JoiningReplica *ReplicaGroup::firstJoiningReplica() const
-{
-    for (const auto &[replica, joining] : m_joiningReplicas) {
-        if (m_replica->membership().find(replica) == nullptr) {
-            return &joining;
-        }
-    }
-    return nullptr;
-}
-
-std::optional<Membership> ReplicaGroup::nextMembership() const
-{
-    const auto &membership = m_replica->membership();
-    if (const auto *joining = firstJoiningReplica()) {
-        const auto sameAddress = [joining](const Member &it) { return it.address == joining->member.address; };
-        const auto predecessor = std::find_if(membership.members.begin(), membership.members.end(), sameAddress);
-        if (predecessor != membership.members.end()) {
-            return membership.without(predecessor->replica);
-        }
-        const auto *silent = longestSilentMember(kReplaceSilentAfter);
-        if (silent != nullptr && membership.voterCount() >= targetVoters()) {
-            return membership.without(silent->replica);
-        }
-        return membership.with(joining->member);
-    }
-    const auto *silent = longestSilentMember(kRemoveSurplusAfter);
-    if (silent != nullptr && (membership.voterCount() > targetVoters() || silent->role == ReplicaRole::Learner)) {
-        return membership.without(silent->replica);
-    }
-    return std::nullopt;
-}
-
 void ReplicaGroup::repairMembership()
 {
-    const auto now = m_parts.loop.clock().now();
-    std::erase_if(m_joiningReplicas, [now](const auto &it) { return now - it.second.lastRequest > kJoinRequestExpiry; });
     if (!m_replica->isMembershipCommitted()) {
         return;
     }
-    const auto next = nextMembership();
+    const auto next = m_repair->nextMembership(m_replica->membership());
     if (!next) {
         return;
     }
@@ -289,7 +231,7 @@
 {
     const ReplicaId from{ message.from() };
     m_senderIps[from] = peer;
-    m_lastMessageTimes[from] = m_parts.loop.clock().now();
+    m_repair->onMessage(from);
     m_replica->receive(message);
 }
 
@@ -352,7 +294,7 @@
 
 bool ReplicaGroup::isDurable() const
 {
-    return m_replica->membership().voterCount() / 2 + 1 > m_options.toleratedLosses;
+    return m_repair->isDurable(m_replica->membership());
 }
 
 std::size_t ReplicaGroup::voterCount() const
--- a/src/fleet/replica_group.h
+++ b/src/fleet/replica_group.h
@@ -3,6 +3,7 @@
 #include "consensus/file_log_store.h"
 #include "consensus/replica.h"
 #include "fleet/fleet_state.h"
+#include "fleet/membership_repair.h"
 #include "link/peer_links.h"
 #include "log/logger.h"
 #include "runtime/event_loop.h"
@@ -68,7 +69,7 @@
     bool isLeaderReady() const;
     /// True only while no other replica can be the leader; see Replica::isConfirmedLeader().
     bool isConfirmedLeader() const;
-    /// True if a quorum has more voters than may be lost, so that each committed entry survives the tolerated losses.
+    /// True if each committed entry survives the tolerated losses; see MembershipRepair::isDurable().
     bool isDurable() const;
     /// Number of controllers that count for the quorum.
     std::size_t voterCount() const;
@@ -81,12 +82,6 @@
     void send(ReplicaId to, const wire::ReplicaMessage &message) override;
 
 private:
-    struct JoiningReplica
-    {
-        Member member;
-        TimePoint lastRequest;
-    };
-
     ReplicaGroup(const ReplicaGroupParts &parts, ReplicaGroupOptions options);
     Result<void> open();
     Result<void> start(Membership first);
@@ -96,12 +91,6 @@
     void tick();
     void sendJoinRequests();
     void repairMembership();
-    std::optional<Membership> nextMembership() const;
-    const JoiningReplica *firstJoiningReplica() const;
-    /// Other member that has been silent for longest and at least for @p silence, counted from the last change of leadership at the
-    /// earliest; null if there is none.
-    const Member *longestSilentMember(Duration silence) const;
-    std::size_t targetVoters() const;
     const Member *leaderMember() const;
     void updateLeadership();
 
@@ -110,15 +99,13 @@
     FleetState m_state;
     std::unique_ptr<FileLogStore> m_store;
     std::unique_ptr<Replica> m_replica;
+    std::unique_ptr<MembershipRepair> m_repair;
     std::function<void(LogIndex, const wire::FleetCommand &, CommandOutcome)> m_appliedHandler;
     std::function<void(const Error &)> m_failureHandler;
     std::map<LogIndex, OutcomeCallback> m_pendingProposals;
     std::map<LogIndex, CommandOutcome> m_outcomes;
     std::map<ReplicaId, std::string> m_senderIps; ///< For answers to a leader that is not in the local membership yet.
-    std::map<ReplicaId, TimePoint> m_lastMessageTimes; ///< Time of the last message from each replica.
-    std::map<ReplicaId, JoiningReplica> m_joiningReplicas;
     bool m_isLeader = false;
-    TimePoint m_leadershipChange; ///< Time of the last gain or loss of leadership.
     TimePoint m_lastLeaderTime; ///< Last time at which a leader was known.
     TimePoint m_nextJoin;
     TimePoint m_nextRepair;
