Do not take an update that is still arriving for the silence of a controller

Cause: such a change takes about 0.5 s on the link of a gateway and more while the leader's link is shared by all. FleetClient counted only complete messages as a sign of life: after 0.7 s it closed the connection, tried the other controllers in turn and came back to the leader, which sent everything again. Class: slow progress taken for silence, with a retry that adds to the load.

Change: bytes of a message that is still incomplete count as a sign of life.

The test fails without the change: ALargeUpdateOnASlowLinkIsNoSilence: m_view.manifestVersion() Which is: 0 (7 expected); m_connections Which is: 4 (1 expected); m_client.isConnected() Actual: false and AnUpdateThatStopsArrivingIsSilence holds before and after. test_gateway 69, test_link 6 passed.

--- a/src/gateway/fleet_client.cpp
+++ b/src/gateway/fleet_client.cpp
@@ -83,7 +83,9 @@
 void FleetClient::tick()
 {
     const auto now = m_loop.clock().now();
-    if (m_controller.empty() || now - std::max(m_lastAnswer, m_selectedAt) > kAnswerTimeout) {
+    // A large update can take longer than the timeout on a slow link.
+    const auto lastProgress = std::max({ m_lastAnswer, m_selectedAt, m_links.partialReceiveTime(m_controller).value_or(TimePoint()) });
+    if (m_controller.empty() || now - lastProgress > kAnswerTimeout) {
         switchController(m_controller.empty() ? "no controller was selected" : "no answer");
     }
     if (now - m_lastAnnouncement >= (m_connected ? kAnnounceInterval : kAnnounceIntervalUnconnected)) {
--- a/src/link/message_channel.cpp
+++ b/src/link/message_channel.cpp
@@ -169,6 +169,12 @@
     m_lastReceiveTime = m_loop.clock().now();
 }
 
+std::optional<TimePoint> MessageChannel::partialReceiveTime() const
+{
+    const bool partial = m_stream != nullptr && evbuffer_get_length(bufferevent_get_input(m_stream)) > 0;
+    return partial ? std::optional(m_lastReceiveTime) : std::nullopt;
+}
+
 bool MessageChannel::wasEstablished() const
 {
     return m_established;
--- a/src/link/message_channel.h
+++ b/src/link/message_channel.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <peer.pb.h>
 #include <string>
 
@@ -61,6 +62,9 @@
     /// Restarts the time that checkLiveness() measures, when this process was suspended or starts to wait for an answer.
     void resetLiveness();
 
+    /// Time at which bytes of a message arrived that is not complete yet; none if no message is being received.
+    std::optional<TimePoint> partialReceiveTime() const;
+
     bool isOpen() const;
     /// True if the connection has ever been established; otherwise no sent message has left this process.
     bool wasEstablished() const;
--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -88,6 +88,12 @@
     return it != m_links.end() && it->second.channel;
 }
 
+std::optional<TimePoint> PeerLinks::partialReceiveTime(const std::string &peer) const
+{
+    const auto it = m_links.find(peer);
+    return it != m_links.end() && it->second.channel ? it->second.channel->partialReceiveTime() : std::nullopt;
+}
+
 bool PeerLinks::canSend(const std::string &peer) const
 {
     const auto it = m_links.find(peer);
--- a/src/link/peer_links.h
+++ b/src/link/peer_links.h
@@ -5,6 +5,7 @@
 #include "log/logger.h"
 
 #include <map>
+#include <optional>
 
 namespace Toucandeck
 {
@@ -38,6 +39,8 @@
     void closeConnection(const std::string &peer);
 
     bool isOpen(const std::string &peer) const;
+    /// Time at which bytes of a message of the peer arrived that is not complete yet; none if no message is being received.
+    std::optional<TimePoint> partialReceiveTime(const std::string &peer) const;
     /// True if send() would not be rejected because of a recent failure.
     bool canSend(const std::string &peer) const;
 
