Validate releases of partitions and hot keys in one place

GrantPlanner and HotKeyMoves each recorded the version at which a move began and compared a release with it, in the same lines. Both now use MovesInProgress. Behaviour is unchanged.

--- a/src/ownership/grant_planner.cpp
+++ b/src/ownership/grant_planner.cpp
@@ -26,20 +26,14 @@
 void GrantPlanner::reset()
 {
     m_pendingPartitions.clear();
-    m_moveStartVersions.clear();
-    m_leadershipStartVersion = m_context.view().version();
+    m_moves.reset(m_context.view().version());
 }
 
 void GrantPlanner::onDeltaApplied(const wire::ViewDelta &delta)
 {
     for (const auto &service : delta.services()) {
         for (const auto &it : service.assignments()) {
-            const ServicePartition item{ service.service(), it.partition() };
-            if (it.moving_to() != 0) {
-                m_moveStartVersions[item] = LogIndex{ delta.to_version() };
-            } else {
-                m_moveStartVersions.erase(item);
-            }
+            m_moves.onAssignment({ service.service(), it.partition() }, it, LogIndex{ delta.to_version() });
         }
     }
 }
@@ -131,11 +125,7 @@
     if (!m_context.isLive(SessionId{ release.receiver() })) {
         return false;
     }
-    const auto &current = assignments[partition];
-    const auto start = m_moveStartVersions.find({ release.service(), partition });
-    const auto since = start == m_moveStartVersions.end() ? m_leadershipStartVersion : start->second;
-    return current.owner() == release.session() && current.moving_to() != 0 && current.moving_to() == release.receiver()
-        && release.version() >= since.value;
+    return m_moves.isValidRelease({ release.service(), partition }, assignments[partition], release);
 }
 
 void GrantPlanner::handleRelease(const wire::Release &release)
--- a/src/ownership/grant_planner.h
+++ b/src/ownership/grant_planner.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "ownership/leader_context.h"
+#include "ownership/moves_in_progress.h"
 
-#include <map>
 #include <set>
 #include <string>
 #include <utility>
@@ -46,8 +46,7 @@
 
     LeaderContext &m_context;
     std::multiset<ServicePartition> m_pendingPartitions; ///< Once for each pending proposal.
-    std::map<ServicePartition, LogIndex> m_moveStartVersions;
-    LogIndex m_leadershipStartVersion; ///< Version at reset(); counts as the start of older moves.
+    MovesInProgress<ServicePartition> m_moves;
 };
 
 } // namespace Toucandeck::internal
--- a/src/ownership/hot_key_moves.cpp
+++ b/src/ownership/hot_key_moves.cpp
@@ -17,22 +17,16 @@
 {
     m_planners.clear();
     m_pendingKeys.clear();
-    m_moveStartVersions.clear();
-    m_leadershipStartVersion = m_context.view().version();
+    m_moves.reset(m_context.view().version());
 }
 
 void HotKeyMoves::onDeltaApplied(const wire::ViewDelta &delta)
 {
     for (const auto &it : delta.hot_keys()) {
-        const ServiceKey item{ it.service(), KeyHash{ it.key_hash() } };
-        if (it.moving_to() != 0) {
-            m_moveStartVersions[item] = LogIndex{ delta.to_version() };
-        } else {
-            m_moveStartVersions.erase(item);
-        }
+        m_moves.onAssignment({ it.service(), KeyHash{ it.key_hash() } }, it, LogIndex{ delta.to_version() });
     }
     for (const auto &it : delta.removed_hot_keys()) {
-        m_moveStartVersions.erase({ it.service(), KeyHash{ it.key_hash() } });
+        m_moves.onRemoval({ it.service(), KeyHash{ it.key_hash() } });
     }
 }
 
@@ -214,10 +208,7 @@
     if (current == all.end() || m_pendingKeys.contains(item) || !m_context.isLive(SessionId{ release.receiver() })) {
         return false;
     }
-    const auto start = m_moveStartVersions.find(item);
-    const auto since = start == m_moveStartVersions.end() ? m_leadershipStartVersion : start->second;
-    return current->second.owner() == release.session() && current->second.moving_to() != 0
-        && current->second.moving_to() == release.receiver() && release.version() >= since.value;
+    return m_moves.isValidRelease(item, current->second, release);
 }
 
 void HotKeyMoves::handleRelease(const wire::Release &release)
--- a/src/ownership/hot_key_moves.h
+++ b/src/ownership/hot_key_moves.h
@@ -3,6 +3,7 @@
 #include "ownership/grant_planner.h"
 #include "ownership/hot_key_planner.h"
 #include "ownership/leader_context.h"
+#include "ownership/moves_in_progress.h"
 
 #include <map>
 #include <set>
@@ -54,8 +55,7 @@
     GrantPlanner &m_partitions;
     std::map<std::string, HotKeyPlanner> m_planners;
     std::set<ServiceKey> m_pendingKeys;
-    std::map<ServiceKey, LogIndex> m_moveStartVersions;
-    LogIndex m_leadershipStartVersion; ///< Version at reset(); counts as the start of older moves.
+    MovesInProgress<ServiceKey> m_moves;
 };
 
 } // namespace Toucandeck::internal
