Share sockets, ports and the backend fixture between the tests

freePort() stood in three test programs, a plain TCP connection named RawSocket in two, and the backend server that only sends what a test writes in three fixtures. They are now test/link/free_port.h, test/runtime/raw_socket.h and test/http/backend_fixture.h. RawSocket distinguishes the end of the stream from a reset, so that the tests of the HTTP server accept only the former as the end of a response, as before. The tests check the same; none was added or removed.

--- a/test/gateway/test_backend_runner.cpp
+++ b/test/gateway/test_backend_runner.cpp
@@ -3,8 +3,9 @@
 #include "gateway/backend_runner.h"
 
 #include "gateway/fakes.h"
-#include "http/raw_socket.h"
+#include "link/free_port.h"
 #include "link/listener.h"
+#include "runtime/raw_socket.h"
 
 using namespace Toucandeck;
 using std::chrono::seconds;
--- a/test/gateway/test_fleet_client.cpp
+++ b/test/gateway/test_fleet_client.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_client.h"
 
+#include "link/free_port.h"
 #include "link/listener.h"
 
 #include <event2/event.h>
@@ -16,17 +17,6 @@
 constexpr const char *kGatewayIp = "127.0.0.2";
 constexpr const char *kControllerIp = "127.0.0.1";
 
-std::uint16_t freePort()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto sa = SocketAddress{ kControllerIp, 0 }.toSockaddr();
-    socklen_t n = sizeof(sa);
-    EXPECT_EQ(::bind(descriptor, reinterpret_cast<sockaddr *>(&sa), n), 0);
-    EXPECT_EQ(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&sa), &n), 0);
-    ::close(descriptor);
-    return ntohs(sa.sin_port);
-}
-
 class NoCodec : public ManifestCodec
 {
 public:
--- a/test/http/test_backend_connection.cpp
+++ b/test/http/test_backend_connection.cpp
@@ -1,9 +1,6 @@
 // Guards against responses delivered for another request, truncated responses accepted as complete, and requests reported as unsent
 // although they may have been sent.
-#include "http/backend_connection.h"
-
-#include "link/listener.h"
-#include "raw_socket.h"
+#include "backend_fixture.h"
 
 using namespace Toucandeck;
 using std::chrono::seconds;
@@ -11,16 +8,11 @@
 namespace
 {
 
-class BackendConnectionTest : public testing::Test
+class BackendConnectionTest : public BackendFixture
 {
 protected:
     BackendConnectionTest()
-        : m_loop(EventLoop::create(m_clock).value())
-        , m_address{ "127.0.0.1", freePort() }
     {
-        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
-                         m_accepted = std::make_unique<RawSocket>(descriptor);
-                     }).value();
         connect();
     }
 
@@ -36,12 +28,7 @@
         request.headers.push_back({ "X-Id", id });
         m_result.reset();
         m_connection->send(request, id, [this](BackendResult result) { m_result = std::move(result); });
-        ASSERT_TRUE(runUntil([this, &id] { return m_accepted && m_accepted->receivedText().find(id) != std::string::npos; }));
-    }
-
-    bool runUntil(const std::function<bool()> &done)
-    {
-        return m_loop->runUntil(done, seconds(5));
+        ASSERT_TRUE(runUntil([this, &id] { return hasReceived(id); }));
     }
 
     void answer(const std::string &text)
@@ -50,11 +37,6 @@
         ASSERT_TRUE(runUntil([this] { return m_result.has_value(); }));
     }
 
-    SystemClock m_clock;
-    std::unique_ptr<EventLoop> m_loop;
-    SocketAddress m_address;
-    std::unique_ptr<RawSocket> m_accepted;
-    std::unique_ptr<Listener> m_listener;
     std::unique_ptr<BackendConnection> m_connection;
     std::optional<BackendResult> m_result;
 };
--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -2,7 +2,8 @@
 // closes, and limits that are not enforced.
 #include "http/pipelined_server.h"
 
-#include "raw_socket.h"
+#include "link/free_port.h"
+#include "runtime/raw_socket.h"
 
 using namespace Toucandeck;
 using std::chrono::milliseconds;
@@ -50,7 +51,7 @@
 
 TEST_F(PipelinedServerTest, StartsPipelinedRequestsAtOnceAndAnswersInOrder)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 2; }));
     m_exchanges[1]->respond(withBody("second"));
@@ -61,7 +62,7 @@
 
 TEST_F(PipelinedServerTest, NotifiesTheHandlerWhenAClientDisconnects)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     bool disconnected = false;
@@ -72,7 +73,7 @@
 
 TEST_F(PipelinedServerTest, ClosesAfterTheLastAnswerWhileDraining)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 2; }));
     m_server->drain();
@@ -87,7 +88,7 @@
 
 TEST_F(PipelinedServerTest, ClosesIdleConnectionsWhileDraining)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     m_exchanges[0]->respond(withBody("first"));
@@ -100,7 +101,7 @@
 {
     constexpr int kReceiveBuffer = 4096;
     constexpr std::size_t kBodySize = 200'000;
-    auto client = RawSocket::connectTo(m_address, kReceiveBuffer);
+    auto client = RawSocket::connectTo(m_address.port, kReceiveBuffer);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     m_server->drain();
@@ -121,7 +122,7 @@
 
 TEST_F(PipelinedServerTest, KeepsTheOrderWhenABadRequestFollows)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nnonsense\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     m_exchanges[0]->respond(withBody("first"));
@@ -133,9 +134,9 @@
 {
     m_limits.maxHeaderBytes = 100;
     m_limits.maxBodyBytes = 10;
-    auto headers = RawSocket::connectTo(m_address);
+    auto headers = RawSocket::connectTo(m_address.port);
     headers.write("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(200, 'x') + "\r\n\r\n");
-    auto body = RawSocket::connectTo(m_address);
+    auto body = RawSocket::connectTo(m_address.port);
     body.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n" + std::string(20, 'x'));
     ASSERT_TRUE(runUntil([&] { return headers.isClosed() && body.isClosed(); }));
     EXPECT_NE(headers.receivedText().find("431"), std::string::npos);
@@ -146,7 +147,7 @@
 TEST_F(PipelinedServerTest, RefusesARequestWhoseHeadersDoNotComeInTime)
 {
     m_limits.headerTimeout = milliseconds(100);
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost:");
     ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
     EXPECT_NE(client.receivedText().find("408"), std::string::npos);
@@ -156,7 +157,7 @@
 TEST_F(PipelinedServerTest, AcceptsABodyThatKeepsArrivingForLongerThanTheIdleLimit)
 {
     m_limits.idleTimeout = milliseconds(500);
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\n");
     int sent = 0;
     const auto sending = m_loop->every(milliseconds(100), [&] {
@@ -173,7 +174,7 @@
 TEST_F(PipelinedServerTest, RefusesABodyThatStopsForLongerThanTheIdleLimit)
 {
     m_limits.idleTimeout = milliseconds(200);
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 12\r\n\r\nxx");
     ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
     EXPECT_NE(client.receivedText().find("408"), std::string::npos);
@@ -182,14 +183,14 @@
 TEST_F(PipelinedServerTest, ClosesAConnectionThatIsIdleForTooLong)
 {
     m_limits.idleTimeout = milliseconds(100);
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     EXPECT_TRUE(runUntil([&client] { return client.isClosed(); }));
     EXPECT_EQ(client.receivedText(), "");
 }
 
 TEST_F(PipelinedServerTest, HonoursConnectionCloseOfTheClient)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     m_exchanges[0]->respond(withBody("only"));
@@ -199,7 +200,7 @@
 
 TEST_F(PipelinedServerTest, AsksForABodyThatWaitsForContinue)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
     ASSERT_TRUE(runUntil([&client] { return client.receivedText().find("100 Continue") != std::string::npos; }));
     client.write("ok");
--- a/test/http/test_response_limits.cpp
+++ b/test/http/test_response_limits.cpp
@@ -1,12 +1,7 @@
 // Guards against responses without end: they must end their request and connection at a limit.
-#include "http/backend_connection.h"
-
-#include "link/listener.h"
-#include "raw_socket.h"
+#include "backend_fixture.h"
 
 using namespace Toucandeck;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace
 {
@@ -16,26 +11,16 @@
 constexpr std::size_t kSocketBuffers = 16 * kMiB; ///< Bytes that the kernel may hold beyond those that the connection has read.
 constexpr std::size_t kGiveUpBytes = 64 * kMiB;
 
-class ResponseLimitsTest : public testing::Test
+class ResponseLimitsTest : public BackendFixture
 {
 protected:
     ResponseLimitsTest()
-        : m_loop(EventLoop::create(m_clock).value())
-        , m_address{ "127.0.0.1", freePort() }
     {
-        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
-                         m_accepted = std::make_unique<RawSocket>(descriptor);
-                     }).value();
         m_connection = std::make_unique<BackendConnection>(*m_loop, m_address, "X-Id");
         HttpRequest request;
         request.headers.push_back({ "X-Id", "one" });
         m_connection->send(request, "one", [this](BackendResult result) { m_result = std::move(result); });
-        EXPECT_TRUE(runUntil([this] { return m_accepted && m_accepted->receivedText().find("\r\n\r\n") != std::string::npos; }));
-    }
-
-    bool runUntil(const std::function<bool()> &done)
-    {
-        return m_loop->runUntil(done, seconds(5));
+        EXPECT_TRUE(runUntil([this] { return hasReceived("\r\n\r\n"); }));
     }
 
     /// Sends the start, then the unit again and again until the request ends. Returns the number of bytes sent.
@@ -76,11 +61,6 @@
         }));
     }
 
-    SystemClock m_clock;
-    std::unique_ptr<EventLoop> m_loop;
-    SocketAddress m_address;
-    std::unique_ptr<RawSocket> m_accepted;
-    std::unique_ptr<Listener> m_listener;
     std::unique_ptr<BackendConnection> m_connection;
     std::optional<BackendResult> m_result;
 };
--- a/test/http/test_truncated_response.cpp
+++ b/test/http/test_truncated_response.cpp
@@ -1,12 +1,8 @@
 // Guards against truncated responses that are accepted as complete.
-#include "http/backend_connection.h"
-
-#include "link/listener.h"
-#include "raw_socket.h"
+#include "backend_fixture.h"
 
 using namespace Toucandeck;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace
 {
@@ -20,18 +16,9 @@
 
 constexpr Ending kEndings[] = { Ending::Close, Ending::Reset, Ending::ResetAfterRead };
 
-class TruncatedResponseTest : public testing::Test
+class TruncatedResponseTest : public BackendFixture
 {
 protected:
-    TruncatedResponseTest()
-        : m_loop(EventLoop::create(m_clock).value())
-        , m_address{ "127.0.0.1", freePort() }
-    {
-        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
-                         m_accepted = std::make_unique<RawSocket>(descriptor);
-                     }).value();
-    }
-
     /// The result of a request whose connection carries @p text and then ends.
     BackendResult resultOf(const std::string &text, Ending ending, const std::string &method = "GET")
     {
@@ -42,7 +29,7 @@
         request.headers.push_back({ "X-Id", "one" });
         std::optional<BackendResult> result;
         connection.send(request, "one", [&result](BackendResult it) { result = std::move(it); });
-        EXPECT_TRUE(runUntil([this] { return m_accepted && m_accepted->receivedText().find("\r\n\r\n") != std::string::npos; }));
+        EXPECT_TRUE(runUntil([this] { return hasReceived("\r\n\r\n"); }));
         m_accepted->write(text);
         if (ending == Ending::ResetAfterRead) {
             m_loop->runUntil([&result] { return result.has_value(); }, milliseconds(1));
@@ -56,11 +43,6 @@
         return result.value_or(BackendResult{});
     }
 
-    bool runUntil(const std::function<bool()> &done)
-    {
-        return m_loop->runUntil(done, seconds(5));
-    }
-
     /// Expects an error for every prefix of the text that is shorter than @p end bytes.
     void expectNoPrefixIsComplete(const std::string &text, std::size_t end, Ending ending, const std::string &method = "GET")
     {
@@ -69,12 +51,6 @@
             EXPECT_NE(result.error, BackendError::None) << "cut after " << n << " bytes: " << text.substr(0, n);
         }
     }
-
-    SystemClock m_clock;
-    std::unique_ptr<EventLoop> m_loop;
-    SocketAddress m_address;
-    std::unique_ptr<RawSocket> m_accepted;
-    std::unique_ptr<Listener> m_listener;
 };
 
 const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Seal: s\r\n";
--- a/test/link/test_message_channel.cpp
+++ b/test/link/test_message_channel.cpp
@@ -2,6 +2,8 @@
 #include "link/listener.h"
 #include "link/peer_links.h"
 
+#include "free_port.h"
+
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,17 +14,6 @@
 namespace
 {
 
-std::uint16_t freePort()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    auto sa = SocketAddress{ "127.0.0.1", 0 }.toSockaddr();
-    socklen_t n = sizeof(sa);
-    EXPECT_EQ(::bind(descriptor, reinterpret_cast<sockaddr *>(&sa), n), 0);
-    EXPECT_EQ(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&sa), &n), 0);
-    ::close(descriptor);
-    return ntohs(sa.sin_port);
-}
-
 class LinkTest : public testing::Test
 {
 protected:
--- a/test/runtime/raw_socket.h
+++ b/test/runtime/raw_socket.h
@@ -1,14 +1,15 @@
 #pragma once
 
-#include "link/socket_address.h"
-#include "runtime/event_loop.h"
-
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
+#include <cstdint>
 #include <gtest/gtest.h>
+#include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Toucandeck
 {
@@ -22,14 +23,18 @@
     {
     }
 
+    /// Connects to a port on loopback.
     /// @param receiveBuffer size of the receive buffer in bytes; zero for the default of the system.
-    static RawSocket connectTo(const SocketAddress &address, int receiveBuffer = 0)
+    static RawSocket connectTo(std::uint16_t port, int receiveBuffer = 0)
     {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         if (receiveBuffer != 0) {
             ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
         }
-        const auto sa = address.toSockaddr();
+        sockaddr_in sa{};
+        sa.sin_family = AF_INET;
+        sa.sin_port = htons(port);
+        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         EXPECT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa)), 0);
         return RawSocket(descriptor);
     }
@@ -89,7 +94,7 @@
         std::string buf(n, '\0');
         const auto received = ::recv(m_descriptor, buf.data(), n, MSG_DONTWAIT);
         m_receivedText.append(buf, 0, static_cast<std::size_t>(std::max<ssize_t>(received, 0)));
-        m_closed = m_closed || received == 0 || (received < 0 && errno == ECONNRESET);
+        recordEnd(received);
     }
 
     /// All text received since the connection was opened.
@@ -100,10 +105,16 @@
         while ((n = ::recv(m_descriptor, buf, sizeof(buf), MSG_DONTWAIT)) > 0) {
             m_receivedText.append(buf, static_cast<std::size_t>(n));
         }
-        m_closed = m_closed || n == 0 || (n < 0 && errno == ECONNRESET);
+        recordEnd(n);
         return m_receivedText;
     }
 
+    /// True once receiveSome() or receivedText() has found the end of the stream.
+    bool isStreamEnded() const
+    {
+        return m_streamEnded;
+    }
+
     bool isClosed()
     {
         receivedText();
@@ -111,23 +122,16 @@
     }
 
 private:
+    void recordEnd(ssize_t received)
+    {
+        m_streamEnded = m_streamEnded || received == 0;
+        m_closed = m_closed || received == 0 || (received < 0 && errno == ECONNRESET);
+    }
+
     int m_descriptor;
     std::string m_receivedText;
+    bool m_streamEnded = false;
     bool m_closed = false;
 };
 
-/// Returns a loopback port that is currently unused.
-inline std::uint16_t freePort()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in sa{};
-    sa.sin_family = AF_INET;
-    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t n = sizeof(sa);
-    EXPECT_EQ(::bind(descriptor, reinterpret_cast<const sockaddr *>(&sa), n), 0);
-    EXPECT_EQ(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&sa), &n), 0);
-    ::close(descriptor);
-    return ntohs(sa.sin_port);
-}
-
 } // namespace Toucandeck
--- a/test/runtime/test_http.cpp
+++ b/test/runtime/test_http.cpp
@@ -1,5 +1,6 @@
 // Guards against truncated, mixed up or repeated HTTP requests and responses, and against input that exhausts the server.
 #include "loopback.h"
+#include "raw_socket.h"
 
 #include "runtime/http_client.h"
 #include "runtime/http_server.h"
@@ -45,12 +46,11 @@
     /// Response of the server to these bytes, read until it closes the connection or has sent @p enough.
     std::string answerTo(const std::string &bytes, const std::string &enough)
     {
-        const RawSocket raw(server->port());
+        auto raw = RawSocket::connectTo(server->port());
         raw.write(bytes);
-        std::string text;
         const auto timer = loop->every(1ms, [] {});
-        EXPECT_TRUE(runUntil([&] { return !raw.read(text) || text.find(enough) != std::string::npos; }));
-        return text;
+        EXPECT_TRUE(runUntil([&] { return raw.receivedText().find(enough) != std::string::npos || raw.isStreamEnded(); }));
+        return raw.receivedSoFar();
     }
 
     HttpServerOptions options;
@@ -161,7 +161,7 @@
 TEST_F(HttpTest, TruncatedRequestIsNeverHandled)
 {
     {
-        const RawSocket raw(server->port());
+        const auto raw = RawSocket::connectTo(server->port());
         raw.write("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
     }
     send({});
@@ -171,12 +171,12 @@
 
 TEST_F(HttpTest, ClientCloseIsDetectedWhileTheResponseIsPending)
 {
-    RawSocket raw(server->port());
+    auto raw = RawSocket::connectTo(server->port());
     raw.write("GET / HTTP/1.1\r\n\r\n");
     ASSERT_TRUE(untilExchanges(1));
     bool closed = false;
     exchanges[0]->onClosed([&] { closed = true; });
-    raw.closeNow();
+    raw.close();
     ASSERT_TRUE(runUntil([&] { return closed; }));
     EXPECT_TRUE(exchanges[0]->isClosed());
     EXPECT_EQ(server->inFlight(), 0U);
--- a/test/runtime/test_message_socket.cpp
+++ b/test/runtime/test_message_socket.cpp
@@ -1,5 +1,6 @@
 // Guards against lost, crossed or reordered messages, and against input from untrusted peers.
 #include "loopback.h"
+#include "raw_socket.h"
 
 #include "runtime/events.h"
 #include "runtime/message_socket.h"
@@ -162,7 +163,7 @@
     zmq_send(dealer, "", 0, 0);
     zmq_send(dealer, "two", 3, ZMQ_SNDMORE);
     zmq_send(dealer, "frames", 6, 0);
-    const RawSocket raw(portOf(*socket));
+    const auto raw = RawSocket::connectTo(portOf(*socket));
     raw.write(std::string("\xff\0\0\0\0\0\0\0\x01\x7f\x03\0BOGUS", 17) + std::string(47, '\0'));
     EXPECT_TRUE(runUntil([&] { return socket->counters().undecodable == 3 && socket->counters().rejectedPeers >= 1; }));
     zmq_close(dealer);
