Remove the silent voter whose failure domain has a successor

What operators could see: with one controller cut off and another one replaced at a new address, the loss of two disks left no quorum for good, although the disk of the controller that was cut off held everything: acknowledged orders were gone (LOST). Two lost disks are tolerated also while further controllers are out of reach.

Cause: MembershipRepair removed the voter that had been silent for longest, which is the one that is cut off. The one that is gone for good stayed a voter and counted against the quorum: of {three, the successor, the gone one} two lost disks leave two of five. It fell silent only a moment before its successor joined, so the first silent voter was removed before it was even a candidate. Class: a repair that removes a copy which still exists.

Change: of the silent voters the one in the failure domain with most voters is removed, as a successor usually starts in the domain of its predecessor and the voters stay spread; of several, the one silent for longest as before. A voter that missed several heartbeats is a candidate at once, and is removed after 1.5 s as before.

Two tests with random losses, returns, replacements and cuts are new; they run 100 seeds, from TOUCANDECK_FIRST_SEED. One checks that each order is acknowledged within 4 s while no more controllers are lost than tolerated.

Not covered: a successor in another failure domain than its predecessor, while a voter is cut off that was silent before.

--- a/prove/consensus/fake_cluster.cpp
+++ b/prove/consensus/fake_cluster.cpp
@@ -47,7 +47,8 @@
 
 std::string FakeCluster::domainOf(int slot) const
 {
-    return m_domains[static_cast<std::size_t>(slot) % m_domains.size()];
+    const auto found = m_domainsBySlot.find(slot);
+    return found != m_domainsBySlot.end() ? found->second : m_domains[static_cast<std::size_t>(slot) % m_domains.size()];
 }
 
 Member FakeCluster::memberOf(const FakeNode &node, ReplicaRole role) const
@@ -65,8 +66,11 @@
     return static_cast<int>(m_nodes.size());
 }
 
-FakeNode &FakeCluster::addNode()
+FakeNode &FakeCluster::addNode(std::optional<std::string> domain)
 {
+    if (domain) {
+        m_domainsBySlot[size()] = std::move(*domain);
+    }
     m_nodes.push_back(std::make_unique<FakeNode>(network, checker, size(), ReplicaId{ random.next() | 1 }, random.next()));
     start(size() - 1);
     return *m_nodes.back();
--- a/prove/consensus/fake_cluster.h
+++ b/prove/consensus/fake_cluster.h
@@ -6,7 +6,10 @@
 #include "fake_network.h"
 #include "history_checker.h"
 
+#include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace Toucandeck
@@ -46,11 +49,12 @@
     FakeNode &node(int slot);
     int size() const;
 
-    /// Adds a VM with an empty disk whose replica is not a member.
-    FakeNode &addNode();
+    /// Adds a VM with an empty disk whose replica is not a member. Without @p domain its failure domain follows from its slot.
+    FakeNode &addNode(std::optional<std::string> domain = std::nullopt);
 
     /// Running node that leads in the highest term; null if there is none.
     FakeNode *leader();
+    std::string domainOf(int slot) const;
     Member memberOf(const FakeNode &node, ReplicaRole role) const;
 
     void start(int slot);
@@ -90,11 +94,11 @@
     bool isSyncedAt(ReplicaId replica, LogIndex index, const std::string &command) const;
     bool holds(const StoredState &state, LogIndex index, const std::string &command) const;
 
-    std::string domainOf(int slot) const;
     void checkConfirmedLeader();
 
     ReplicaOptions m_options;
     std::vector<std::string> m_domains;
+    std::map<int, std::string> m_domainsBySlot; ///< Of the VMs that were added with a domain.
     std::vector<std::unique_ptr<FakeNode>> m_nodes;
     std::map<ReplicaId, StoredState> m_lostDisks; ///< Synced state of each lost disk; it counts as synced before the loss.
 };
--- a/src/fleet/membership_repair.cpp
+++ b/src/fleet/membership_repair.cpp
@@ -12,8 +12,15 @@
 
 constexpr milliseconds kJoinRequestExpiry{ 1500 }; ///< Since the last join request of a replica.
 constexpr milliseconds kRemoveVoterAfter{ 1500 }; ///< A voter silent for this long is removed if there are more than the target.
+constexpr milliseconds kSuspectVoterAfter{ 300 }; ///< Several heartbeats; which silent voter is removed is decided among these.
 constexpr milliseconds kRemoveLearnerAfter{ 3000 }; ///< A learner silent for this long is removed.
 
+std::size_t voterCountIn(const Membership &membership, const std::string &failureDomain)
+{
+    const auto isCounted = [&failureDomain](const Member &it) { return it.role == ReplicaRole::Voter && it.failureDomain == failureDomain; };
+    return static_cast<std::size_t>(std::count_if(membership.members.begin(), membership.members.end(), isCounted));
+}
+
 } // namespace
 
 MembershipRepair::MembershipRepair(const Clock &clock, ReplicaId self, std::size_t toleratedLosses)
@@ -49,20 +56,35 @@
     return membership.voterCount() >= targetVoters();
 }
 
-const Member *MembershipRepair::longestSilentMember(const Membership &membership, ReplicaRole role, Duration silence) const
+const Member *MembershipRepair::silentMember(const Membership &membership, ReplicaRole role, Duration silence) const
 {
+    const auto isPreferred = [&](const Member &a, const Member &b) {
+        const auto votersOfA = voterCountIn(membership, a.failureDomain);
+        const auto votersOfB = voterCountIn(membership, b.failureDomain);
+        return votersOfA != votersOfB ? votersOfA > votersOfB : lastContact(a.replica) < lastContact(b.replica);
+    };
     const Member *silent = nullptr;
     for (const auto &it : membership.members) {
         if (it.role != role || it.replica == m_self || m_clock.now() - lastContact(it.replica) < silence) {
             continue;
         }
-        if (silent == nullptr || lastContact(it.replica) < lastContact(silent->replica)) {
+        if (silent == nullptr || isPreferred(it, *silent)) {
             silent = &it;
         }
     }
     return silent;
 }
 
+const Member *MembershipRepair::surplusVoter(const Membership &membership) const
+{
+    if (membership.voterCount() <= targetVoters()) {
+        return nullptr;
+    }
+    // A voter that has been silent for long may return; the predecessor of the surplus voter may have become silent just now.
+    const auto *voter = silentMember(membership, ReplicaRole::Voter, kSuspectVoterAfter);
+    return voter != nullptr && m_clock.now() - lastContact(voter->replica) >= kRemoveVoterAfter ? voter : nullptr;
+}
+
 TimePoint MembershipRepair::lastContact(ReplicaId replica) const
 {
     const auto found = m_lastMessageTimes.find(replica);
@@ -111,13 +133,11 @@
     if (const auto *replaced = replacedVoter(membership)) {
         return membership.without(replaced->replica);
     }
-    if (const auto *learner = longestSilentMember(membership, ReplicaRole::Learner, kRemoveLearnerAfter)) {
+    if (const auto *learner = silentMember(membership, ReplicaRole::Learner, kRemoveLearnerAfter)) {
         return membership.without(learner->replica);
     }
-    if (membership.voterCount() > targetVoters()) {
-        if (const auto *voter = longestSilentMember(membership, ReplicaRole::Voter, kRemoveVoterAfter)) {
-            return membership.without(voter->replica);
-        }
+    if (const auto *voter = surplusVoter(membership)) {
+        return membership.without(voter->replica);
     }
     const auto *joining = firstJoiningReplica(membership);
     return joining == nullptr ? std::nullopt : std::optional(membership.with(joining->member));
--- a/src/fleet/membership_repair.h
+++ b/src/fleet/membership_repair.h
@@ -43,8 +43,11 @@
 
     std::size_t targetVoters() const;
     const JoiningReplica *firstJoiningReplica(const Membership &membership) const;
-    /// Other member with the role that has been silent for longest and at least for @p silence; null if there is none.
-    const Member *longestSilentMember(const Membership &membership, ReplicaRole role, Duration silence) const;
+    /// Other member with the role that has been silent for at least @p silence; null if there is none. Of several, one in the failure
+    /// domain with most voters, since a successor usually starts in the domain of its predecessor, and of these the one silent for longest.
+    const Member *silentMember(const Membership &membership, ReplicaRole role, Duration silence) const;
+    /// Silent voter to remove while there are more than the target; null if there is none.
+    const Member *surplusVoter(const Membership &membership) const;
     /// Other voter whose address is now used by a voter that was heard from later; null if there is none.
     const Member *replacedVoter(const Membership &membership) const;
     bool hasNewerMessage(ReplicaId replica, ReplicaId other) const;
--- a/test/fleet/test_membership_repair.cpp
+++ b/test/fleet/test_membership_repair.cpp
@@ -3,6 +3,8 @@
 #include "fake_cluster.h"
 
 #include <gtest/gtest.h>
+#include <numeric>
+#include <set>
 
 namespace Toucandeck
 {
@@ -18,6 +20,8 @@
 constexpr Duration kRepairInterval = 200ms;
 constexpr Duration kJoinInterval = 300ms;
 constexpr Duration kRecoveryLimit = 15s;
+constexpr Duration kAckLimit = 4s;
+constexpr Duration kSyncTime = 4s; ///< A controller counts as lost for this long after it is back.
 
 ReplicaOptions controllerOptions()
 {
@@ -44,9 +48,9 @@
     }
 
     /// Starts a controller with an empty disk at an address of its own.
-    int addController()
+    int addController(std::optional<std::string> domain = std::nullopt)
     {
-        return cluster.addNode().slot;
+        return cluster.addNode(std::move(domain)).slot;
     }
 
     void run(Duration time)
@@ -93,7 +97,7 @@
     }
 
     /// Loses the disks of @p slots while all other controllers lose power, and starts all but @p gone again.
-    void loseDisksAndPower(const std::vector<int> &slots, std::optional<int> gone = std::nullopt)
+    void loseDisksAndPower(const std::vector<int> &slots, const std::set<int> &gone = {})
     {
         for (int n = 0; n < cluster.size(); ++n) {
             const bool isLost = std::find(slots.begin(), slots.end(), n) != slots.end();
@@ -102,7 +106,7 @@
         cluster.network.heal();
         m_repairs.clear();
         for (int n = 0; n < cluster.size(); ++n) {
-            if (n != gone) {
+            if (!gone.contains(n)) {
                 cluster.start(n);
             }
         }
@@ -122,6 +126,24 @@
         return runUntil([&] { return cluster.checker.acknowledgedCount() > before; }, limit);
     }
 
+    /// Like order(), but sends the order again each second, as an operator does.
+    bool repeatOrder(Duration limit)
+    {
+        const auto end = cluster.clock.now() + limit;
+        while (cluster.clock.now() < end) {
+            if (order(std::min<Duration>(1s, end - cluster.clock.now()))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// Proposes an order as soon as the controllers would accept one.
+    void requestOrder()
+    {
+        m_wantsOrder = true;
+    }
+
     FakeCluster cluster;
 
 private:
@@ -207,6 +229,177 @@
     int m_orders = 0;
 };
 
+/// Loses, replaces and cuts off controllers at random, within the number of losses that is tolerated, and then plays a final fault.
+class RandomLosses
+{
+public:
+    /// @param countsOutages is true if a controller that is down or cut off counts as a loss, not only one without its disk.
+    RandomLosses(std::uint64_t seed, bool countsOutages)
+        : m_cluster(seed)
+        , m_random(seed)
+        , m_countsOutages(countsOutages)
+    {
+    }
+
+    void play()
+    {
+        ASSERT_TRUE(m_cluster.runUntil([&] { return m_cluster.isServing(); }, 5s));
+        const int steps = 5 + static_cast<int>(m_random.below(40));
+        for (int n = 0; n < steps; ++n) {
+            restoreDue();
+            if (m_random.below(3) == 0) {
+                loseOne();
+            }
+            m_cluster.requestOrder();
+            m_cluster.run(std::chrono::milliseconds(50 + m_random.below(600)));
+            if (m_countsOutages) {
+                ASSERT_TRUE(m_cluster.repeatOrder(kAckLimit)) << "no order is acknowledged while no more controllers are lost than tolerated";
+            }
+        }
+        finalFault();
+    }
+
+private:
+    enum class Kind { Power, Disk, Removal, Cut };
+    struct Loss
+    {
+        Kind kind;
+        int slot;
+        TimePoint restoreTime;
+        std::optional<TimePoint> restoredAt;
+    };
+
+    static bool losesDisk(Kind kind)
+    {
+        return kind == Kind::Disk || kind == Kind::Removal;
+    }
+
+    bool isOver(const Loss &it) const
+    {
+        return it.restoredAt && m_cluster.cluster.clock.now() - *it.restoredAt > kSyncTime;
+    }
+
+    std::size_t lossCount() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_losses.begin(), m_losses.end(), [this](const Loss &it) { return m_countsOutages || losesDisk(it.kind); }));
+    }
+
+    bool isHit(int slot) const
+    {
+        return m_gone.contains(slot) || std::any_of(m_losses.begin(), m_losses.end(), [slot](const Loss &it) { return it.slot == slot; });
+    }
+
+    std::optional<int> pickSlot()
+    {
+        std::vector<int> slots;
+        for (int n = 0; n < m_cluster.cluster.size(); ++n) {
+            if (!isHit(n)) {
+                slots.push_back(n);
+            }
+        }
+        if (slots.empty()) {
+            return std::nullopt;
+        }
+        auto *leader = m_cluster.cluster.leader();
+        if (leader != nullptr && !isHit(leader->slot) && m_random.below(3) == 0) {
+            return leader->slot;
+        }
+        return slots[m_random.below(slots.size())];
+    }
+
+    void loseOne()
+    {
+        const auto slot = pickSlot();
+        const auto kind = static_cast<Kind>(m_random.below(4));
+        const bool isFree = !m_countsOutages && !losesDisk(kind);
+        if (!slot || (!isFree && lossCount() >= kToleratedLosses) || (isFree && m_losses.size() >= 3)) {
+            return;
+        }
+        const auto restoreTime = m_cluster.cluster.clock.now() + std::chrono::milliseconds(m_random.below(6000));
+        if (kind == Kind::Cut) {
+            m_cluster.cluster.isolate(*slot);
+        } else if (losesDisk(kind)) {
+            m_cluster.cluster.loseDisk(*slot);
+        } else {
+            m_cluster.cluster.crash(*slot);
+        }
+        m_losses.push_back({ kind, *slot, restoreTime, std::nullopt });
+    }
+
+    void restoreDue()
+    {
+        for (auto &it : m_losses) {
+            if (!it.restoredAt && m_cluster.cluster.clock.now() >= it.restoreTime) {
+                it.restoredAt = m_cluster.cluster.clock.now();
+                restore(it);
+            }
+        }
+        for (auto &it : m_losses) {
+            // Nothing can be repaired while more controllers are lost than tolerated.
+            if (it.restoredAt && m_losses.size() > kToleratedLosses) {
+                it.restoredAt = m_cluster.cluster.clock.now();
+            }
+        }
+        std::erase_if(m_losses, [this](const Loss &it) { return isOver(it); });
+    }
+
+    void restore(Loss &loss)
+    {
+        if (loss.kind == Kind::Removal) {
+            m_gone.insert(loss.slot);
+            loss.slot = m_cluster.addController(m_cluster.cluster.domainOf(loss.slot));
+        } else if (loss.kind != Kind::Cut) {
+            m_cluster.cluster.start(loss.slot);
+        }
+        m_cluster.cluster.network.heal();
+        for (const auto &it : m_losses) {
+            if (it.kind == Kind::Cut && !it.restoredAt) {
+                m_cluster.cluster.isolate(it.slot);
+            }
+        }
+    }
+
+    void finalFault()
+    {
+        std::vector<int> disks;
+        while (lossCount() + disks.size() < kToleratedLosses) {
+            const auto slot = pickSlot();
+            if (!slot) {
+                break;
+            }
+            if (std::find(disks.begin(), disks.end(), *slot) == disks.end()) {
+                disks.push_back(*slot);
+            }
+        }
+        std::set<int> gone = m_gone;
+        for (auto &it : m_losses) {
+            if (!it.restoredAt && it.kind == Kind::Removal) {
+                gone.insert(it.slot);
+            }
+        }
+        m_cluster.loseDisksAndPower(disks, gone);
+        EXPECT_TRUE(m_cluster.runUntil([&] { return m_cluster.hasAllAcknowledged(); }, kRecoveryLimit)) << "an acknowledged order is gone";
+        EXPECT_TRUE(m_cluster.cluster.checker.violations().empty());
+    }
+
+    RepairedCluster m_cluster;
+    SeededRandom m_random;
+    bool m_countsOutages;
+    std::vector<Loss> m_losses;
+    std::set<int> m_gone;
+};
+
+/// 100 seeds, from 1 or from TOUCANDECK_FIRST_SEED.
+std::vector<std::uint64_t> seeds()
+{
+    constexpr std::size_t kSeeds = 100;
+    const char *first = std::getenv("TOUCANDECK_FIRST_SEED");
+    std::vector<std::uint64_t> all(kSeeds);
+    std::iota(all.begin(), all.end(), first == nullptr ? 1 : std::strtoull(first, nullptr, 10));
+    return all;
+}
+
 } // namespace
 
 // Guards against an acknowledged order being lost: a silent voter was removed before its successor held the log, so that the loss of two
@@ -243,13 +436,34 @@
         it.addController();
         it.run(delay);
         ASSERT_TRUE(it.order(3s)) << "no order is acknowledged while two controllers are lost";
-        it.loseDisksAndPower({ followers[0] }, followers[3]);
+        it.loseDisksAndPower({ followers[0] }, { followers[3] });
         EXPECT_TRUE(it.runUntil([&] { return it.hasAllAcknowledged(); }, kRecoveryLimit))
             << "an acknowledged order is gone; the disk was lost " << delay / 1ms << " ms after the replacement started";
         EXPECT_TRUE(it.cluster.checker.violations().empty());
     }
 }
 
+// Guards against the removal of a voter that is cut off, with the log on its disk, in place of the one whose successor has joined in the
+// same failure domain.
+TEST(MembershipRepair, AcknowledgedOrdersSurviveTwoLostDisksAfterAReplacementWhileAnotherVoterIsCutOff)
+{
+    for (Duration delay = kSyncTime; delay <= 2 * kSyncTime; delay += 500ms) {
+        RepairedCluster it(11);
+        ASSERT_TRUE(it.runUntil([&] { return it.isServing(); }, 5s));
+        const auto followers = it.followers();
+        it.cluster.isolate(followers[2]);
+        it.run(2s);
+        it.cluster.loseDisk(followers[3]);
+        it.addController(it.cluster.domainOf(followers[3]));
+        it.run(delay);
+        ASSERT_TRUE(it.order(3s)) << "no order is acknowledged while one controller is cut off";
+        it.loseDisksAndPower({ followers[0], followers[1] }, { followers[3] });
+        EXPECT_TRUE(it.runUntil([&] { return it.hasAllAcknowledged(); }, kRecoveryLimit))
+            << "an acknowledged order is gone; the disks were lost " << delay / 1ms << " ms after the successor started";
+        EXPECT_TRUE(it.cluster.checker.violations().empty());
+    }
+}
+
 // Guards against a repair that leaves too few voters when one controller after the other returns with an empty disk.
 TEST(MembershipRepair, AcknowledgedOrdersSurviveASecondLostDiskWhileTheFirstIsReplaced)
 {
@@ -281,4 +495,22 @@
     }
 }
 
+// Guards against acknowledged orders being lost, or orders not being acknowledged, when losses and repairs coincide.
+TEST(MembershipRepair, AcknowledgedOrdersSurviveRandomToleratedLosses)
+{
+    for (const auto seed : seeds()) {
+        SCOPED_TRACE(seed);
+        RandomLosses(seed, true).play();
+    }
+}
+
+// Guards against acknowledged orders being lost when further controllers are out of reach while the tolerated number of disks is lost.
+TEST(MembershipRepair, AcknowledgedOrdersSurviveTheToleratedLostDisksDuringOutages)
+{
+    for (const auto seed : seeds()) {
+        SCOPED_TRACE(seed);
+        RandomLosses(seed, false).play();
+    }
+}
+
 } // namespace Toucandeck
