Keep idle client connections open at the start of a drain

What callers could see: during a graceful stop of a gateway, a request on a kept connection ended without an answer. The gateway closed every idle connection within 200 ms of SIGTERM, and discarded what arrived on it afterwards. A request that waited in a full link at that moment had been sent long before the close, was read and was dropped.

Cause: a connection without a request in progress was taken as one without a request on its way.

Change: an idle connection stays open for one more request, which is answered with "Connection: close". After the time in which clients are still directed to the gateway (2.5 s) it closes the connections that are left. A connection that has not carried a request yet is never closed as idle. ClosesIdleConnectionsWhileDraining now asks for the close by the new function, with the same bound.

The tests on the code before: test_pipelined_server.cpp:111: Failure Value of: runUntil([this] { return m_exchanges.size() == 2; }) Actual: false [ FAILED ] PipelinedServerTest.AnswersOneMoreRequestOnAnIdleConnectionWhileDraining (5500 ms) test_pipelined_server.cpp:127: Failure [ FAILED ] PipelinedServerTest.AnswersTheFirstRequestOfAConnectionWhileClosingIdleOnes (5500 ms)

Now the 15 tests of PipelinedServerTest pass.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -200,6 +200,9 @@
     if (sinceDrainStart >= (m_instance.isKeyed() ? kKeyedPeerDrainTime : kPeerDrainTime)) {
         m_instance.setLeaving();
     }
+    if (sinceDrainStart >= kClientDrainTime) {
+        m_outbound->closeIdleConnections();
+    }
     if (sinceDrainStart >= kRefuseClientsAfter) {
         m_requestHandler.refuseNewRequests();
     }
--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -136,6 +136,7 @@
     const bool head = request.method == "HEAD";
     const auto exchange = std::make_shared<HttpExchange>(weak_from_this(), std::move(request), now);
     m_slots.push_back({ exchange.get(), exchange, head, message.keepAlive, std::nullopt });
+    m_hadRequest = true;
     if (!message.keepAlive || m_server.m_draining) {
         m_slots.back().keepAlive = false;
         m_noMoreRequests = true;
@@ -237,9 +238,10 @@
     m_lingerSince = m_server.m_loop.clock().now();
 }
 
-void PipelinedConnection::drain()
+void PipelinedConnection::closeIfIdle()
 {
-    if (m_stream != nullptr && m_slots.empty() && !m_parser.isInMessage() && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0) {
+    const bool isIdle = m_stream != nullptr && m_hadRequest && m_slots.empty() && !m_parser.isInMessage();
+    if (isIdle && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0) {
         m_noMoreRequests = true;
         finishWriting();
     }
--- a/src/http/pipelined_connection.h
+++ b/src/http/pipelined_connection.h
@@ -23,8 +23,8 @@
     void respond(const HttpExchange &exchange, HttpResponse response);
     /// Closes the connection because an exchange was destroyed without a response.
     void onExchangeDropped(const HttpExchange &exchange);
-    /// Closes the connection if no request is in progress; for graceful shutdown.
-    void drain();
+    /// Closes the connection if it has carried a request and none is in progress; for graceful shutdown.
+    void closeIfIdle();
     /// Closes the connection if it has been idle, or has received a request too slowly, for longer than @p limits allow.
     void checkTimeouts(const HttpLimits &limits);
 
@@ -64,6 +64,7 @@
     std::deque<Slot> m_slots;
     TimePoint m_lastActive; ///< Time of the last response, of the first byte of the current request or of the latest data of its body.
     bool m_sentContinue = false; ///< "100 Continue" was sent for the current request.
+    bool m_hadRequest = false; ///< At least one request has arrived.
     bool m_noMoreRequests = false; ///< Further input on the connection is discarded.
     std::optional<TimePoint> m_lingerSince; ///< Time at which the sending side was shut down; input is discarded since then.
 };
--- a/src/http/pipelined_server.cpp
+++ b/src/http/pipelined_server.cpp
@@ -96,8 +96,8 @@
     const auto limits = m_limitsProvider();
     const auto copy = m_connections;
     for (const auto &it : copy) {
-        if (m_draining) {
-            it->drain();
+        if (m_closesIdleConnections) {
+            it->closeIfIdle();
         }
         it->checkTimeouts(limits);
     }
@@ -109,6 +109,14 @@
     m_draining = true;
 }
 
+void PipelinedServer::closeIdleConnections()
+{
+    m_closesIdleConnections = true;
+    for (const auto &it : m_connections) {
+        it->closeIfIdle();
+    }
+}
+
 void PipelinedServer::stopListening()
 {
     m_listener.reset();
--- a/src/http/pipelined_server.h
+++ b/src/http/pipelined_server.h
@@ -67,8 +67,11 @@
     PipelinedServer(const PipelinedServer &) = delete;
     PipelinedServer &operator=(const PipelinedServer &) = delete;
 
-    /// Starts a graceful shutdown: each connection is closed after the responses to the requests that it has already sent.
+    /// Starts a graceful shutdown: each connection is closed after the responses to the requests that it has already sent. An idle
+    /// connection stays open for one more request, because its client may be sending one, until closeIdleConnections() is called.
     void drain();
+    /// Closes the connections that are idle, and from now on each further one as soon as it is idle. For use after drain().
+    void closeIdleConnections();
 
     /// Stops accepting connections.
     void stopListening();
@@ -91,6 +94,7 @@
     LimitsProvider m_limitsProvider;
     Handler m_handler;
     bool m_draining = false;
+    bool m_closesIdleConnections = false;
     std::list<std::shared_ptr<internal::PipelinedConnection>> m_connections;
     EventLoop::Watch m_sweepTimer;
     std::unique_ptr<Listener> m_listener;
--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -92,9 +92,44 @@
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     m_exchanges[0]->respond(withBody("first"));
     m_server->drain();
+    m_server->closeIdleConnections();
     EXPECT_TRUE(runUntil([&client] { return client.isClosed(); }));
 }
 
+// Guards against requests that are cut because an idle connection was closed at the start of a graceful shutdown, while its client was
+// sending.
+TEST_F(PipelinedServerTest, AnswersOneMoreRequestOnAnIdleConnectionWhileDraining)
+{
+    constexpr milliseconds kTimeOnTheWay{ 500 };
+    auto client = RawSocket::connectTo(m_address);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_exchanges[0]->respond(withBody("first"));
+    m_server->drain();
+    m_loop->runUntil([] { return false; }, kTimeOnTheWay);
+    client.tryWrite("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 2; }));
+    m_exchanges[1]->respond(withBody("second"));
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    const auto &text = client.receivedText();
+    EXPECT_NE(text.find("Connection: close"), std::string::npos);
+    EXPECT_NE(text.find("second"), std::string::npos);
+}
+
+// Guards against closing a new connection before its first request has arrived.
+TEST_F(PipelinedServerTest, AnswersTheFirstRequestOfAConnectionWhileClosingIdleOnes)
+{
+    auto client = RawSocket::connectTo(m_address);
+    m_server->drain();
+    m_server->closeIdleConnections();
+    m_loop->runUntil([] { return false; }, milliseconds(500));
+    client.tryWrite("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_exchanges[0]->respond(withBody("first"));
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    EXPECT_NE(client.receivedText().find("first"), std::string::npos);
+}
+
 // Guards against a reset at the end of the process, caused by unread data, that discards a response which a slow client still reads.
 TEST_F(PipelinedServerTest, LingersUntilASlowClientHasReadItsResponse)
 {
