Announce the end of a gateway to the gateways that call it

What callers saw: around planned restarts, requests at other gateways were answered 502 (LINK_LOST, "closed by the peer") although nothing had run them. A request that is not idempotent was not tried elsewhere.

Cause: a gateway in its graceful stop ended 150 ms after the last call that it had answered late; refusals, which are answered at once, did not count. Calls that crossed the end were neither read nor refused, and an established connection that closes says nothing about them.

Change: when a gateway stops accepting calls it sends GoAway on each peer connection, with the id of the last call that it accepted. The caller takes the later calls as not run, keeps the connection for the pending ones, closes it after the last answer, and opens no new one for a second (calls are refused as LEAVING meanwhile). The stopping gateway ends once its peers have closed, at the latest 1 s after GoAway, and stops listening before. A connection that is accepted late gets GoAway at once. Old and new processes work together: an old caller ignores GoAway and still gets a refusal for each late call; an old gateway sends none and its end is handled as before. A gateway that answers LEAVING is avoided for 300 ms, and such an answer without a load report no longer makes it look idle. Calls are now tied to the connection that carries them, not to the address.

The new test on the code before (with its wiring of RemoteCalls), 3 of 3 runs: test_peer_calls.cpp:134: Failure Expected equality of these values: inDoubt Which is: 1 0 [ FAILED ] PeerCallsTest.NoCallIsInDoubtWhenAGatewayStopsGracefully (2501 ms)

Not run: a fleet of mixed versions; the test plays an old caller.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds kPeerDrainTime{ 1000 }; ///< Time after which the other gateways know that this one is shutting down.
 /// No other backend server can run calls for the keys held on this VM, so they are accepted for as long as possible.
 constexpr milliseconds kKeyedPeerDrainTime{ 2200 };
+constexpr milliseconds kPeerCloseTime{ 1000 }; ///< After GoAway, peers are given this time to close their connections.
 constexpr milliseconds kMinIdleTime{ 150 }; ///< The drain is complete after this time without pending requests and calls.
 
 } // namespace
@@ -40,7 +41,7 @@
           parts.logger,
           SocketAddress{ m_options.ip, m_options.peerPort },
           [this](const std::string &peer, const wire::PeerMessage &message) { receive(peer, message); },
-          [this](const std::string &peer, bool established, const std::string &) { onPeerClosed(peer, established); })
+          [this](const std::string &peer, bool, const std::string &) { m_fleet.onPeerClosed(peer); })
     , m_view(parts.loop.clock(), parts.logger, parts.codec)
     , m_instance(parts.loop, parts.logger, m_options.backend.toString(), m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
@@ -98,12 +99,6 @@
     }
 }
 
-void Gateway::onPeerClosed(const std::string &peer, bool established)
-{
-    m_calls.onPeerClosed(peer, established);
-    m_fleet.onPeerClosed(peer);
-}
-
 void Gateway::handleHeartbeat(const Heartbeat &it, LocalInstance::AnswerHandler answer)
 {
     m_instance.handleHeartbeat(it, std::move(answer));
@@ -197,8 +192,10 @@
 {
     const auto now = m_parts.loop.clock().now();
     const auto sinceDrainStart = now - m_drainStart;
-    if (sinceDrainStart >= (m_instance.isKeyed() ? kKeyedPeerDrainTime : kPeerDrainTime)) {
+    const auto peerDrainTime = m_instance.isKeyed() ? kKeyedPeerDrainTime : kPeerDrainTime;
+    if (sinceDrainStart >= peerDrainTime) {
         m_instance.setLeaving();
+        m_peers->stopAcceptingCalls();
     }
     if (sinceDrainStart >= kClientDrainTime) {
         m_outbound->closeIdleConnections();
@@ -209,8 +206,11 @@
     const bool busy = m_requestHandler.pendingCount() > 0 || m_peers->pendingCount() > 0 || m_outbound->unfinishedRequests() > 0
         || m_outbound->lingeringConnections() > 0;
     m_lastBusy = busy ? now : m_lastBusy;
-    const bool finished = sinceDrainStart >= kClientDrainTime && now - m_lastBusy >= kMinIdleTime;
-    if (finished || sinceDrainStart >= m_options.shutdownLimit) {
+    const bool peersClosed = m_peers->connectionCount() == 0 || sinceDrainStart >= peerDrainTime + kPeerCloseTime;
+    const bool finished = peersClosed && sinceDrainStart >= kClientDrainTime && now - m_lastBusy >= kMinIdleTime;
+    if (finished && m_peers->isListening()) {
+        m_peers->stopListening(); // The next check includes the connections accepted until now.
+    } else if (finished || sinceDrainStart >= m_options.shutdownLimit) {
         m_drainTimer.cancel();
         m_drainHandler();
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,7 +66,6 @@
     Gateway(const GatewayParts &parts, GatewayOptions options);
     Result<void> listen();
     void receive(const std::string &peer, const wire::PeerMessage &message);
-    void onPeerClosed(const std::string &peer, bool established);
     void onInstanceStarted();
     void onInstanceChanged();
     void applyPolicy();
--- a/src/gateway/gateway_loads.cpp
+++ b/src/gateway/gateway_loads.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kInitialSuspicion{ 300 }; ///< After the first connection failure; doubles with each further one.
+constexpr milliseconds kInitialSuspicion{ 300 }; ///< After the first connection failure, doubled with each further one; after LEAVING.
 constexpr milliseconds kMaxSuspicion{ 2400 };
 constexpr milliseconds kReportAge{ 400 }; ///< An older report says little about the current load.
 
@@ -39,6 +39,10 @@
     onCallCancelled(ip);
     auto &load = m_loads[ip];
     const auto now = m_clock.now();
+    if (result.reason == wire::LEAVING) {
+        load.suspectUntil = std::max(load.suspectUntil, now + kInitialSuspicion);
+        return;
+    }
     const bool unreachable = result.reason == wire::LINK_LOST || (result.reason == wire::CONNECT_FAILED && result.load.slots() == 0);
     if (unreachable) {
         const auto length = std::min(kMaxSuspicion, kInitialSuspicion * (1 << std::min(load.failures, 3)));
--- a/src/gateway/gateway_loads.h
+++ b/src/gateway/gateway_loads.h
@@ -17,7 +17,7 @@
     TimePoint reportedAt;
     std::uint32_t inFlight = 0; ///< Calls from this gateway without an answer.
     std::uint32_t sentSinceReport = 0; ///< Calls from this gateway since the report.
-    TimePoint suspectUntil; ///< End of the penalty for a failed connection.
+    TimePoint suspectUntil; ///< End of the penalty for a failed connection or a leaving gateway.
     int failures = 0; ///< Consecutive connection failures.
 };
 
@@ -33,7 +33,7 @@
     void onCallCancelled(const std::string &ip);
 
     const GatewayLoad &at(const std::string &ip) const;
-    /// True if the connection to the gateway failed recently.
+    /// True if the connection to the gateway failed or the gateway refused a call as it was leaving, recently.
     bool isSuspect(const std::string &ip) const;
     /// True if the report is recent enough to be used.
     bool isFresh(const GatewayLoad &load) const;
--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -23,7 +23,11 @@
     MessageChannel::Handlers handlers;
     handlers.onMessage = [this](const Channel &channel, const wire::PeerMessage &message) { receive(channel, message); };
     handlers.onClosed = [this](const Channel &channel, const std::string &) { onChannelClosed(channel); };
-    m_channels[MessageChannel::accept(m_loop, descriptor, peer, std::move(handlers))];
+    const auto channel = MessageChannel::accept(m_loop, descriptor, peer, std::move(handlers));
+    m_connections[channel];
+    if (!m_acceptsCalls) {
+        sendGoAway(channel, 0);
+    }
 }
 
 void PeerServer::receive(const Channel &channel, const wire::PeerMessage &message)
@@ -37,28 +41,67 @@
 
 void PeerServer::startCall(const Channel &channel, const wire::CallRequest &request)
 {
-    auto call = fromWire(request, m_loop.clock().now());
     const auto id = request.call();
-    m_channels[channel][id] = 0;
-    const auto admissionId = m_admission.submit(std::move(call), [this, channel, id](const CallResult &result) {
-        const auto found = m_channels.find(channel);
-        if (found == m_channels.end() || found->second.erase(id) == 0) {
-            return;
+    if (!m_acceptsCalls) {
+        auto result = notRun(wire::LEAVING);
+        result.load = m_admission.loadReport();
+        reply(channel, id, result); // For callers that do not know GoAway.
+        return;
+    }
+    auto &connection = m_connections[channel];
+    connection.lastCall = id;
+    connection.calls[id] = 0;
+    const auto admissionId = m_admission.submit(fromWire(request, m_loop.clock().now()), [this, channel, id](const CallResult &result) {
+        const auto found = m_connections.find(channel);
+        if (found != m_connections.end() && found->second.calls.erase(id) != 0) {
+            reply(channel, id, result);
         }
-        wire::PeerMessage reply;
-        *reply.mutable_reply() = toWire(result);
-        reply.mutable_reply()->set_call(id);
-        channel->send(reply);
     });
-    auto &calls = m_channels[channel];
+    auto &calls = m_connections[channel].calls;
     if (const auto it = calls.find(id); it != calls.end()) {
         it->second = admissionId;
     }
 }
 
+void PeerServer::reply(const Channel &channel, std::uint64_t id, const CallResult &result)
+{
+    wire::PeerMessage message;
+    *message.mutable_reply() = toWire(result);
+    message.mutable_reply()->set_call(id);
+    channel->send(message);
+}
+
+void PeerServer::sendGoAway(const Channel &channel, std::uint64_t lastCall)
+{
+    wire::PeerMessage message;
+    message.mutable_go_away()->set_last_call(lastCall);
+    channel->send(message);
+}
+
+void PeerServer::stopAcceptingCalls()
+{
+    if (!std::exchange(m_acceptsCalls, false)) {
+        return;
+    }
+    const auto copy = m_connections;
+    for (const auto &[channel, connection] : copy) {
+        sendGoAway(channel, connection.lastCall);
+    }
+}
+
+void PeerServer::stopListening()
+{
+    m_listener.reset();
+}
+
+bool PeerServer::isListening() const
+{
+    return m_listener != nullptr;
+}
+
 void PeerServer::cancelCall(const Channel &channel, std::uint64_t id)
 {
-    auto &calls = m_channels[channel];
+    auto &calls = m_connections[channel].calls;
     if (const auto it = calls.find(id); it != calls.end()) {
         const auto admissionId = it->second;
         calls.erase(it);
@@ -68,12 +111,12 @@
 
 void PeerServer::onChannelClosed(const Channel &channel)
 {
-    const auto found = m_channels.find(channel);
-    if (found == m_channels.end()) {
+    const auto found = m_connections.find(channel);
+    if (found == m_connections.end()) {
         return;
     }
-    const auto calls = std::move(found->second);
-    m_channels.erase(found);
+    const auto calls = std::move(found->second.calls);
+    m_connections.erase(found);
     for (const auto &[id, admissionId] : calls) {
         m_admission.cancel(admissionId);
     }
@@ -82,10 +125,15 @@
 std::size_t PeerServer::pendingCount() const
 {
     std::size_t n = 0;
-    for (const auto &[channel, calls] : m_channels) {
-        n += calls.size();
+    for (const auto &[channel, connection] : m_connections) {
+        n += connection.calls.size();
     }
     return n;
 }
 
+std::size_t PeerServer::connectionCount() const
+{
+    return m_connections.size();
+}
+
 } // namespace Toucandeck
--- a/src/gateway/peer_server.h
+++ b/src/gateway/peer_server.h
@@ -19,23 +19,37 @@
 
     /// Number of calls without a reply.
     std::size_t pendingCount() const;
+    std::size_t connectionCount() const;
+
+    /// For graceful shutdown: further calls are not run, and the callers are told so. They close their connections once they have the
+    /// replies to the calls that were accepted before.
+    void stopAcceptingCalls();
+    /// Stops accepting connections.
+    void stopListening();
+    bool isListening() const;
 
 private:
     using Channel = std::shared_ptr<MessageChannel>;
-    /// Ids at the admission by the ids of the caller.
-    using Calls = std::unordered_map<std::uint64_t, std::uint64_t>;
+    struct Connection
+    {
+        std::unordered_map<std::uint64_t, std::uint64_t> calls; ///< Ids at the admission by the ids of the caller.
+        std::uint64_t lastCall = 0; ///< Id of the latest call; callers assign increasing ids.
+    };
 
     PeerServer(EventLoop &loop, BackendAdmission &admission);
     void accept(int descriptor, const std::string &peer);
     void receive(const Channel &channel, const wire::PeerMessage &message);
     void startCall(const Channel &channel, const wire::CallRequest &request);
+    static void reply(const Channel &channel, std::uint64_t id, const CallResult &result);
+    static void sendGoAway(const Channel &channel, std::uint64_t lastCall);
     void cancelCall(const Channel &channel, std::uint64_t id);
     void onChannelClosed(const Channel &channel);
 
     EventLoop &m_loop;
     BackendAdmission &m_admission;
     std::unique_ptr<Listener> m_listener;
-    std::map<Channel, Calls> m_channels;
+    std::map<Channel, Connection> m_connections;
+    bool m_acceptsCalls = true;
 };
 
 } // namespace Toucandeck
--- a/src/gateway/remote_calls.cpp
+++ b/src/gateway/remote_calls.cpp
@@ -9,12 +9,18 @@
     , m_admission(admission)
     , m_ownIp(std::move(ownIp))
 {
+    m_links.setObserver(this);
+}
+
+RemoteCalls::~RemoteCalls()
+{
+    m_links.setObserver(nullptr);
 }
 
 std::uint64_t RemoteCalls::send(const std::string &ip, const Call &call, CallDone done)
 {
     const auto id = m_nextId++;
-    m_pending[id] = { ip, std::move(done), 0 };
+    m_pending[id] = { ip, std::move(done) };
     if (ip == m_ownIp) {
         sendLocal(id, call);
         return id;
@@ -22,10 +28,12 @@
     wire::PeerMessage message;
     *message.mutable_call() = toWire(call, m_loop.clock().now());
     message.mutable_call()->set_call(id);
-    if (m_links.send(ip, message)) {
+    if (m_links.send(ip, message) && m_links.isOpen(ip)) {
         m_links.awaitAnswer(ip);
+        m_pending[id].connection = m_links.connectionTo(ip);
     } else {
-        m_loop.runSoon([this, id] { finish(id, notRun(wire::CONNECT_FAILED)); });
+        const auto reason = m_links.hasGoneAway(ip) ? wire::LEAVING : wire::CONNECT_FAILED;
+        m_loop.runSoon([this, id, reason] { finish(id, notRun(reason)); });
     }
     return id;
 }
@@ -60,12 +68,10 @@
         m_admission.cancel(pending.admissionId);
         return;
     }
-    m_links.onAnswerReceived(pending.ip);
-    if (m_links.isOpen(pending.ip)) {
-        wire::PeerMessage message;
-        message.mutable_cancel()->set_call(id);
-        m_links.send(pending.ip, message);
-    }
+    wire::PeerMessage message;
+    message.mutable_cancel()->set_call(id);
+    m_links.sendOn(pending.ip, pending.connection, message);
+    m_links.onAnswerReceived(pending.ip, pending.connection);
 }
 
 void RemoteCalls::receive(const wire::CallReply &reply)
@@ -74,19 +80,24 @@
     if (found == m_pending.end()) {
         return; // The call was cancelled.
     }
-    m_links.onAnswerReceived(found->second.ip);
+    m_links.onAnswerReceived(found->second.ip, found->second.connection);
     finish(reply.call(), fromWire(reply));
 }
 
-void RemoteCalls::onPeerClosed(const std::string &ip, bool established)
+std::vector<std::uint64_t> RemoteCalls::pendingOn(ConnectionId connection, std::uint64_t first) const
 {
-    std::vector<std::uint64_t> lost;
+    std::vector<std::uint64_t> ids;
     for (const auto &[id, pending] : m_pending) {
-        if (pending.ip == ip) {
-            lost.push_back(id);
+        if (pending.connection == connection && id > first) {
+            ids.push_back(id);
         }
     }
-    for (const auto id : lost) {
+    return ids;
+}
+
+void RemoteCalls::onConnectionClosed(ConnectionId connection, bool established)
+{
+    for (const auto id : pendingOn(connection, 0)) {
         auto result = notRun(wire::CONNECT_FAILED);
         if (established) {
             result.outcome = wire::MAY_HAVE_RUN;
@@ -97,4 +108,14 @@
     }
 }
 
+void RemoteCalls::onGoAway(ConnectionId connection, std::uint64_t lastCall)
+{
+    for (const auto id : pendingOn(connection, lastCall)) {
+        if (const auto found = m_pending.find(id); found != m_pending.end()) {
+            m_links.onAnswerReceived(found->second.ip, connection);
+            finish(id, notRun(wire::LEAVING));
+        }
+    }
+}
+
 } // namespace Toucandeck
--- a/src/gateway/remote_calls.h
+++ b/src/gateway/remote_calls.h
@@ -10,18 +10,22 @@
 {
 
 /// Sends calls to other gateways over peer connections, and calls for the local backend server directly to its admission.
-class RemoteCalls : public CallPort
+class RemoteCalls : public CallPort, public ConnectionObserver
 {
 public:
     RemoteCalls(EventLoop &loop, PeerLinks &links, BackendAdmission &admission, std::string ownIp);
+    ~RemoteCalls() override;
+
+    RemoteCalls(const RemoteCalls &) = delete;
+    RemoteCalls &operator=(const RemoteCalls &) = delete;
 
     std::uint64_t send(const std::string &ip, const Call &call, CallDone done) override;
     void cancel(std::uint64_t id) override;
 
     void receive(const wire::CallReply &reply);
-    /// Handles the end of a connection to a gateway: all pending calls there fail.
-    /// @param established tells whether the calls may have been received, and thus run.
-    void onPeerClosed(const std::string &ip, bool established);
+    /// All calls without an answer on the connection fail; if it was established, they may have run.
+    void onConnectionClosed(ConnectionId connection, bool established) override;
+    void onGoAway(ConnectionId connection, std::uint64_t lastCall) override;
 
 private:
     struct Pending
@@ -29,9 +33,12 @@
         std::string ip;
         CallDone done;
         std::uint64_t admissionId = 0; ///< Id at the local admission; zero for calls to other gateways.
+        ConnectionId connection = 0; ///< Zero for local calls.
     };
 
     void finish(std::uint64_t id, CallResult result);
+    /// Ids of the calls on the connection that are above @p first.
+    std::vector<std::uint64_t> pendingOn(ConnectionId connection, std::uint64_t first) const;
     void sendLocal(std::uint64_t id, const Call &call);
 
     EventLoop &m_loop;
--- a/src/link/peer_links.h
+++ b/src/link/peer_links.h
@@ -10,6 +10,21 @@
 namespace Toucandeck
 {
 
+/// Identifies one connection; never zero and never reused.
+using ConnectionId = std::uint64_t;
+
+/// Is notified about the connections on which answers are awaited.
+class ConnectionObserver
+{
+public:
+    virtual ~ConnectionObserver() = default;
+
+    /// @param established true if the connection had been established, so that sent messages may have arrived.
+    virtual void onConnectionClosed(ConnectionId connection, bool established) = 0;
+    /// The peer shuts down: it does not run calls with an id above @p lastCall and still answers the others.
+    virtual void onGoAway(ConnectionId connection, std::uint64_t lastCall) = 0;
+};
+
 /// Outgoing connections to other processes, one per IP address, opened on the first message. After a failure, the address is retried
 /// only after a short delay.
 class PeerLinks
@@ -23,14 +38,21 @@
     PeerLinks(EventLoop &loop, Logger &logger, SocketAddress ownAddress, MessageHandler messageHandler, CloseHandler closeHandler);
     ~PeerLinks();
 
+    /// The observer must outlive this object or be replaced.
+    void setObserver(ConnectionObserver *observer);
+
     /// Sends a message, opening a connection if necessary. Returns false if the address has recently failed and the retry delay has not
     /// passed.
     bool send(const std::string &peer, const wire::PeerMessage &message);
 
-    /// Registers one pending answer of the peer. While any is pending, the connection is closed if the peer sends no data.
+    /// Registers one pending answer on the open connection to the peer. While any is pending, the connection is closed if the peer sends
+    /// no data.
     void awaitAnswer(const std::string &peer);
     /// Removes one pending answer.
-    void onAnswerReceived(const std::string &peer);
+    void onAnswerReceived(const std::string &peer, ConnectionId connection);
+
+    /// Sends a message on this connection only; does nothing if it is closed.
+    void sendOn(const std::string &peer, ConnectionId connection, const wire::PeerMessage &message);
 
     /// Checks the liveness of the connection to the peer from now on, also while no answer is pending.
     void monitor(const std::string &peer);
@@ -39,22 +61,39 @@
     void closeConnection(const std::string &peer);
 
     bool isOpen(const std::string &peer) const;
+    /// The open connection to the peer; zero if there is none.
+    ConnectionId connectionTo(const std::string &peer) const;
+    /// True after the peer has sent GoAway, until a new connection is opened.
+    bool hasGoneAway(const std::string &peer) const;
     /// Time at which bytes of a message of the peer arrived that is not complete yet; none if no message is being received.
     std::optional<TimePoint> partialReceiveTime(const std::string &peer) const;
 
 private:
-    struct Link
+    struct Connection
     {
+        ConnectionId id = 0;
         std::shared_ptr<MessageChannel> channel;
         int pendingAnswers = 0;
+    };
+
+    struct Link
+    {
+        Connection connection;
         bool monitored = false;
         TimePoint retryAt;
+        bool goneAway = false;
         bool lossLogged = false;
     };
 
     void open(const std::string &peer, Link &link);
-    void onReceived(const std::string &peer, const wire::PeerMessage &message);
-    void onClosed(const std::string &peer, const std::shared_ptr<MessageChannel> &channel, const std::string &reason);
+    void onReceived(const std::string &peer, ConnectionId connection, const wire::PeerMessage &message);
+    void onClosed(const std::string &peer, ConnectionId id, const MessageChannel &channel, const std::string &reason);
+    void onGoAway(const std::string &peer, ConnectionId id, std::uint64_t lastCall);
+    /// Keeps the connection for the pending answers only.
+    void detach(Link &link, Duration retryDelay);
+    void closeIfUnused(ConnectionId id);
+    Connection *find(const std::string &peer, ConnectionId id);
+    void notifyClosed(ConnectionId id, bool established);
     void checkLiveness();
 
     EventLoop &m_loop;
@@ -62,7 +101,10 @@
     SocketAddress m_ownAddress;
     MessageHandler m_messageHandler;
     CloseHandler m_closeHandler;
+    ConnectionObserver *m_observer = nullptr;
     std::map<std::string, Link> m_links;
+    std::map<ConnectionId, Connection> m_detachedConnections; ///< They send no further calls and close after the last pending answer.
+    ConnectionId m_nextId = 1;
     TimePoint m_lastCheck;
     EventLoop::Watch m_checkTimer;
 };
--- /dev/null
+++ b/test/gateway/test_peer_calls.cpp
@@ -0,0 +1,188 @@
+// Guards against calls between gateways that are reported as perhaps run although they were not, or that are lost although they were
+// accepted. Two gateways talk over loopback.
+#include "gateway/gateway.h"
+
+#include "fakes.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Toucandeck;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr const char *kCallerIp = "127.0.0.1";
+constexpr const char *kGatewayIp = "127.0.0.2";
+
+std::uint16_t freePort(const char *ip)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto sa = SocketAddress{ ip, 0 }.toSockaddr();
+    socklen_t n = sizeof(sa);
+    EXPECT_EQ(::bind(descriptor, reinterpret_cast<sockaddr *>(&sa), n), 0);
+    EXPECT_EQ(::getsockname(descriptor, reinterpret_cast<sockaddr *>(&sa), &n), 0);
+    ::close(descriptor);
+    return ntohs(sa.sin_port);
+}
+
+class NoCodec : public ManifestCodec
+{
+public:
+    Result<Manifest> decode(const wire::ManifestDocument &document) const override
+    {
+        Manifest manifest;
+        manifest.version = document.version();
+        return manifest;
+    }
+};
+
+/// The calls of one gateway to others.
+class PeerCallsTest : public testing::Test
+{
+protected:
+    PeerCallsTest()
+        : m_loop(EventLoop::create(m_clock).value())
+        , m_port(freePort(kGatewayIp))
+        , m_callerAdmission(m_clock, m_logger, m_status, m_backend, m_order)
+        , m_links(
+              *m_loop,
+              m_logger,
+              { kCallerIp, m_port },
+              [this](const std::string &, const wire::PeerMessage &message) {
+                  if (message.has_reply()) {
+                      m_calls.receive(message.reply());
+                  }
+              },
+              [](const std::string &, bool, const std::string &) {})
+        , m_calls(*m_loop, m_links, m_callerAdmission, kCallerIp)
+    {
+    }
+
+    std::uint64_t send(const std::string &requestId)
+    {
+        return m_calls.send(
+            kGatewayIp, callNamed(requestId, m_clock), [this, requestId](CallResult result) { m_results[requestId] = std::move(result); });
+    }
+
+    bool runUntil(const std::function<bool()> &condition, Duration limit = seconds(10))
+    {
+        return m_loop->runUntil(condition, limit);
+    }
+
+    SystemClock m_clock;
+    NullLogger m_logger;
+    std::unique_ptr<EventLoop> m_loop;
+    std::uint16_t m_port;
+    FakeBackendStatus m_status;
+    FakeBackend m_backend;
+    UrgencyOrder m_order;
+    BackendAdmission m_callerAdmission;
+    PeerLinks m_links;
+    RemoteCalls m_calls;
+    std::map<std::string, CallResult> m_results;
+};
+
+/// Receives the calls at a PeerServer with a fake backend server.
+class PeerServerTest : public PeerCallsTest
+{
+protected:
+    PeerServerTest()
+        : m_admission(m_clock, m_logger, m_status, m_backend, m_order)
+        , m_server(PeerServer::create(*m_loop, m_admission, { kGatewayIp, m_port }).value())
+    {
+    }
+
+    BackendAdmission m_admission;
+    std::unique_ptr<PeerServer> m_server;
+};
+
+} // namespace
+
+// Guards against calls that cross the end of a gateway on their way and are reported as perhaps run, though the gateway never read them.
+TEST_F(PeerCallsTest, NoCallIsInDoubtWhenAGatewayStopsGracefully)
+{
+    SeededRandom random(1);
+    Metrics metrics;
+    HeaderNames headers;
+    NoCodec codec;
+    GatewayOptions options;
+    options.ip = kGatewayIp;
+    options.failureDomain = "a";
+    options.backend = { kGatewayIp, 1 };
+    options.outbound = { kGatewayIp, freePort(kGatewayIp) };
+    options.peerPort = m_port;
+    auto gateway = Gateway::create({ *m_loop, random, m_logger, metrics, headers, codec }, options).value();
+    int n = 0;
+    const auto sender = m_loop->every(milliseconds(1), [this, &n] { send(std::to_string(n++)); });
+    bool ended = false;
+    gateway->drain([&] {
+        send(std::to_string(n++)); // On its way when the gateway ends.
+        m_loop->runSoon([&] {
+            gateway.reset();
+            ended = true;
+        });
+    });
+    ASSERT_TRUE(runUntil([&ended] { return ended; }));
+    const auto sent = static_cast<std::size_t>(n);
+    ASSERT_TRUE(runUntil([&] { return m_results.size() > sent; }));
+    const auto inDoubt
+        = std::count_if(m_results.begin(), m_results.end(), [](const auto &it) { return it.second.outcome != wire::NOT_RUN; });
+    EXPECT_EQ(inDoubt, 0);
+}
+
+// Guards against losing the answers to the calls that a gateway accepted before it began to stop.
+TEST_F(PeerServerTest, AnswersTheAcceptedCallsAfterItStopsAcceptingCalls)
+{
+    send("accepted");
+    ASSERT_TRUE(runUntil([this] { return m_backend.m_running.size() == 1; }));
+    m_server->stopAcceptingCalls();
+    send("late");
+    ASSERT_TRUE(runUntil([this] { return m_results.count("late") == 1; }));
+    EXPECT_EQ(m_results["late"].outcome, wire::NOT_RUN);
+    EXPECT_EQ(m_results["late"].reason, wire::LEAVING);
+    EXPECT_EQ(m_server->connectionCount(), 1U);
+    m_backend.answerFirst();
+    ASSERT_TRUE(runUntil([this] { return m_results.count("accepted") == 1; }));
+    EXPECT_EQ(m_results["accepted"].outcome, wire::ANSWERED);
+    EXPECT_TRUE(runUntil([this] { return m_server->connectionCount() == 0; }));
+    EXPECT_EQ(m_backend.m_sentRequests, std::vector<std::string>{ "accepted" });
+}
+
+// Guards against calls on a new connection to a gateway that has stopped accepting calls.
+TEST_F(PeerServerTest, RefusesTheCallsOfNewConnectionsAfterItStopsAcceptingCalls)
+{
+    m_server->stopAcceptingCalls();
+    send("late");
+    ASSERT_TRUE(runUntil([this] { return m_results.count("late") == 1; }));
+    EXPECT_EQ(m_results["late"].outcome, wire::NOT_RUN);
+    EXPECT_TRUE(runUntil([this] { return m_server->connectionCount() == 0; }));
+    EXPECT_TRUE(m_backend.m_sentRequests.empty());
+}
+
+// Guards against a call without an answer if the caller is of a version that does not know GoAway.
+TEST_F(PeerServerTest, RepliesToCallersThatDoNotKnowGoAway)
+{
+    std::vector<wire::CallReply> replies;
+    MessageChannel::Handlers handlers;
+    handlers.onMessage = [&replies](const auto &, const wire::PeerMessage &message) {
+        if (message.has_reply()) {
+            replies.push_back(message.reply());
+        }
+    };
+    const auto channel = MessageChannel::connect(*m_loop, { kGatewayIp, m_port }, kCallerIp, std::move(handlers));
+    ASSERT_TRUE(runUntil([this] { return m_server->connectionCount() == 1; }));
+    m_server->stopAcceptingCalls();
+    wire::PeerMessage message;
+    *message.mutable_call() = toWire(callNamed("late", m_clock), m_clock.now());
+    message.mutable_call()->set_call(7);
+    channel->send(message);
+    ASSERT_TRUE(runUntil([&replies] { return !replies.empty(); }));
+    EXPECT_EQ(replies[0].call(), 7U);
+    EXPECT_EQ(replies[0].outcome(), wire::NOT_RUN);
+    EXPECT_EQ(replies[0].reason(), wire::LEAVING);
+    channel->close();
+}
