--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -102,7 +102,7 @@
 TEST_F(PipelinedServerTest, AnswersOneMoreRequestOnAnIdleConnectionWhileDraining)
 {
     constexpr milliseconds kTimeOnTheWay{ 500 };
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     m_exchanges[0]->respond(withBody("first"));
@@ -120,7 +120,7 @@
 // Guards against closing a new connection before its first request has arrived.
 TEST_F(PipelinedServerTest, AnswersTheFirstRequestOfAConnectionWhileClosingIdleOnes)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     m_server->drain();
     m_server->closeIdleConnections();
     m_loop->runUntil([] { return false; }, milliseconds(500));
