Compress manifest updates, once for all gateways of the same version

Cause: the leader made, serialised and sent each gateway its own copy of the change. That is about 400 KB for each of 64 gateways, and the link of the leader carries 21 MB in a second. The time grows with the number of routes and of gateways, so 5,000 routes or a leader's link with other traffic exceed the 2 s again.

Change: an update contains the manifest, or the change of it, as a zlib stream, which the leader makes once for each version that gateways have. A gateway says in its announcement that it accepts this form, so earlier and later processes work together.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -113,6 +113,7 @@
         session.channel = channel;
         session.router = announce.router();
         session.manifestVersion = announce.manifest_version();
+        session.acceptsCompressed = announce.accepts_compressed();
     }
     session.lastAnnounce = announce.sequence();
     recordRouter(announce);
@@ -212,7 +213,7 @@
         return;
     }
     m_readVersion = document.version();
-    m_history.update(document);
+    m_manifestUpdates.setManifest(document);
     m_keyedServices.update(document);
 }
 
@@ -281,7 +282,7 @@
     }
 }
 
-bool FleetController::fillChanges(Session &session, wire::FleetUpdate &update) const
+bool FleetController::fillChanges(Session &session, wire::FleetUpdate &update)
 {
     const auto &state = m_group.state();
     bool changed = fillRouters(session, update);
@@ -303,19 +304,18 @@
     return fillTables(session, update) || changed;
 }
 
-bool FleetController::fillManifest(Session &session, wire::FleetUpdate &update) const
+bool FleetController::fillManifest(Session &session, wire::FleetUpdate &update)
 {
-    const auto &manifest = m_group.state().manifest();
-    if (manifest.version() <= session.manifestVersion) {
+    readManifest();
+    if (m_readVersion <= session.manifestVersion) {
         return false;
     }
-    const bool historyIsCurrent = m_readVersion == manifest.version();
-    if (auto change = historyIsCurrent ? m_history.changesSince(session.manifestVersion) : std::nullopt) {
-        *update.mutable_manifest_change() = std::move(*change);
+    if (session.acceptsCompressed) {
+        m_manifestUpdates.addCompressedTo(update, session.manifestVersion);
     } else {
-        *update.mutable_manifest() = manifest;
+        m_manifestUpdates.addTo(update, session.manifestVersion);
     }
-    session.manifestVersion = manifest.version();
+    session.manifestVersion = m_readVersion;
     return true;
 }
 
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -2,7 +2,7 @@
 
 #include "fleet/key_coordinator.h"
 #include "fleet/keyed_services.h"
-#include "fleet/manifest_history.h"
+#include "fleet/manifest_updates.h"
 #include "fleet/replica_group.h"
 
 #include <map>
@@ -41,6 +41,7 @@
         std::string router;
         std::uint64_t lastAnnounce = 0; ///< Sequence number of the last announcement.
         std::uint64_t manifestVersion = 0;
+        bool acceptsCompressed = false;
         std::uint64_t evacuationRevision = 0;
         bool areEvacuationsSent = false;
         std::vector<std::string> controllers;
@@ -58,11 +59,11 @@
     void pushChanges();
     void fillLease(const Session &session, const wire::InstanceReport &instance, wire::FleetUpdate &update);
     bool fillChangedLease(const Session &session, const std::set<std::string> &changed, wire::FleetUpdate &update);
-    bool fillChanges(Session &session, wire::FleetUpdate &update) const;
+    bool fillChanges(Session &session, wire::FleetUpdate &update);
     bool fillRouters(Session &session, wire::FleetUpdate &update) const;
     bool isListComplete() const;
     void readManifest();
-    bool fillManifest(Session &session, wire::FleetUpdate &update) const;
+    bool fillManifest(Session &session, wire::FleetUpdate &update);
     bool fillTables(Session &session, wire::FleetUpdate &update) const;
     std::vector<KeyHolder> keyHolders() const;
 
@@ -75,9 +76,9 @@
     std::map<std::string, std::uint64_t> m_removedRouters; ///< List revision of the removal, by IP address.
     std::uint64_t m_listRevision = 1;
     std::map<MessageChannel *, Session> m_sessions;
-    ManifestHistory m_history;
+    ManifestUpdates m_manifestUpdates;
     KeyedServices m_keyedServices;
-    std::uint64_t m_readVersion = 0; ///< Manifest version of m_history and m_keyedServices.
+    std::uint64_t m_readVersion = 0; ///< Manifest version of m_manifestUpdates and m_keyedServices.
     bool m_isLeader = false;
     TimePoint m_leaderSince;
     EventLoop::Watch m_timer;
--- a/src/fleet/manifest_history.cpp
+++ b/src/fleet/manifest_history.cpp
@@ -72,6 +72,11 @@
     m_document = document;
 }
 
+const wire::ManifestDocument &ManifestHistory::document() const
+{
+    return m_document;
+}
+
 std::optional<wire::ChangeManifest> ManifestHistory::changesSince(std::uint64_t version) const
 {
     if (version == 0 || version < m_historyStart) {
--- a/src/fleet/manifest_history.h
+++ b/src/fleet/manifest_history.h
@@ -19,6 +19,9 @@
     /// Records the manifest in force. Changes are known since the first recorded manifest.
     void update(const wire::ManifestDocument &document);
 
+    /// The manifest in force.
+    const wire::ManifestDocument &document() const;
+
     /// All changes after @p version, or nothing if they are not known.
     std::optional<wire::ChangeManifest> changesSince(std::uint64_t version) const;
 
--- a/src/gateway/fleet_client.cpp
+++ b/src/gateway/fleet_client.cpp
@@ -119,6 +119,7 @@
     m_instance.addDemand(out);
     out.set_manifest_version(m_view.manifestVersion());
     out.set_leaving(m_leaving);
+    out.set_accepts_compressed(true);
     const auto now = m_loop.clock().now();
     m_lastAnnouncement = now;
     m_sentAnnouncements.push_back({ m_sequence, now });
--- a/src/gateway/fleet_view.cpp
+++ b/src/gateway/fleet_view.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_view.h"
 
+#include "fleet/manifest_updates.h"
 #include "gateway/events.h"
 
 namespace Toucandeck
@@ -28,13 +29,9 @@
 
 bool FleetView::apply(const wire::FleetUpdate &update)
 {
-    bool complete = true;
     m_lastUpdate = m_clock.now();
-    if (update.has_manifest()) {
-        applyManifest(update.manifest());
-    } else if (update.has_manifest_change()) {
-        complete = applyChange(update.manifest_change());
-    }
+    const bool hasManifestParts = update.has_manifest() || update.has_manifest_change() || !update.compressed_manifest().empty();
+    bool complete = applyManifestParts(update);
     if (update.has_evacuations()) {
         m_evacuatedDomains = { update.evacuated().begin(), update.evacuated().end() };
         m_logger.write(GatewayEvents::kEvacuations, { field("evacuated", m_evacuatedDomains.size()), field("term", update.term()) });
@@ -46,13 +43,38 @@
     if (listed) {
         applyGateways(update);
     }
-    if (m_changeHandler
-        && (listed || update.has_manifest() || update.has_manifest_change() || update.has_evacuations() || update.tables_size() > 0)) {
+    if (m_changeHandler && (listed || hasManifestParts || update.has_evacuations() || update.tables_size() > 0)) {
         m_changeHandler();
     }
     return complete;
 }
 
+bool FleetView::applyManifestParts(const wire::FleetUpdate &update)
+{
+    if (!update.compressed_manifest().empty()) {
+        return applyCompressed(update.compressed_manifest());
+    }
+    if (update.has_manifest()) {
+        applyManifest(update.manifest());
+        return true;
+    }
+    return !update.has_manifest_change() || applyChange(update.manifest_change());
+}
+
+bool FleetView::applyCompressed(const std::string &compressed)
+{
+    return handleError(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(update, ManifestUpdates::decompress(compressed));
+            update.clear_compressed_manifest();
+            return applyManifestParts(update);
+        },
+        [this](const Error &error) {
+            logUnreadable(0, error.message);
+            return true;
+        });
+}
+
 void FleetView::applyManifest(const wire::ManifestDocument &document)
 {
     if (document.version() <= manifestVersion()) {
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -75,6 +75,9 @@
         KeyRows keys;
     };
 
+    /// Applies the manifest that the update contains or the changes to it; these return false as apply() does.
+    bool applyManifestParts(const wire::FleetUpdate &update);
+    bool applyCompressed(const std::string &compressed);
     void applyManifest(const wire::ManifestDocument &document);
     bool applyChange(const wire::ChangeManifest &change);
     /// @param received is the part of the manifest that the update contains.
--- a/test/gateway/test_fleet_view.cpp
+++ b/test/gateway/test_fleet_view.cpp
@@ -1,6 +1,8 @@
 // Guards against a gateway that reverts to an older manifest or key table, or loses its state while no controller answers.
 #include "gateway/fleet_view.h"
 
+#include "fleet/manifest_updates.h"
+
 #include <gtest/gtest.h>
 
 using namespace Toucandeck;
@@ -73,6 +75,49 @@
     EXPECT_EQ(m_view.manifestVersion(), 7U);
 }
 
+TEST_F(FleetViewTest, AppliesACompressedManifestAndCompressedChanges)
+{
+    ManifestUpdates updates;
+    int changes = 0;
+    m_view.setChangeHandler([&changes] { ++changes; });
+    for (const std::uint64_t version : { 3, 7 }) {
+        wire::ManifestDocument document;
+        document.set_version(version);
+        (*document.mutable_routes())["r" + std::to_string(version)] = "a.example";
+        updates.setManifest(document);
+        wire::FleetUpdate update;
+        updates.addCompressedTo(update, m_view.manifestVersion());
+        EXPECT_TRUE(m_view.apply(update));
+    }
+    EXPECT_EQ(m_view.manifestVersion(), 7U);
+    EXPECT_EQ(m_view.manifest()->manifest.routes.size(), 1U);
+    EXPECT_EQ(m_view.manifest()->manifest.routes.count("r7"), 1U);
+    EXPECT_EQ(changes, 2);
+}
+
+TEST_F(FleetViewTest, AsksForTheCompleteStateIfACompressedChangeIsOfAnUnknownVersion)
+{
+    ManifestUpdates updates;
+    for (const std::uint64_t version : { 3, 7 }) {
+        wire::ManifestDocument document;
+        document.set_version(version);
+        updates.setManifest(document);
+    }
+    wire::FleetUpdate update;
+    updates.addCompressedTo(update, 3);
+    EXPECT_FALSE(m_view.apply(update));
+    EXPECT_EQ(m_view.manifestVersion(), 0U);
+}
+
+TEST_F(FleetViewTest, KeepsTheManifestInForceIfTheNextCannotBeDecompressed)
+{
+    manifest(7);
+    wire::FleetUpdate update;
+    update.set_compressed_manifest("text");
+    EXPECT_TRUE(m_view.apply(update));
+    EXPECT_EQ(m_view.manifestVersion(), 7U);
+}
+
 TEST_F(FleetViewTest, MergesAnIncompleteListAndReplacesByACompleteOne)
 {
     list({ "a", "b" }, true);
