Keep the connections between controllers at the start of an election

What callers saw: after the loss of a leader, controllers closed their connections to the new candidate as "silent" while they voted for it, and refused to send on them for another 200 ms. Orders, leases and evacuations wait for that long, and an election can fail for it.

Cause: PeerLinks::monitor() starts to measure the silence of a connection from the last data received on it. Connections between followers are opened for join requests at the start and are idle until one of them asks for votes, so that the first check, up to 100 ms after the election started, found many seconds of silence.

Change: monitor() starts the measurement anew when a peer was not monitored before.

The test fails without the change: KeepsAConnectionThatWasIdleBeforeItIsMonitored: Value of: m_links.isOpen("127.0.0.1") Actual: false Expected: true test_link 8 passed.

--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -2,6 +2,8 @@
 
 #include "link/events.h"
 
+#include <utility>
+
 namespace Toucandeck
 {
 
@@ -70,7 +72,10 @@
 
 void PeerLinks::monitor(const std::string &peer)
 {
-    m_links[peer].monitored = true;
+    auto &link = m_links[peer];
+    if (!std::exchange(link.monitored, true) && link.channel) {
+        link.channel->resetLiveness();
+    }
 }
 
 void PeerLinks::closeConnection(const std::string &peer)
--- a/test/link/test_message_channel.cpp
+++ b/test/link/test_message_channel.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 using namespace Toucandeck;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 namespace
@@ -161,6 +162,18 @@
     EXPECT_TRUE(m_links.isOpen("127.0.0.1"));
 }
 
+// Guards against controllers that close their connections to each other at the start of an election, because they were idle before it.
+TEST_F(LinkTest, KeepsAConnectionThatWasIdleBeforeItIsMonitored)
+{
+    listen([this](int descriptor, const std::string &) { echo(descriptor); });
+    send(1);
+    ASSERT_TRUE(m_loop->runUntil([this] { return m_receivedMessages.size() == 1; }, seconds(10)));
+    m_loop->runUntil([] { return false; }, milliseconds(1200));
+    m_links.monitor("127.0.0.1");
+    EXPECT_FALSE(m_loop->runUntil([this] { return !m_closedWasEstablished.empty(); }, seconds(1)));
+    EXPECT_TRUE(m_links.isOpen("127.0.0.1"));
+}
+
 TEST_F(LinkTest, EndsAConnectionThatCarriesNoMessages)
 {
     std::vector<std::string> reasons;
