--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -106,7 +106,10 @@
 
 void PeerLinks::monitor(const std::string &peer)
 {
-    m_links[peer].monitored = true;
+    auto &link = m_links[peer];
+    if (!std::exchange(link.monitored, true) && link.channel) {
+        link.channel->resetLiveness();
+    }
 }
 
 void PeerLinks::closeConnection(const std::string &peer)
