--- a/test/runtime/test_message_socket.cpp
+++ b/test/runtime/test_message_socket.cpp
@@ -135,6 +135,32 @@
     EXPECT_EQ(client->counters().dropped + server->counters().dropped, 0U);
 }
 
+// Guards against a request, answer or record that its receiver drops because a header or the target is not UTF-8.
+TEST_F(MessageSocketTest, CarriesHeadersAndTargetsOfAnyBytes)
+{
+    const std::string bytes = "caf\xe9 \xff";
+    const auto sender = open();
+    const auto receiver = open();
+    std::vector<wire::Envelope> received;
+    receiver->setHandler([&](const wire::Envelope &it) { received.push_back(it); });
+    wire::Envelope envelope;
+    auto &request = *envelope.mutable_forward_request();
+    request.set_method("POST");
+    request.set_target("/" + bytes);
+    request.add_headers()->set_value(bytes);
+    ASSERT_TRUE(sender->send(receiver->address(), envelope));
+    envelope.mutable_forward_reply()->add_headers()->set_value(bytes);
+    ASSERT_TRUE(sender->send(receiver->address(), envelope));
+    envelope.mutable_transfer_records()->add_records()->add_headers()->set_value(bytes);
+    ASSERT_TRUE(sender->send(receiver->address(), envelope));
+    ASSERT_TRUE(runUntil([&] { return received.size() + receiver->counters().undecodable == 3; }));
+    ASSERT_EQ(receiver->counters().undecodable, 0U);
+    EXPECT_EQ(received[0].forward_request().target(), "/" + bytes);
+    EXPECT_EQ(received[0].forward_request().headers(0).value(), bytes);
+    EXPECT_EQ(received[1].forward_reply().headers(0).value(), bytes);
+    EXPECT_EQ(received[2].transfer_records().records(0).headers(0).value(), bytes);
+}
+
 TEST_F(MessageSocketTest, KeepsTheOrderAndDeliversToItself)
 {
     const auto a = open();
