Share the descriptor limit of the programs and the look-up of keyed calls

Both programs raised their limit on file descriptors in the same lines; this is now runtime/descriptor_limit.h. CallRouter looked up in three places whether the service of a call is divided by key; this is now isKeyed(). Behaviour is unchanged.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,10 +1,10 @@
 #include "daemon/daemon.h"
 
 #include "daemon/events.h"
+#include "runtime/descriptor_limit.h"
 
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <sys/resource.h>
 
 using namespace Toucandeck;
 
@@ -16,16 +16,6 @@
       "4 the graceful shutdown timed out with work unfinished.\n"
       "Signals: SIGTERM and SIGINT shut down gracefully, SIGHUP reads log level, limits, tokens and allowed keys again.";
 
-/// Raises the soft limit on file descriptors, which is often 1024, to the hard limit, because it bounds the number of connections.
-void raiseDescriptorLimit()
-{
-    rlimit limit{};
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-        limit.rlim_cur = limit.rlim_max;
-        setrlimit(RLIMIT_NOFILE, &limit);
-    }
-}
-
 int printError(const std::string &file, const Error &error, ExitCode code)
 {
     fmt::print(stderr, "toucandeckd: {}\n{}\n", file, error.message);
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -53,8 +53,7 @@
 
 void CallRouter::attempt(std::uint64_t id, const RoutedCallPtr &it)
 {
-    const auto *service = m_parts.view.service(it->call.service);
-    if (service != nullptr && service->keyed) {
+    if (isKeyed(*it)) {
         attemptKeyed(id, it);
     } else {
         attemptAny(id, it);
@@ -160,6 +159,12 @@
     }
 }
 
+bool CallRouter::isKeyed(const RoutedCall &it) const
+{
+    const auto *service = m_parts.view.service(it.call.service);
+    return service != nullptr && service->keyed;
+}
+
 bool CallRouter::mayRetry(const RoutedCall &it) const
 {
     const auto left = it.call.deadline - m_parts.loop.clock().now();
@@ -184,9 +189,7 @@
                            field("reason", wire::CallReason_Name(result.reason)),
                            field("status", result.response.status),
                            field("next", "repeated") });
-    const auto *service = m_parts.view.service(it->call.service);
-    const bool keyed = service != nullptr && service->keyed;
-    if (!keyed && eligibleGateways(*it).empty()) {
+    if (!isKeyed(*it) && eligibleGateways(*it).empty()) {
         finish(id, it, std::move(result));
         return;
     }
@@ -195,8 +198,7 @@
 
 void CallRouter::onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
 {
-    const auto *service = m_parts.view.service(it->call.service);
-    const bool keyed = service != nullptr && service->keyed;
+    const bool keyed = isKeyed(*it);
     const bool atInstance = result.reason == wire::REFUSED_BY_INSTANCE;
     if (atInstance && (!mayRetry(*it) || !m_budgets.at(it->call.service).tryAcquire())) {
         finish(id, it, std::move(result));
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -90,6 +90,7 @@
     void onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void onFailure(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void waitForHolder(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
+    bool isKeyed(const RoutedCall &it) const;
     bool mayRetry(const RoutedCall &it) const;
     /// True if the request may be retried after it may have run; takes the retry from the budget.
     bool takeRetry(const RoutedCall &it);
