Use the terms of the field in the errors and comments of the HTTP clients

"connection broke" becomes "connection failed", an answer becomes a response, and a limit is exceeded instead of users being told to give up their responses. m_bodies, a budget of bytes, becomes m_bodyBudget. No test, page or event depends on the changed texts.

--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -79,7 +79,7 @@
     void awaitEstablished(std::function<void(bool established, BackendError error)> handler);
 
     /// Prevents the connection from carrying another request with this id, because an extra copy of the response to the earlier one could
-    /// not be told from the response to the later one. After many such ids the connection is not reusable.
+    /// not be distinguished from the response to the later one. After many such ids the connection is not reusable.
     void excludeRequestId(const std::string &requestId);
     /// False if the id was excluded.
     bool mayCarry(const std::string &requestId) const;
--- a/src/http/response_memory.h
+++ b/src/http/response_memory.h
@@ -8,8 +8,8 @@
 namespace Toucandeck
 {
 
-/// Limits the memory of the responses that are being received over several connections. Above the limit the largest response is given up,
-/// so that responses of ordinary size can be received beside very large ones.
+/// Limits the memory of the responses that are being received over several connections. Above the limit the largest response is
+/// discarded, so that very large responses do not prevent the reception of ordinary ones.
 class ResponseMemory
 {
 public:
@@ -18,7 +18,7 @@
     {
     public:
         virtual ~User() = default;
-        /// Gives up the response and frees its memory.
+        /// Discards the response and frees its memory; its request fails.
         virtual void abandonResponse() = 0;
     };
 
@@ -27,8 +27,9 @@
     ResponseMemory(const ResponseMemory &) = delete;
     ResponseMemory &operator=(const ResponseMemory &) = delete;
 
-    /// Sets the memory that the user occupies; zero if it receives no response. Above the limit, users are told to give up their responses
-    /// in the next iteration of the event loop. A user must set its memory to zero before it is destroyed.
+    /// Sets the memory that the user occupies; zero if it receives no response. If the limit is exceeded, abandonResponse() of the users
+    /// with the largest responses is called in the next iteration of the event loop. A user must set its memory to zero before it is
+    /// destroyed.
     void set(User &user, std::size_t bytes);
 
     /// Sum over all users.
--- a/src/runtime/http_client.cpp
+++ b/src/runtime/http_client.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-/// Port of "IP:PORT"; empty if the target has another form.
+/// Host and port of "IP:PORT"; empty if the target has another form.
 std::optional<std::pair<std::string, std::uint16_t>> splitTarget(const std::string &target)
 {
     const auto colon = target.rfind(':');
@@ -48,7 +48,7 @@
     : m_loop(loop)
     , m_options(options)
     , m_logger(logger)
-    , m_bodies(options.maxTotalBodyBytes)
+    , m_bodyBudget(options.maxTotalBodyBytes)
     , m_idleTimer(loop.every(std::max<Duration>(options.idleClose / 4, std::chrono::milliseconds(1)), [this] { closeLongIdle(); }))
 {
 }
@@ -76,7 +76,7 @@
             failSoon(id, std::move(handler), ErrorCode::Overloaded, "all connections to " + target + " are in use");
             return id;
         }
-        pool->all.push_back(std::make_unique<internal::HttpClientConnection>(m_loop, m_options, m_bodies, pool->host, pool->port));
+        pool->all.push_back(std::make_unique<internal::HttpClientConnection>(m_loop, m_options, m_bodyBudget, pool->host, pool->port));
         connection = pool->all.back().get();
     }
     if (!request.header("Host")) {
--- a/src/runtime/http_client.h
+++ b/src/runtime/http_client.h
@@ -25,7 +25,7 @@
 /// Outcome of one HTTP request.
 struct HttpResult
 {
-    std::optional<HttpResponse> response; ///< Empty if no complete answer arrived.
+    std::optional<HttpResponse> response; ///< Empty if no complete response arrived.
     /// Ran if there is a response. Otherwise NotRun if no byte of the request was written, else MayHaveRun.
     Verdict verdict = Verdict::NotRun;
     ErrorCode code = ErrorCode::Unavailable; ///< If there is no response: Unavailable, Overloaded or DeadlineExceeded.
@@ -47,7 +47,7 @@
 
 /// HTTP/1.1 client with persistent connections per target ("IP:PORT"), one request at a time on each.
 /// Requests are never resent: if the connection fails after the first byte was written, the request fails with MayHaveRun.
-/// A connection is closed after an answer that states the verdict not-run, so that a repeated refusal cannot answer another request.
+/// A connection is closed after a response with the verdict not-run, so that a repeated refusal cannot count for another request.
 class HttpClient
 {
 public:
@@ -94,7 +94,7 @@
     EventLoop &m_loop;
     HttpClientOptions m_options;
     Logger &m_logger;
-    internal::ByteBudget m_bodies;
+    internal::ByteBudget m_bodyBudget;
     RequestId m_nextId = 1;
     RequestId m_startingRequest = 0; ///< Request whose send() is in progress.
     std::uint64_t m_staleConnections = 0;
--- a/src/runtime/http_client_connection.cpp
+++ b/src/runtime/http_client_connection.cpp
@@ -19,7 +19,7 @@
 /// Methods whose requests state a length even without a body (RFC 9110, 8.6).
 constexpr std::array<std::string_view, 3> kMethodsWithBody{ "POST", "PUT", "PATCH" };
 
-/// A line break would start another header.
+/// A line break in a value would start another header.
 bool isSafe(const HttpHeader &header)
 {
     constexpr std::string_view kLineBreaks("\r\n\0", 3);
@@ -48,10 +48,10 @@
 } // namespace
 
 HttpClientConnection::HttpClientConnection(
-    EventLoop &loop, const HttpClientOptions &options, ByteBudget &bodies, std::string host, std::uint16_t port)
+    EventLoop &loop, const HttpClientOptions &options, ByteBudget &bodyBudget, std::string host, std::uint16_t port)
     : m_loop(loop)
     , m_options(options)
-    , m_bodies(bodies)
+    , m_bodyBudget(bodyBudget)
     , m_host(std::move(host))
     , m_port(port)
     , m_parser(options.maxHeaderBytes, options.maxBodyBytes)
@@ -70,7 +70,7 @@
     m_written = false;
     m_parser.begin(request.method == "HEAD");
     m_unsentRequest = serialize(request);
-    m_timeout = m_loop.after(timeout, [this] { fail(ErrorCode::DeadlineExceeded, "no complete answer before the deadline"); });
+    m_timeout = m_loop.after(timeout, [this] { fail(ErrorCode::DeadlineExceeded, "no complete response before the deadline"); });
     if (m_established) {
         write();
         return;
@@ -114,7 +114,7 @@
 void HttpClientConnection::readResponse()
 {
     if (!m_done) {
-        close(); // Bytes that no request asked for.
+        close(); // Data without a request in progress.
         return;
     }
     auto *input = bufferevent_get_input(m_stream);
@@ -126,7 +126,7 @@
             return;
         }
         if (!takeBodyBytes()) {
-            fail(ErrorCode::Unavailable, "all answers together are larger than the limit");
+            fail(ErrorCode::Unavailable, "incomplete responses together exceed the size limit");
             return;
         }
         if (m_parser.isComplete()) {
@@ -139,7 +139,7 @@
 bool HttpClientConnection::takeBodyBytes()
 {
     const auto n = m_parser.bodyBytes() - m_takenBodyBytes;
-    if (!m_bodies.take(n)) {
+    if (!m_bodyBudget.take(n)) {
         return false;
     }
     m_takenBodyBytes += n;
@@ -148,7 +148,7 @@
 
 void HttpClientConnection::releaseBodyBytes()
 {
-    m_bodies.release(std::exchange(m_takenBodyBytes, 0));
+    m_bodyBudget.release(std::exchange(m_takenBodyBytes, 0));
 }
 
 void HttpClientConnection::onEvent(short what)
@@ -164,7 +164,7 @@
     } else if ((what & BEV_EVENT_EOF) != 0) {
         onStreamEnd();
     } else {
-        fail(ErrorCode::Unavailable, "connection broke");
+        fail(ErrorCode::Unavailable, "connection failed");
     }
 }
 
@@ -192,13 +192,13 @@
 
 bool HttpClientConnection::keepsAlive(const HttpResponse &response) const
 {
-    // Bytes behind the answer would be read as the answer to the next request, and the rest of this request as the next one.
+    // Data after the response would be read as the next response, and the rest of this request as the next request.
     const auto unread = evbuffer_get_length(bufferevent_get_input(m_stream));
     const auto unwritten = evbuffer_get_length(bufferevent_get_output(m_stream));
     if (!m_parser.keepsAlive() || unread > 0 || unwritten > 0) {
         return false;
     }
-    // Answers carry no request id: a refusal that is repeated later could not be told from the answer to the next request.
+    // Responses contain no request id, so a repeated refusal could not be distinguished from the response to the next request.
     return verdictFromString(response.header("Toucandeck-Verdict").value_or("")) != Verdict::NotRun;
 }
 
--- a/src/runtime/http_client_connection.h
+++ b/src/runtime/http_client_connection.h
@@ -20,8 +20,8 @@
     using Done = std::function<void(HttpResult result)>;
 
     /// @param host IPv4 address.
-    /// @param bodies limits the bodies of all incomplete answers of the client.
-    HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, ByteBudget &bodies, std::string host, std::uint16_t port);
+    /// @param bodyBudget limits the bodies of all incomplete responses of the client.
+    HttpClientConnection(EventLoop &loop, const HttpClientOptions &options, ByteBudget &bodyBudget, std::string host, std::uint16_t port);
     ~HttpClientConnection();
     HttpClientConnection(const HttpClientConnection &) = delete;
     HttpClientConnection &operator=(const HttpClientConnection &) = delete;
@@ -50,12 +50,12 @@
 
     EventLoop &m_loop;
     const HttpClientOptions &m_options;
-    ByteBudget &m_bodies;
+    ByteBudget &m_bodyBudget;
     std::string m_host;
     std::uint16_t m_port;
     bufferevent *m_stream = nullptr;
     HttpResponseParser m_parser;
-    std::size_t m_takenBodyBytes = 0; ///< Taken from m_bodies.
+    std::size_t m_takenBodyBytes = 0; ///< Taken from m_bodyBudget.
     std::string m_unsentRequest; ///< Request that waits for the connection to be established.
     Done m_done;
     bool m_established = false;
