Use the terms of the field in fleet, gateway, link, prove, standin and bench

Comments, two violations of prove_consensus ("is a confirmed leader", "reference map"), two of the audit and one parameter of domain_leave.

Not run: bench_processes, whose change is the name of a parameter.

--- a/bench/processes/domain_leave.cpp
+++ b/bench/processes/domain_leave.cpp
@@ -35,11 +35,11 @@
              toMs(generator.latencyQuantile(0.99)) };
 }
 
-/// Runs load while @p leave takes the domain out and @p comeBack brings it back.
+/// Runs load while @p leave takes the domain out and @p restore puts it back into service.
 Result<LeaveFigures> runWithLoad(Deployment &deployment,
                                  std::uint64_t seed,
                                  const std::function<Result<void>()> &leave,
-                                 const std::function<Result<void>()> &comeBack)
+                                 const std::function<Result<void>()> &restore)
 {
     SeededRandom random(seed);
     Standin::LoadOptions load;
@@ -51,7 +51,7 @@
     runFor(*deployment.loop, kPhase);
     BOOST_LEAF_CHECK(leave());
     runFor(*deployment.loop, kPhase);
-    BOOST_LEAF_CHECK(comeBack());
+    BOOST_LEAF_CHECK(restore());
     runFor(*deployment.loop, kPhase);
     bool finished = false;
     generator.stop([&finished] { finished = true; });
--- a/prove/consensus/fake_cluster.cpp
+++ b/prove/consensus/fake_cluster.cpp
@@ -133,7 +133,7 @@
     const auto *highest = leader();
     for (const auto &it : m_nodes) {
         if (it->replica && it->replica->isConfirmedLeader() && it.get() != highest) {
-            checker.violation(fmt::format("slot {} is sure to lead in term {} although slot {} leads in term {}",
+            checker.violation(fmt::format("slot {} is a confirmed leader in term {} although slot {} leads in term {}",
                                           it->slot,
                                           it->replica->term().value,
                                           highest->slot,
--- a/prove/consensus/fault_driver.cpp
+++ b/prove/consensus/fault_driver.cpp
@@ -252,7 +252,7 @@
                 "slot {} has applied up to {}; {} was acknowledged", n, machine.lastApplied().value, checker.lastAcknowledged().value));
         }
         if (machine.values() != expected) {
-            checker.violation(fmt::format("slot {} differs from the naive map", n));
+            checker.violation(fmt::format("slot {} differs from the reference map", n));
         }
     }
 }
--- a/prove/ownership/world.h
+++ b/prove/ownership/world.h
@@ -18,7 +18,7 @@
 {
 
 /// A simulated deployment: 3 controllers, 4 failure domains, 6 routers of a service without fencing, 4 of a fenced one, 4 of a
-/// service that is not divided by key. Asks for every key at every router each 10 ms.
+/// service that is not divided by key. Requests every key at every router every 10 ms.
 class World
 {
 public:
--- a/prove/policy/model_forwarder.cpp
+++ b/prove/policy/model_forwarder.cpp
@@ -67,7 +67,7 @@
     m_pendingRequests.insert(pending);
     m_retry->countRequest();
     m_simulator.after(call.deadline - m_simulator.now(), [this, pending] { expire(pending); });
-    // Only the owner of the partition may serve a keyed request, so it can't be hedged.
+    // Only the owner of the partition may serve a keyed request, so it cannot be hedged.
     const auto delay = call.key == 0 ? serviceOf(call.service).hedge->hedgeDelay(call.method) : std::nullopt;
     if (delay) {
         m_simulator.after(*delay, [this, pending] { hedge(pending); });
--- a/src/fleet/key_planner.cpp
+++ b/src/fleet/key_planner.cpp
@@ -12,7 +12,7 @@
 {
 
 constexpr double kMinDonorUtilisation = 0.75; ///< Utilisation below which no keys move because of load.
-/// Multiple of the mean utilisation from which a holder releases keys; smaller deviations are within the noise of demand.
+/// Multiple of the mean utilisation from which a holder releases keys; smaller deviations are random variation.
 constexpr double kDonorRatioToMean = 1.25;
 constexpr double kTargetRatioToMean = 1.1; ///< Multiple of the mean utilisation to which donors are lowered and receivers raised.
 constexpr double kMinTargetUtilisation = 0.6; ///< Lower bound of the target, whatever the mean utilisation.
--- a/src/fleet/membership_repair.h
+++ b/src/fleet/membership_repair.h
@@ -12,7 +12,7 @@
 
 /// Decides how the leader of the controllers forms and repairs their membership, one change at a time, without an operator.
 ///
-/// A successor joins before its predecessor is removed: a voter that is only out of reach still has the log, and the other voters may
+/// A successor joins before its predecessor is removed: a voter that is only unreachable still has the log, and the other voters may
 /// need it to form a quorum if disks are lost before the successor has a copy.
 class MembershipRepair
 {
@@ -45,7 +45,7 @@
     const JoiningReplica *firstJoiningReplica(const Membership &membership) const;
     /// Other member with the role that has been silent for longest and at least for @p silence; null if there is none.
     const Member *longestSilentMember(const Membership &membership, ReplicaRole role, Duration silence) const;
-    /// Other voter whose address is now used by a voter that was heard from later; null if there is none.
+    /// Other voter whose address is now used by a voter that sent a later message; null if there is none.
     const Member *replacedVoter(const Membership &membership) const;
     bool hasNewerMessage(ReplicaId replica, ReplicaId other) const;
     /// Time of the last message of the replica, or of the last change of leadership if that is later.
--- a/src/gateway/remote_calls.h
+++ b/src/gateway/remote_calls.h
@@ -20,7 +20,7 @@
 
     void receive(const wire::CallReply &reply);
     /// Handles the end of a connection to a gateway: all pending calls there fail.
-    /// @param established tells whether the calls may have been received, and thus run.
+    /// @param established true if the calls may have been received, and thus run.
     void onPeerClosed(const std::string &ip, bool established);
 
 private:
--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -13,7 +13,8 @@
 constexpr milliseconds kCheckInterval{ 100 };
 constexpr MessageChannel::LivenessTimeouts kLivenessTimeouts{ milliseconds(400), milliseconds(250), milliseconds(1000) };
 constexpr milliseconds kRetryDelay{ 200 };
-/// If the time between two checks exceeds this, this process was suspended or starved, so missing data says nothing about the peer.
+/// If the time between two checks exceeds this, this process was suspended or starved, so missing data does not indicate a failure of the
+/// peer.
 constexpr milliseconds kSuspensionThreshold{ 400 };
 
 } // namespace
--- a/standin/audit.cpp
+++ b/standin/audit.cpp
@@ -53,10 +53,10 @@
             violation(report, report.wrongAnswers, fmt::format("wrong answer to {} attempt {}", record.id, it.number));
         }
         if (it.verdict == Verdict::Ran && isSuccess(it.status) && executions.empty()) {
-            violation(report, report.lost, fmt::format("{} was told ran but never executed", record.id));
+            violation(report, report.lost, fmt::format("{} was reported as ran but never executed", record.id));
         }
         if (it.verdict == Verdict::NotRun && wasExecuted(executions, it.number)) {
-            violation(report, report.falseNotRun, fmt::format("{} attempt {} was told not-run but executed", record.id, it.number));
+            violation(report, report.falseNotRun, fmt::format("{} attempt {} was reported as not-run but executed", record.id, it.number));
         }
     }
     if (!record.idempotent && executions.size() > 1) {
--- a/standin/free_ports.cpp
+++ b/standin/free_ports.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// Below the range that the kernel takes for outgoing connections, so that a port stays free until its process listens.
+// Below the range that the kernel uses for outgoing connections, so that a port stays free until its process listens.
 constexpr std::uint16_t kFirstPort = 12000;
 constexpr std::uint16_t kLastPort = 32000;
 
@@ -31,7 +31,7 @@
 std::vector<std::uint16_t> freePorts(std::size_t count)
 {
     std::vector<std::uint16_t> ports;
-    // Runs that start at the same time begin at different places.
+    // Runs that start at the same time begin with different ports.
     constexpr std::uint32_t kStride = 97;
     const auto range = static_cast<std::uint32_t>(kLastPort - kFirstPort);
     auto offset = static_cast<std::uint32_t>(::getpid()) * kStride % range;
--- a/standin/load_generator.cpp
+++ b/standin/load_generator.cpp
@@ -50,7 +50,7 @@
     , m_runId(fmt::format("{:08x}", random.next() & 0xffffffffU))
 {
     TOUCANDECK_ASSERT(!m_options.routers.empty(), "load needs a router to go to");
-    TOUCANDECK_ASSERT(!m_options.services.empty(), "load needs a service to ask for");
+    TOUCANDECK_ASSERT(!m_options.services.empty(), "the load needs at least one service");
 }
 
 LoadGenerator::~LoadGenerator() = default;
--- a/standin/platform/one_shot_client.h
+++ b/standin/platform/one_shot_client.h
@@ -11,7 +11,7 @@
 public:
     OneShotClient(EventLoop &loop, const SocketAddress &address);
 
-    /// Runs the event loop until the answer is here; nothing if there was none within @p limit.
+    /// Runs the event loop until the response has arrived; nothing if none arrives within @p limit.
     std::optional<HttpResponse> send(const HttpRequest &request, Duration limit);
 
 private:
--- a/standin/platform/platform_backend.h
+++ b/standin/platform/platform_backend.h
@@ -14,7 +14,7 @@
 struct PlatformBackendOptions
 {
     SocketAddress listen; ///< Where it accepts requests.
-    SocketAddress announced; ///< Where its gateway reaches it; another address if a relay stands between.
+    SocketAddress announced; ///< Where its gateway reaches it; another address if a relay is in between.
     SocketAddress control; ///< Of its gateway, for heartbeats.
     std::string service;
     std::string failureDomain;
@@ -23,8 +23,8 @@
     std::uint32_t slots = 9;
 };
 
-/// A backend server as the users' platform describes it: announces itself to the gateway beside it, holds the keys that it is told to
-/// hold and only while their lease lasts, and refuses requests for others.
+/// A backend server as the users' platform describes it: announces itself to the gateway beside it, holds the keys granted to it
+/// until their lease expires, and refuses requests for others.
 class PlatformBackend
 {
 public:
@@ -35,7 +35,7 @@
     Result<void> start();
     /// Ends at once, without deregistering.
     void crash();
-    /// Announces that it drains; leave() follows.
+    /// Announces that it drains. Call leave() afterwards.
     void drain();
     /// Deregisters.
     void leave();
