Monitor the open connection of a peer after the merge

PeerLinks::monitor() named a member that the merged change had moved into Connection. Its test is KeepsAConnectionThatWasIdleBeforeItIsMonitored.

--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -108,8 +108,8 @@
 void PeerLinks::monitor(const std::string &peer)
 {
     auto &link = m_links[peer];
-    if (!std::exchange(link.monitored, true) && link.channel) {
-        link.channel->resetLiveness();
+    if (!std::exchange(link.monitored, true) && link.connection.channel) {
+        link.connection.channel->resetLiveness();
     }
 }
 
