Keep calls pending on a connection whose peer is silent

What callers saw: requests were answered 502 (LINK_LOST, "silent") while their backend servers were at work on them, at gateways in a graceful stop too. The peers were alive: their processes or links were busy for a second.

Cause: a connection between gateways that received nothing for 1 s was closed, and all its calls were taken as perhaps run. A call that may not be repeated gains nothing from that early end; the backend server's work was aborted besides.

Change: after 1 s of silence the connection is kept for its pending calls and takes no new ones; further calls use a new connection, and the choice of gateways avoids the peer as before. A call that may be repeated, and has retries left, is retried elsewhere at once, and its first attempt stays pending beside the retry: the first answer counts, the other attempt is cancelled, and the call fails only when both have failed. All other calls wait for their answer, for their deadline (504), or until the kernel ends the connection (2 s without an acknowledgement). So dead peers are detached as early as before for new calls and for what can be repeated. Connections without an observer (between controllers) are closed after 1 s as before.

The new test on the code before (without its checks of the new silence handler): test_peer_calls.cpp:229: Failure m_results.count("slow") Which is: 1 test_peer_calls.cpp:232: Failure m_results["slow"].outcome Which is: 2 wire::ANSWERED Which is: 0 [ FAILED ] SilentGatewayTest.ACallIsAnsweredAfterItsGatewayWasSilent (1500 ms)

Now 241 of 241 tests of the modules gateway, link, http, platform and fleet pass.

--- a/src/gateway/call_port.h
+++ b/src/gateway/call_port.h
@@ -17,6 +17,9 @@
     /// @return the id for cancel().
     virtual std::uint64_t send(const std::string &ip, const Call &call, CallDone done) = 0;
 
+    /// @p handler is called with the id of each call whose gateway sends nothing for some time; the call may still be answered.
+    virtual void setSilenceHandler(std::function<void(std::uint64_t id)> handler) = 0;
+
     /// Cancels the call, at the other gateway too.
     virtual void cancel(std::uint64_t id) = 0;
 };
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -33,9 +33,13 @@
     , m_retryShare(retryShare)
     , m_loads(parts.loop.clock())
 {
+    parts.port.setSilenceHandler([this](std::uint64_t callId) { onSilence(callId); });
 }
 
-CallRouter::~CallRouter() = default;
+CallRouter::~CallRouter()
+{
+    m_parts.port.setSilenceHandler(nullptr);
+}
 
 std::uint64_t CallRouter::route(Call call, const AttemptPolicy &policy, Done done)
 {
@@ -53,14 +57,19 @@
 
 void CallRouter::attempt(std::uint64_t id, const RoutedCallPtr &it)
 {
-    const auto *service = m_parts.view.service(it->call.service);
-    if (service != nullptr && service->keyed) {
+    if (isKeyed(*it)) {
         attemptKeyed(id, it);
     } else {
         attemptAny(id, it);
     }
 }
 
+bool CallRouter::isKeyed(const RoutedCall &it) const
+{
+    const auto *service = m_parts.view.service(it.call.service);
+    return service != nullptr && service->keyed;
+}
+
 void CallRouter::attemptKeyed(std::uint64_t id, const RoutedCallPtr &it)
 {
     const auto *row = it->call.key ? m_parts.view.holderOf(it->call.service, *it->call.key) : nullptr;
@@ -125,20 +134,87 @@
     it->gateway = ip;
     it->triedGateways.insert(ip);
     it->waitsForHolder = false;
-    ++it->attempts;
+    const auto number = ++it->attempts;
     m_loads.onCallSent(ip);
-    it->callId = m_parts.port.send(ip, it->call, [this, id, it](CallResult result) { onResult(id, it, std::move(result)); });
+    it->callId = m_parts.port.send(ip, it->call, [this, id, it, number](CallResult result) {
+        if (it->silent && it->silent->number == number) {
+            onSilentResult(id, it, std::move(result));
+        } else {
+            onResult(id, it, std::move(result));
+        }
+    });
 }
 
-void CallRouter::onResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
+void CallRouter::recordResult(RoutedCall &it, const std::string &gateway, const CallResult &result)
 {
-    it->callId = 0;
-    if (result.reachedBackend && it->reachedBackends++ == 0) {
+    if (result.reachedBackend && it.reachedBackends++ == 0) {
         // Requests that are refused before they reach a backend server add nothing to the retry budget: the nested calls of a retried
         // run count as retries too, in proportion to the runs.
-        m_budgets.at(it->call.service).countRequest();
+        m_budgets.at(it.call.service).countRequest();
+    }
+    m_loads.onCallAnswered(gateway, result);
+}
+
+void CallRouter::onSilence(std::uint64_t callId)
+{
+    const auto found
+        = std::find_if(m_routedCalls.begin(), m_routedCalls.end(), [callId](const auto &entry) { return entry.second->callId == callId; });
+    if (found == m_routedCalls.end()) {
+        return;
+    }
+    const auto [id, it] = *found;
+    m_loads.onSilence(it->gateway);
+    if (it->silent || (!isKeyed(*it) && eligibleGateways(*it).empty())) {
+        return;
+    }
+    it->silent = SilentAttempt{ it->attempts, std::exchange(it->callId, 0), it->gateway };
+    if (!takeRetry(*it)) {
+        it->callId = it->silent->callId;
+        it->silent.reset();
+        return;
+    }
+    m_parts.logger.write(
+        GatewayEvents::kAttemptFailed,
+        { field("request", it->call.requestId), field("gateway", it->gateway), field("outcome", "SILENT"), field("next", "repeated") });
+    attempt(id, it);
+}
+
+void CallRouter::onSilentResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
+{
+    const auto gateway = it->silent->gateway;
+    it->silent.reset();
+    recordResult(*it, gateway, result);
+    if (result.outcome == wire::ANSWERED && result.response.status != 500) {
+        cancelAttempt(std::exchange(it->callId, 0), it->gateway);
+        it->gateway = gateway;
+        finish(id, it, std::move(result));
+        return;
+    }
+    it->mayHaveRun = it->mayHaveRun || result.outcome != wire::NOT_RUN;
+    if (it->callId == 0 && !it->waitsForHolder) {
+        finish(id, it, std::move(result));
+    }
+}
+
+void CallRouter::cancelAttempt(std::uint64_t callId, const std::string &gateway)
+{
+    if (callId != 0) {
+        m_loads.onCallCancelled(gateway);
+        m_parts.port.cancel(callId);
     }
-    m_loads.onCallAnswered(it->gateway, result);
+}
+
+void CallRouter::cancelSilentAttempt(RoutedCall &it)
+{
+    if (const auto silent = std::exchange(it.silent, std::nullopt)) {
+        cancelAttempt(silent->callId, silent->gateway);
+    }
+}
+
+void CallRouter::onResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
+{
+    it->callId = 0;
+    recordResult(*it, it->gateway, result);
     switch (result.outcome) {
     case wire::ANSWERED:
         if (result.response.status == 500 && takeRetry(*it)) {
@@ -163,7 +239,8 @@
 bool CallRouter::mayRetry(const RoutedCall &it) const
 {
     const auto left = it.call.deadline - m_parts.loop.clock().now();
-    return it.reachedBackends < it.policy.maxAttempts && left > kMinTimeForRetry;
+    const auto reached = it.reachedBackends + (it.silent ? 1 : 0); // A silent attempt may have reached its backend server.
+    return reached < it.policy.maxAttempts && left > kMinTimeForRetry;
 }
 
 bool CallRouter::takeRetry(const RoutedCall &it)
@@ -184,9 +261,7 @@
                            field("reason", wire::CallReason_Name(result.reason)),
                            field("status", result.response.status),
                            field("next", "repeated") });
-    const auto *service = m_parts.view.service(it->call.service);
-    const bool keyed = service != nullptr && service->keyed;
-    if (!keyed && eligibleGateways(*it).empty()) {
+    if (!isKeyed(*it) && eligibleGateways(*it).empty()) {
         finish(id, it, std::move(result));
         return;
     }
@@ -195,8 +270,7 @@
 
 void CallRouter::onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
 {
-    const auto *service = m_parts.view.service(it->call.service);
-    const bool keyed = service != nullptr && service->keyed;
+    const bool keyed = isKeyed(*it);
     const bool atInstance = result.reason == wire::REFUSED_BY_INSTANCE;
     if (atInstance && (!mayRetry(*it) || !m_budgets.at(it->call.service).tryAcquire())) {
         finish(id, it, std::move(result));
@@ -256,10 +330,14 @@
 
 void CallRouter::finish(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
 {
+    if (it->silent && result.outcome != wire::ANSWERED) {
+        return; // The silent attempt may still be answered.
+    }
     if (m_routedCalls.erase(id) == 0) {
         return;
     }
     it->retryTimer.cancel();
+    cancelSilentAttempt(*it);
     if (it->mayHaveRun && result.outcome == wire::NOT_RUN) {
         result.outcome = wire::MAY_HAVE_RUN; // An earlier attempt may have run the request.
     }
@@ -277,10 +355,8 @@
     m_routedCalls.erase(found);
     it->waitsForHolder = false;
     it->retryTimer.cancel();
-    if (it->callId != 0) {
-        m_loads.onCallCancelled(it->gateway);
-        m_parts.port.cancel(it->callId);
-    }
+    cancelAttempt(it->callId, it->gateway);
+    cancelSilentAttempt(*it);
 }
 
 std::size_t CallRouter::pendingCount() const
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -64,6 +64,14 @@
     std::size_t pendingCount() const;
 
 private:
+    /// An attempt whose gateway sends nothing. It stays pending beside its retry, because it may still be answered.
+    struct SilentAttempt
+    {
+        std::uint32_t number = 0;
+        std::uint64_t callId = 0;
+        std::string gateway;
+    };
+
     struct RoutedCall
     {
         Call call;
@@ -77,6 +85,7 @@
         std::string gateway; ///< IP address of the gateway of the current attempt.
         std::uint64_t callId = 0; ///< Id of the current attempt at the port; zero if there is none.
         bool waitsForHolder = false;
+        std::optional<SilentAttempt> silent;
         EventLoop::Watch retryTimer;
     };
 
@@ -87,10 +96,18 @@
     void attemptAny(std::uint64_t id, const RoutedCallPtr &it);
     void sendTo(std::uint64_t id, const RoutedCallPtr &it, const std::string &ip);
     void onResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
+    /// Handles the result of the attempt that is pending beside its retry.
+    void onSilentResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
+    /// Retries a call whose gateway sends nothing, if that is safe.
+    void onSilence(std::uint64_t callId);
+    void recordResult(RoutedCall &it, const std::string &gateway, const CallResult &result);
+    bool isKeyed(const RoutedCall &it) const;
     void onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void onFailure(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void waitForHolder(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     bool mayRetry(const RoutedCall &it) const;
+    void cancelAttempt(std::uint64_t callId, const std::string &gateway);
+    void cancelSilentAttempt(RoutedCall &it);
     /// True if the request may be retried after it may have run; takes the retry from the budget.
     bool takeRetry(const RoutedCall &it);
     std::vector<const ListedGateway *> eligibleGateways(const RoutedCall &it) const;
--- a/src/gateway/gateway_loads.cpp
+++ b/src/gateway/gateway_loads.cpp
@@ -45,9 +45,7 @@
     }
     const bool unreachable = result.reason == wire::LINK_LOST || (result.reason == wire::CONNECT_FAILED && result.load.slots() == 0);
     if (unreachable) {
-        const auto length = std::min(kMaxSuspicion, kInitialSuspicion * (1 << std::min(load.failures, 3)));
-        load.suspectUntil = now + length;
-        ++load.failures;
+        markUnreachable(load);
         return;
     }
     load.failures = 0;
@@ -57,6 +55,18 @@
     load.sentSinceReport = 0;
 }
 
+void GatewayLoads::onSilence(const std::string &ip)
+{
+    markUnreachable(m_loads[ip]);
+}
+
+void GatewayLoads::markUnreachable(GatewayLoad &load) const
+{
+    const auto length = std::min(kMaxSuspicion, kInitialSuspicion * (1 << std::min(load.failures, 3)));
+    load.suspectUntil = m_clock.now() + length;
+    ++load.failures;
+}
+
 const GatewayLoad &GatewayLoads::at(const std::string &ip) const
 {
     static const GatewayLoad unknown;
--- a/src/gateway/gateway_loads.h
+++ b/src/gateway/gateway_loads.h
@@ -29,6 +29,8 @@
 
     void onCallSent(const std::string &ip);
     void onCallAnswered(const std::string &ip, const CallResult &result);
+    /// Handles a gateway that sends nothing although a call there is pending.
+    void onSilence(const std::string &ip);
     /// Handles a call that was cancelled before its answer.
     void onCallCancelled(const std::string &ip);
 
@@ -39,6 +41,8 @@
     bool isFresh(const GatewayLoad &load) const;
 
 private:
+    void markUnreachable(GatewayLoad &load) const;
+
     const Clock &m_clock;
     std::map<std::string, GatewayLoad> m_loads;
 };
--- a/src/gateway/remote_calls.cpp
+++ b/src/gateway/remote_calls.cpp
@@ -56,6 +56,11 @@
     done(std::move(result));
 }
 
+void RemoteCalls::setSilenceHandler(std::function<void(std::uint64_t id)> handler)
+{
+    m_silenceHandler = std::move(handler);
+}
+
 void RemoteCalls::cancel(std::uint64_t id)
 {
     const auto found = m_pending.find(id);
@@ -108,6 +113,15 @@
     }
 }
 
+void RemoteCalls::onConnectionSilent(ConnectionId connection)
+{
+    for (const auto id : pendingOn(connection, 0)) {
+        if (m_silenceHandler && m_pending.count(id) != 0) {
+            m_silenceHandler(id);
+        }
+    }
+}
+
 void RemoteCalls::onGoAway(ConnectionId connection, std::uint64_t lastCall)
 {
     for (const auto id : pendingOn(connection, lastCall)) {
--- a/src/gateway/remote_calls.h
+++ b/src/gateway/remote_calls.h
@@ -20,11 +20,13 @@
     RemoteCalls &operator=(const RemoteCalls &) = delete;
 
     std::uint64_t send(const std::string &ip, const Call &call, CallDone done) override;
+    void setSilenceHandler(std::function<void(std::uint64_t id)> handler) override;
     void cancel(std::uint64_t id) override;
 
     void receive(const wire::CallReply &reply);
     /// All calls without an answer on the connection fail; if it was established, they may have run.
     void onConnectionClosed(ConnectionId connection, bool established) override;
+    void onConnectionSilent(ConnectionId connection) override;
     void onGoAway(ConnectionId connection, std::uint64_t lastCall) override;
 
 private:
@@ -45,6 +47,7 @@
     PeerLinks &m_links;
     BackendAdmission &m_admission;
     std::string m_ownIp;
+    std::function<void(std::uint64_t id)> m_silenceHandler;
     std::unordered_map<std::uint64_t, Pending> m_pending;
     std::uint64_t m_nextId = 1;
 };
--- a/src/link/message_channel.cpp
+++ b/src/link/message_channel.cpp
@@ -164,6 +164,11 @@
     }
 }
 
+bool MessageChannel::isSilent(const LivenessTimeouts &timeouts) const
+{
+    return m_established && m_loop.clock().now() - m_lastReceiveTime >= timeouts.receive;
+}
+
 void MessageChannel::resetLiveness()
 {
     m_lastReceiveTime = m_loop.clock().now();
--- a/src/link/message_channel.h
+++ b/src/link/message_channel.h
@@ -59,6 +59,9 @@
     /// peer can become unreachable without a reset of the connection.
     void checkLiveness(const LivenessTimeouts &timeouts);
 
+    /// True if an established connection has received no data for the time after which checkLiveness() closes it.
+    bool isSilent(const LivenessTimeouts &timeouts) const;
+
     /// Restarts the time that checkLiveness() measures, when this process was suspended or starts to wait for an answer.
     void resetLiveness();
 
--- a/src/link/peer_links.cpp
+++ b/src/link/peer_links.cpp
@@ -66,7 +66,7 @@
     handlers.onMessage = [this, peer, id](const auto &, const wire::PeerMessage &message) { onReceived(peer, id, message); };
     handlers.onClosed = [this, peer, id](const auto &channel, const std::string &reason) { onClosed(peer, id, *channel, reason); };
     link.goneAway = false;
-    link.connection = { id, MessageChannel::connect(m_loop, { peer, m_ownAddress.port }, m_ownAddress.ip, std::move(handlers)) };
+    link.connection = { id, peer, MessageChannel::connect(m_loop, { peer, m_ownAddress.port }, m_ownAddress.ip, std::move(handlers)) };
 }
 
 PeerLinks::Connection *PeerLinks::find(const std::string &peer, ConnectionId id)
@@ -189,14 +189,29 @@
     }
     link.connection = {};
     link.retryAt = m_loop.clock().now() + kRetryDelay;
-    if (!link.lossLogged) {
-        link.lossLogged = true;
-        m_logger.write(LinkEvents::kPeerLost, { field("peer", peer), field("reason", reason) });
-    }
+    logLoss(link, peer, reason);
     notifyClosed(id, established);
     m_closeHandler(peer, established, reason);
 }
 
+void PeerLinks::logLoss(Link &link, const std::string &peer, const std::string &reason)
+{
+    if (!std::exchange(link.lossLogged, true)) {
+        m_logger.write(LinkEvents::kPeerLost, { field("peer", peer), field("reason", reason) });
+    }
+}
+
+void PeerLinks::onSilent(const std::string &peer, ConnectionId id)
+{
+    auto &link = m_links[peer];
+    if (link.connection.id == id) {
+        detach(link, Duration::zero()); // A new connection may work even if this one never recovers.
+    }
+    m_detachedConnections.at(id).silent = true;
+    logLoss(link, peer, "silent");
+    m_observer->onConnectionSilent(id);
+}
+
 void PeerLinks::notifyClosed(ConnectionId id, bool established)
 {
     if (m_observer != nullptr) {
@@ -209,20 +224,37 @@
     const auto now = m_loop.clock().now();
     const bool wasSuspended = now - m_lastCheck > kSuspensionThreshold;
     m_lastCheck = now;
-    std::vector<std::shared_ptr<MessageChannel>> monitored;
+    std::vector<Connection> monitored;
     for (const auto &[peer, link] : m_links) {
         if ((link.monitored || link.connection.pendingAnswers > 0) && link.connection.channel) {
-            monitored.push_back(link.connection.channel);
+            monitored.push_back(link.connection);
         }
     }
     for (const auto &[id, connection] : m_detachedConnections) {
-        monitored.push_back(connection.channel);
+        if (!connection.silent) {
+            monitored.push_back(connection);
+        }
     }
     for (const auto &it : monitored) {
         if (wasSuspended) {
-            it->resetLiveness();
+            it.channel->resetLiveness();
         }
-        it->checkLiveness(kLivenessTimeouts);
+        checkLiveness(it);
+    }
+}
+
+void PeerLinks::checkLiveness(const Connection &connection)
+{
+    // An earlier check may have closed or detached the connection.
+    const auto *current = find(connection.peer, connection.id);
+    if (current == nullptr) {
+        return;
+    }
+    const bool answersPending = m_observer != nullptr && current->pendingAnswers > 0;
+    if (answersPending && connection.channel->isSilent(kLivenessTimeouts)) {
+        onSilent(connection.peer, connection.id);
+    } else {
+        connection.channel->checkLiveness(kLivenessTimeouts);
     }
 }
 
--- a/src/link/peer_links.h
+++ b/src/link/peer_links.h
@@ -21,6 +21,8 @@
 
     /// @param established true if the connection had been established, so that sent messages may have arrived.
     virtual void onConnectionClosed(ConnectionId connection, bool established) = 0;
+    /// The peer sends no data. The connection takes no further messages, but answers that arrive on it later are delivered.
+    virtual void onConnectionSilent(ConnectionId connection) = 0;
     /// The peer shuts down: it does not run calls with an id above @p lastCall and still answers the others.
     virtual void onGoAway(ConnectionId connection, std::uint64_t lastCall) = 0;
 };
@@ -45,8 +47,8 @@
     /// passed.
     bool send(const std::string &peer, const wire::PeerMessage &message);
 
-    /// Registers one pending answer on the open connection to the peer. While any is pending, the connection is closed if the peer sends
-    /// no data.
+    /// Registers one pending answer on the open connection to the peer. While any is pending and the peer sends no data, the connection is
+    /// closed or, if there is an observer, kept for these answers only.
     void awaitAnswer(const std::string &peer);
     /// Removes one pending answer.
     void onAnswerReceived(const std::string &peer, ConnectionId connection);
@@ -72,8 +74,10 @@
     struct Connection
     {
         ConnectionId id = 0;
+        std::string peer;
         std::shared_ptr<MessageChannel> channel;
         int pendingAnswers = 0;
+        bool silent = false;
     };
 
     struct Link
@@ -89,12 +93,15 @@
     void onReceived(const std::string &peer, ConnectionId connection, const wire::PeerMessage &message);
     void onClosed(const std::string &peer, ConnectionId id, const MessageChannel &channel, const std::string &reason);
     void onGoAway(const std::string &peer, ConnectionId id, std::uint64_t lastCall);
+    void onSilent(const std::string &peer, ConnectionId id);
     /// Keeps the connection for the pending answers only.
     void detach(Link &link, Duration retryDelay);
     void closeIfUnused(ConnectionId id);
     Connection *find(const std::string &peer, ConnectionId id);
     void notifyClosed(ConnectionId id, bool established);
+    void logLoss(Link &link, const std::string &peer, const std::string &reason);
     void checkLiveness();
+    void checkLiveness(const Connection &connection);
 
     EventLoop &m_loop;
     Logger &m_logger;
--- a/test/gateway/test_call_router.cpp
+++ b/test/gateway/test_call_router.cpp
@@ -41,6 +41,25 @@
         m_cancelledIds.push_back(id);
     }
 
+    void setSilenceHandler(std::function<void(std::uint64_t id)> handler) override
+    {
+        m_silenceHandler = std::move(handler);
+    }
+
+    /// The gateway of the latest call sends nothing for some time; replyToSilent() replies later.
+    void fallSilent()
+    {
+        m_silentDone = std::exchange(m_pendingDone, nullptr);
+        m_silenceHandler(m_lastId);
+    }
+
+    void replyToSilent(wire::CallOutcome outcome, wire::CallReason reason)
+    {
+        std::swap(m_silentDone, m_pendingDone);
+        reply(outcome, reason, true);
+        std::swap(m_silentDone, m_pendingDone);
+    }
+
     void reply(wire::CallOutcome outcome, wire::CallReason reason, bool reached, int status = 200)
     {
         CallResult result;
@@ -55,6 +74,8 @@
     std::vector<std::string> m_sentTo;
     std::vector<std::uint64_t> m_cancelledIds;
     CallDone m_pendingDone;
+    CallDone m_silentDone;
+    std::function<void(std::uint64_t id)> m_silenceHandler;
     std::uint64_t m_lastId = 0;
 };
 
@@ -182,6 +203,72 @@
     EXPECT_EQ(m_result->reachedBackends, 0U);
 }
 
+// Guards against breaking off a request that may not be repeated because the gateway that runs it is slow to send anything.
+TEST_F(CallRouterTest, ARequestThatIsNotIdempotentWaitsForASilentGateway)
+{
+    route(false, 3);
+    m_port.fallSilent();
+    EXPECT_EQ(m_port.m_sentTo.size(), 1U);
+    ASSERT_FALSE(m_result);
+    m_port.replyToSilent(wire::ANSWERED, wire::NONE);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::ANSWERED);
+}
+
+TEST_F(CallRouterTest, RetriesAnIdempotentRequestWhoseGatewayIsSilent)
+{
+    route(true, 2);
+    m_port.fallSilent();
+    ASSERT_EQ(m_port.m_sentTo.size(), 2U);
+    EXPECT_NE(m_port.m_sentTo[0], m_port.m_sentTo[1]);
+    m_port.reply(wire::ANSWERED, wire::NONE, true);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::ANSWERED);
+    EXPECT_EQ(m_result->gateway, m_port.m_sentTo[1]);
+    EXPECT_EQ(m_port.m_cancelledIds, std::vector<std::uint64_t>{ 1 });
+}
+
+TEST_F(CallRouterTest, TakesTheAnswerOfASilentGatewayBeforeThatOfTheRetry)
+{
+    route(true, 2);
+    m_port.fallSilent();
+    m_port.replyToSilent(wire::ANSWERED, wire::NONE);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::ANSWERED);
+    EXPECT_EQ(m_result->gateway, m_port.m_sentTo[0]);
+    EXPECT_EQ(m_port.m_cancelledIds, std::vector<std::uint64_t>{ 2 });
+}
+
+// Guards against an error of the retry that ends a request which the silent gateway still runs.
+TEST_F(CallRouterTest, FailsOnlyOnceTheSilentGatewayHasFailedToo)
+{
+    route(true, 3);
+    m_port.fallSilent();
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    ASSERT_FALSE(m_result);
+    m_port.replyToSilent(wire::MAY_HAVE_RUN, wire::LINK_LOST);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(m_router.pendingCount(), 0U);
+}
+
+TEST_F(CallRouterTest, CountsASilentGatewayAsABackendServerReached)
+{
+    route(true, 1);
+    m_port.fallSilent();
+    EXPECT_EQ(m_port.m_sentTo.size(), 1U);
+}
+
+TEST_F(CallRouterTest, ACancelledCallIsCancelledAtItsSilentGatewayToo)
+{
+    const auto id = route(true, 2);
+    m_port.fallSilent();
+    m_router.cancel(id);
+    EXPECT_EQ(m_port.m_cancelledIds.size(), 2U);
+    EXPECT_EQ(m_router.pendingCount(), 0U);
+}
+
 TEST_F(CallRouterTest, SendsAKeyedCallToTheHolderAndFollowsAMove)
 {
     setHolder("10.0.0.9", 5);
--- a/test/gateway/test_peer_calls.cpp
+++ b/test/gateway/test_peer_calls.cpp
@@ -86,6 +86,41 @@
     std::map<std::string, CallResult> m_results;
 };
 
+/// The other gateway accepts connections but sends only what a test writes.
+class SilentGatewayTest : public PeerCallsTest
+{
+protected:
+    SilentGatewayTest()
+        : m_listener(Listener::listen(*m_loop, { kGatewayIp, m_port }, [this](int descriptor, const std::string &) {
+                         m_descriptors.push_back(descriptor);
+                     }).value())
+    {
+        m_calls.setSilenceHandler([this](std::uint64_t id) { m_silentCalls.push_back(id); });
+    }
+
+    ~SilentGatewayTest() override
+    {
+        for (const int it : m_descriptors) {
+            ::close(it);
+        }
+    }
+
+    static void writeAnswer(int descriptor, std::uint64_t call)
+    {
+        wire::PeerMessage message;
+        message.mutable_reply()->set_call(call);
+        message.mutable_reply()->set_outcome(wire::ANSWERED);
+        const auto body = message.SerializeAsString();
+        const auto n = htonl(static_cast<std::uint32_t>(body.size()));
+        const auto frame = std::string(reinterpret_cast<const char *>(&n), sizeof n) + body;
+        EXPECT_EQ(::send(descriptor, frame.data(), frame.size(), MSG_NOSIGNAL), static_cast<ssize_t>(frame.size()));
+    }
+
+    std::vector<int> m_descriptors;
+    std::vector<std::uint64_t> m_silentCalls;
+    std::unique_ptr<Listener> m_listener;
+};
+
 /// Receives the calls at a PeerServer with a fake backend server.
 class PeerServerTest : public PeerCallsTest
 {
@@ -186,3 +221,38 @@
     EXPECT_EQ(replies[0].reason(), wire::LEAVING);
     channel->close();
 }
+
+// Guards against breaking off the calls to a gateway that is slow, or behind a full link, for a second.
+TEST_F(SilentGatewayTest, ACallIsAnsweredAfterItsGatewayWasSilent)
+{
+    const auto id = send("slow");
+    m_loop->runUntil([] { return false; }, milliseconds(1500));
+    EXPECT_EQ(m_results.count("slow"), 0U);
+    EXPECT_EQ(m_silentCalls, std::vector<std::uint64_t>{ id });
+    writeAnswer(m_descriptors.at(0), id);
+    ASSERT_TRUE(runUntil([this] { return m_results.count("slow") == 1; }));
+    EXPECT_EQ(m_results["slow"].outcome, wire::ANSWERED);
+}
+
+// Guards against sending further calls on a connection that may never recover.
+TEST_F(SilentGatewayTest, FurtherCallsUseANewConnection)
+{
+    send("first");
+    ASSERT_TRUE(runUntil([this] { return !m_silentCalls.empty(); }));
+    const auto id = send("second");
+    ASSERT_TRUE(runUntil([this] { return m_descriptors.size() == 2; }));
+    writeAnswer(m_descriptors[1], id);
+    ASSERT_TRUE(runUntil([this] { return m_results.count("second") == 1; }));
+    EXPECT_EQ(m_results["second"].outcome, wire::ANSWERED);
+    EXPECT_EQ(m_results.count("first"), 0U);
+}
+
+TEST_F(SilentGatewayTest, ACallFailsWhenItsSilentConnectionEnds)
+{
+    send("lost");
+    ASSERT_TRUE(runUntil([this] { return !m_silentCalls.empty(); }));
+    ::shutdown(m_descriptors.at(0), SHUT_RDWR);
+    ASSERT_TRUE(runUntil([this] { return m_results.count("lost") == 1; }));
+    EXPECT_EQ(m_results["lost"].outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(m_results["lost"].reason, wire::LINK_LOST);
+}
