Give callers that connect late the time to close before a gateway ends

Cause: the time that peers get to close, 1 s, counted from the first GoAway, and had passed when a restarted gateway connected.

Change: it counts from the last GoAway. The gateway stops listening as soon as it is otherwise idle, so no further connection extends the stop; the shutdown limit still bounds it.

The new test on the code before: test_peer_calls.cpp:201: Failure Value of: runUntil([&replies] { return !replies.empty(); }, seconds(1)) Actual: false [ FAILED ] StoppingGatewayTest.RepliesOnAConnectionThatWasOpenedJustBeforeTheEnd (4103 ms)

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -206,11 +206,11 @@
     const bool busy = m_requestHandler.pendingCount() > 0 || m_peers->pendingCount() > 0 || m_outbound->unfinishedRequests() > 0
         || m_outbound->lingeringConnections() > 0;
     m_lastBusy = busy ? now : m_lastBusy;
-    const bool peersClosed = m_peers->connectionCount() == 0 || sinceDrainStart >= peerDrainTime + kPeerCloseTime;
-    const bool finished = peersClosed && sinceDrainStart >= kClientDrainTime && now - m_lastBusy >= kMinIdleTime;
-    if (finished && m_peers->isListening()) {
+    const bool idle = sinceDrainStart >= kClientDrainTime && now - m_lastBusy >= kMinIdleTime;
+    const bool peersClosed = m_peers->connectionCount() == 0 || now - m_peers->lastGoAwayTime() >= kPeerCloseTime;
+    if (idle && m_peers->isListening()) {
         m_peers->stopListening(); // The next check includes the connections accepted until now.
-    } else if (finished || sinceDrainStart >= m_options.shutdownLimit) {
+    } else if ((idle && peersClosed) || sinceDrainStart >= m_options.shutdownLimit) {
         m_drainTimer.cancel();
         m_drainHandler();
     }
--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -76,6 +76,7 @@
     wire::PeerMessage message;
     message.mutable_go_away()->set_last_call(lastCall);
     channel->send(message);
+    m_lastGoAwayTime = m_loop.clock().now();
 }
 
 void PeerServer::stopAcceptingCalls()
@@ -131,6 +132,11 @@
     return n;
 }
 
+TimePoint PeerServer::lastGoAwayTime() const
+{
+    return m_lastGoAwayTime;
+}
+
 std::size_t PeerServer::connectionCount() const
 {
     return m_connections.size();
--- a/src/gateway/peer_server.h
+++ b/src/gateway/peer_server.h
@@ -20,6 +20,8 @@
     /// Number of calls without a reply.
     std::size_t pendingCount() const;
     std::size_t connectionCount() const;
+    /// Time at which a caller was last told that further calls are not run.
+    TimePoint lastGoAwayTime() const;
 
     /// For graceful shutdown: further calls are not run, and the callers are told so. They close their connections once they have the
     /// replies to the calls that were accepted before.
@@ -41,7 +43,7 @@
     void receive(const Channel &channel, const wire::PeerMessage &message);
     void startCall(const Channel &channel, const wire::CallRequest &request);
     static void reply(const Channel &channel, std::uint64_t id, const CallResult &result);
-    static void sendGoAway(const Channel &channel, std::uint64_t lastCall);
+    void sendGoAway(const Channel &channel, std::uint64_t lastCall);
     void cancelCall(const Channel &channel, std::uint64_t id);
     void onChannelClosed(const Channel &channel);
 
@@ -50,6 +52,7 @@
     std::unique_ptr<Listener> m_listener;
     std::map<Channel, Connection> m_connections;
     bool m_acceptsCalls = true;
+    TimePoint m_lastGoAwayTime;
 };
 
 } // namespace Toucandeck
--- a/test/gateway/test_peer_calls.cpp
+++ b/test/gateway/test_peer_calls.cpp
@@ -86,6 +86,29 @@
     std::map<std::string, CallResult> m_results;
 };
 
+/// The other gateway has no backend server and is stopped by the test.
+class StoppingGatewayTest : public PeerCallsTest
+{
+protected:
+    StoppingGatewayTest()
+        : m_random(1)
+    {
+        GatewayOptions options;
+        options.ip = kGatewayIp;
+        options.failureDomain = "a";
+        options.backend = { kGatewayIp, 1 };
+        options.outbound = { kGatewayIp, freePort(kGatewayIp) };
+        options.peerPort = m_port;
+        m_gateway = Gateway::create({ *m_loop, m_random, m_logger, m_metrics, m_headers, m_codec }, options).value();
+    }
+
+    SeededRandom m_random;
+    Metrics m_metrics;
+    HeaderNames m_headers;
+    NoCodec m_codec;
+    std::unique_ptr<Gateway> m_gateway;
+};
+
 /// The other gateway accepts connections but sends only what a test writes.
 class SilentGatewayTest : public PeerCallsTest
 {
@@ -138,26 +161,15 @@
 } // namespace
 
 // Guards against calls that cross the end of a gateway on their way and are reported as perhaps run, though the gateway never read them.
-TEST_F(PeerCallsTest, NoCallIsInDoubtWhenAGatewayStopsGracefully)
+TEST_F(StoppingGatewayTest, NoCallIsInDoubtWhenAGatewayStopsGracefully)
 {
-    SeededRandom random(1);
-    Metrics metrics;
-    HeaderNames headers;
-    NoCodec codec;
-    GatewayOptions options;
-    options.ip = kGatewayIp;
-    options.failureDomain = "a";
-    options.backend = { kGatewayIp, 1 };
-    options.outbound = { kGatewayIp, freePort(kGatewayIp) };
-    options.peerPort = m_port;
-    auto gateway = Gateway::create({ *m_loop, random, m_logger, metrics, headers, codec }, options).value();
     int n = 0;
     const auto sender = m_loop->every(milliseconds(1), [this, &n] { send(std::to_string(n++)); });
     bool ended = false;
-    gateway->drain([&] {
+    m_gateway->drain([&] {
         send(std::to_string(n++)); // On its way when the gateway ends.
         m_loop->runSoon([&] {
-            gateway.reset();
+            m_gateway.reset();
             ended = true;
         });
     });
@@ -169,6 +181,28 @@
     EXPECT_EQ(inDoubt, 0);
 }
 
+// Guards against the end of a gateway while its GoAway is still on its way to a caller behind a full link.
+TEST_F(StoppingGatewayTest, RepliesOnAConnectionThatWasOpenedJustBeforeTheEnd)
+{
+    std::vector<wire::CallReply> replies;
+    MessageChannel::Handlers handlers;
+    handlers.onMessage = [&replies](const auto &, const wire::PeerMessage &message) {
+        if (message.has_reply()) {
+            replies.push_back(message.reply());
+        }
+    };
+    m_gateway->drain([this] { m_loop->runSoon([this] { m_gateway.reset(); }); });
+    m_loop->runUntil([] { return false; }, milliseconds(2400));
+    const auto channel = MessageChannel::connect(*m_loop, { kGatewayIp, m_port }, kCallerIp, std::move(handlers));
+    m_loop->runUntil([] { return false; }, milliseconds(700));
+    wire::PeerMessage message;
+    message.mutable_call()->set_call(7);
+    channel->send(message);
+    EXPECT_TRUE(runUntil([&replies] { return !replies.empty(); }, seconds(1)));
+    channel->close();
+    EXPECT_TRUE(runUntil([this] { return m_gateway == nullptr; }));
+}
+
 // Guards against losing the answers to the calls that a gateway accepted before it began to stop.
 TEST_F(PeerServerTest, AnswersTheAcceptedCallsAfterItStopsAcceptingCalls)
 {
