--- a/test/gateway/test_peer_calls.cpp
+++ b/test/gateway/test_peer_calls.cpp
@@ -86,6 +86,64 @@
     std::map<std::string, CallResult> m_results;
 };
 
+/// The other gateway has no backend server and is stopped by the test.
+class StoppingGatewayTest : public PeerCallsTest
+{
+protected:
+    StoppingGatewayTest()
+        : m_random(1)
+    {
+        GatewayOptions options;
+        options.ip = kGatewayIp;
+        options.failureDomain = "a";
+        options.backend = { kGatewayIp, 1 };
+        options.outbound = { kGatewayIp, freePort(kGatewayIp) };
+        options.peerPort = m_port;
+        m_gateway = Gateway::create({ *m_loop, m_random, m_logger, m_metrics, m_headers, m_codec }, options).value();
+    }
+
+    SeededRandom m_random;
+    Metrics m_metrics;
+    HeaderNames m_headers;
+    NoCodec m_codec;
+    std::unique_ptr<Gateway> m_gateway;
+};
+
+/// The other gateway accepts connections but sends only what a test writes.
+class SilentGatewayTest : public PeerCallsTest
+{
+protected:
+    SilentGatewayTest()
+        : m_listener(Listener::listen(*m_loop, { kGatewayIp, m_port }, [this](int descriptor, const std::string &) {
+                         m_descriptors.push_back(descriptor);
+                     }).value())
+    {
+        m_calls.setSilenceHandler([this](std::uint64_t id) { m_silentCalls.push_back(id); });
+    }
+
+    ~SilentGatewayTest() override
+    {
+        for (const int it : m_descriptors) {
+            ::close(it);
+        }
+    }
+
+    static void writeAnswer(int descriptor, std::uint64_t call)
+    {
+        wire::PeerMessage message;
+        message.mutable_reply()->set_call(call);
+        message.mutable_reply()->set_outcome(wire::ANSWERED);
+        const auto body = message.SerializeAsString();
+        const auto n = htonl(static_cast<std::uint32_t>(body.size()));
+        const auto frame = std::string(reinterpret_cast<const char *>(&n), sizeof n) + body;
+        EXPECT_EQ(::send(descriptor, frame.data(), frame.size(), MSG_NOSIGNAL), static_cast<ssize_t>(frame.size()));
+    }
+
+    std::vector<int> m_descriptors;
+    std::vector<std::uint64_t> m_silentCalls;
+    std::unique_ptr<Listener> m_listener;
+};
+
 /// Receives the calls at a PeerServer with a fake backend server.
 class PeerServerTest : public PeerCallsTest
 {
@@ -103,26 +161,15 @@
 } // namespace
 
 // Guards against calls that cross the end of a gateway on their way and are reported as perhaps run, though the gateway never read them.
-TEST_F(PeerCallsTest, NoCallIsInDoubtWhenAGatewayStopsGracefully)
+TEST_F(StoppingGatewayTest, NoCallIsInDoubtWhenAGatewayStopsGracefully)
 {
-    SeededRandom random(1);
-    Metrics metrics;
-    HeaderNames headers;
-    NoCodec codec;
-    GatewayOptions options;
-    options.ip = kGatewayIp;
-    options.failureDomain = "a";
-    options.backend = { kGatewayIp, 1 };
-    options.outbound = { kGatewayIp, freePort(kGatewayIp) };
-    options.peerPort = m_port;
-    auto gateway = Gateway::create({ *m_loop, random, m_logger, metrics, headers, codec }, options).value();
     int n = 0;
     const auto sender = m_loop->every(milliseconds(1), [this, &n] { send(std::to_string(n++)); });
     bool ended = false;
-    gateway->drain([&] {
+    m_gateway->drain([&] {
         send(std::to_string(n++)); // On its way when the gateway ends.
         m_loop->runSoon([&] {
-            gateway.reset();
+            m_gateway.reset();
             ended = true;
         });
     });
@@ -134,6 +181,28 @@
     EXPECT_EQ(inDoubt, 0);
 }
 
+// Guards against the end of a gateway while its GoAway is still on its way to a caller behind a full link.
+TEST_F(StoppingGatewayTest, RepliesOnAConnectionThatWasOpenedJustBeforeTheEnd)
+{
+    std::vector<wire::CallReply> replies;
+    MessageChannel::Handlers handlers;
+    handlers.onMessage = [&replies](const auto &, const wire::PeerMessage &message) {
+        if (message.has_reply()) {
+            replies.push_back(message.reply());
+        }
+    };
+    m_gateway->drain([this] { m_loop->runSoon([this] { m_gateway.reset(); }); });
+    m_loop->runUntil([] { return false; }, milliseconds(2400));
+    const auto channel = MessageChannel::connect(*m_loop, { kGatewayIp, m_port }, kCallerIp, std::move(handlers));
+    m_loop->runUntil([] { return false; }, milliseconds(700));
+    wire::PeerMessage message;
+    message.mutable_call()->set_call(7);
+    channel->send(message);
+    EXPECT_TRUE(runUntil([&replies] { return !replies.empty(); }, seconds(1)));
+    channel->close();
+    EXPECT_TRUE(runUntil([this] { return m_gateway == nullptr; }));
+}
+
 // Guards against losing the answers to the calls that a gateway accepted before it began to stop.
 TEST_F(PeerServerTest, AnswersTheAcceptedCallsAfterItStopsAcceptingCalls)
 {
@@ -186,3 +255,38 @@
     EXPECT_EQ(replies[0].reason(), wire::LEAVING);
     channel->close();
 }
+
+// Guards against breaking off the calls to a gateway that is slow, or behind a full link, for a second.
+TEST_F(SilentGatewayTest, ACallIsAnsweredAfterItsGatewayWasSilent)
+{
+    const auto id = send("slow");
+    m_loop->runUntil([] { return false; }, milliseconds(1500));
+    EXPECT_EQ(m_results.count("slow"), 0U);
+    EXPECT_EQ(m_silentCalls, std::vector<std::uint64_t>{ id });
+    writeAnswer(m_descriptors.at(0), id);
+    ASSERT_TRUE(runUntil([this] { return m_results.count("slow") == 1; }));
+    EXPECT_EQ(m_results["slow"].outcome, wire::ANSWERED);
+}
+
+// Guards against sending further calls on a connection that may never recover.
+TEST_F(SilentGatewayTest, FurtherCallsUseANewConnection)
+{
+    send("first");
+    ASSERT_TRUE(runUntil([this] { return !m_silentCalls.empty(); }));
+    const auto id = send("second");
+    ASSERT_TRUE(runUntil([this] { return m_descriptors.size() == 2; }));
+    writeAnswer(m_descriptors[1], id);
+    ASSERT_TRUE(runUntil([this] { return m_results.count("second") == 1; }));
+    EXPECT_EQ(m_results["second"].outcome, wire::ANSWERED);
+    EXPECT_EQ(m_results.count("first"), 0U);
+}
+
+TEST_F(SilentGatewayTest, ACallFailsWhenItsSilentConnectionEnds)
+{
+    send("lost");
+    ASSERT_TRUE(runUntil([this] { return !m_silentCalls.empty(); }));
+    ::shutdown(m_descriptors.at(0), SHUT_RDWR);
+    ASSERT_TRUE(runUntil([this] { return m_results.count("lost") == 1; }));
+    EXPECT_EQ(m_results["lost"].outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(m_results["lost"].reason, wire::LINK_LOST);
+}
