--- a/src/fleet/membership_repair.cpp
+++ b/src/fleet/membership_repair.cpp
@@ -17,7 +17,8 @@
 
 std::size_t voterCountIn(const Membership &membership, const std::string &failureDomain)
 {
-    const auto isCounted = [&failureDomain](const Member &it) { return it.role == ReplicaRole::Voter && it.failureDomain == failureDomain; };
+    const auto isCounted
+        = [&failureDomain](const Member &it) { return it.role == ReplicaRole::Voter && it.failureDomain == failureDomain; };
     return static_cast<std::size_t>(std::count_if(membership.members.begin(), membership.members.end(), isCounted));
 }
 
--- a/test/fleet/test_membership_repair.cpp
+++ b/test/fleet/test_membership_repair.cpp
@@ -253,14 +253,20 @@
             m_cluster.requestOrder();
             m_cluster.run(std::chrono::milliseconds(50 + m_random.below(600)));
             if (m_countsOutages) {
-                ASSERT_TRUE(m_cluster.repeatOrder(kAckLimit)) << "no order is acknowledged while no more controllers are lost than tolerated";
+                ASSERT_TRUE(m_cluster.repeatOrder(kAckLimit))
+                    << "no order is acknowledged while no more controllers are lost than tolerated";
             }
         }
         finalFault();
     }
 
 private:
-    enum class Kind { Power, Disk, Removal, Cut };
+    enum class Kind {
+        Power,
+        Disk,
+        Removal,
+        Cut
+    };
     struct Loss
     {
         Kind kind;
