Start controllers whose log has a command that they cannot read

What operators could see: controllers that ended at each start, so that everything they had acknowledged was gone, if their log held the order to evacuate a failure domain whose name is not UTF-8. Such an order is refused since, but an entry from before stays in the log: every controller ended when it applied the entry, and none could get past it.

Cause: protobuf writes a string that is not UTF-8 and refuses to read it; FleetState asserted that every command can be read.

All controllers read the same bytes, so their states stay equal; the order was never acknowledged, because its leader ended as well. An order with this outcome is answered as invalid instead of accepted.

Evidence: FleetStateTest.ACommandThatCannotBeReadHasNoEffect before the change: assertion failed: read (the log must contain only commands that this program wrote) at ../src/fleet/fleet_state.cpp:25 After it test_fleet passes (54 tests). Not run: a controller process on such a log. Not covered by a test: the answer to such an order, which the interface of the platform does not let through.

--- a/src/fleet/events.h
+++ b/src/fleet/events.h
@@ -18,6 +18,9 @@
 inline constexpr Event kStorageFailed{
     10107, LogLevel::Error, "storage_failed", "The log could not be written to storage; the process exits so that a restart reloads it."
 };
+inline constexpr Event kCommandIgnored{
+    10108, LogLevel::Error, "command_ignored", "A committed command cannot be read; it has no effect on any controller."
+};
 inline constexpr Event kOrderDecided{
     10110, LogLevel::Info, "order_decided", "An operator's order was accepted, refused, or could not be decided."
 };
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -21,8 +21,10 @@
 void FleetState::apply(LogIndex index, std::string_view command)
 {
     wire::FleetCommand parsed;
-    const bool read = parsed.ParseFromArray(command.data(), static_cast<int>(command.size()));
-    TOUCANDECK_ASSERT(read, "the log must contain only commands that this program wrote");
+    // A command that cannot be parsed, or is unknown to this version, has no effect on any controller.
+    if (!parsed.ParseFromArray(command.data(), static_cast<int>(command.size()))) {
+        parsed.Clear();
+    }
     auto outcome = CommandOutcome::Conflict;
     switch (parsed.body_case()) {
     case wire::FleetCommand::kChangeManifest:
--- a/src/fleet/manifest_orders.cpp
+++ b/src/fleet/manifest_orders.cpp
@@ -125,12 +125,13 @@
     command.mutable_set_evacuation()->set_failure_domain(failureDomain);
     command.mutable_set_evacuation()->set_active(active);
     m_group.propose(command, [this, order, answer = std::move(answer)](std::optional<CommandOutcome> outcome) {
-        const bool committed = outcome.has_value();
-        reply(order,
-              0,
-              committed ? OrderResult{ OrderVerdict::Accepted, {} }
-                        : OrderResult{ OrderVerdict::Unavailable, "leadership was lost before the commit was known" },
-              answer);
+        OrderResult result{ OrderVerdict::Accepted, {} };
+        if (!outcome) {
+            result = { OrderVerdict::Unavailable, "leadership was lost before the commit was known" };
+        } else if (*outcome == CommandOutcome::Conflict) {
+            result = { OrderVerdict::Invalid, "the order cannot be read" };
+        }
+        reply(order, 0, result, answer);
     });
 }
 
--- a/src/fleet/replica_group.cpp
+++ b/src/fleet/replica_group.cpp
@@ -47,6 +47,9 @@
         if (m_pendingProposals.count(index) != 0) {
             m_outcomes[index] = outcome;
         }
+        if (command.body_case() == wire::FleetCommand::BODY_NOT_SET) {
+            m_parts.logger.write(FleetEvents::kCommandIgnored, { field("index", index.value) });
+        }
         if (m_appliedHandler) {
             m_appliedHandler(index, command, outcome);
         }
--- a/test/fleet/test_fleet_state.cpp
+++ b/test/fleet/test_fleet_state.cpp
@@ -53,6 +53,19 @@
 
 } // namespace
 
+// Guards against controllers that end at each start because their log has a command that they cannot read.
+TEST_F(FleetStateTest, ACommandThatCannotBeReadHasNoEffect)
+{
+    ASSERT_EQ(put("a", 0, 3), CommandOutcome::Applied);
+    wire::FleetCommand command;
+    command.mutable_set_evacuation()->set_failure_domain("\xff");
+    command.mutable_set_evacuation()->set_active(true);
+    EXPECT_EQ(apply(command), CommandOutcome::Conflict);
+    EXPECT_TRUE(m_state.evacuated().empty());
+    EXPECT_EQ(put("b", 3, 7), CommandOutcome::Applied);
+    EXPECT_TRUE(FleetState().restore(m_state.snapshot()));
+}
+
 TEST_F(FleetStateTest, AcceptsOneOfTwoChangesOnTheSameVersion)
 {
     EXPECT_EQ(put("a", 0, 3), CommandOutcome::Applied);
