--- a/src/consensus/core_follower.cpp
+++ b/src/consensus/core_follower.cpp
@@ -140,6 +140,7 @@
 void ReplicaCore::applyEntry(const LogEntry &entry)
 {
     TOUCANDECK_ASSERT(entry.index == m_appliedIndex, "entries are applied once each and in order");
+    m_unsnapshottedBytes += entry.data.size();
     if (entry.kind == EntryKind::Command) {
         m_machine.apply(entry.index, entry.data);
     }
--- a/src/consensus/core_snapshot.cpp
+++ b/src/consensus/core_snapshot.cpp
@@ -8,7 +8,9 @@
 
 void ReplicaCore::takeSnapshotIfDue()
 {
-    if (m_failure || m_appliedIndex.value - snapshotIndex().value < m_options.snapshotInterval) {
+    const bool due
+        = m_appliedIndex.value - snapshotIndex().value >= m_options.snapshotInterval || m_unsnapshottedBytes >= m_options.snapshotBytes;
+    if (m_failure || !due) {
         return;
     }
     const auto index = m_appliedIndex;
@@ -19,9 +21,8 @@
         return;
     }
     m_snapshot = std::move(snapshot);
-    if (index.value > m_options.trailingEntries) {
-        m_log.compactTo(LogIndex{ index.value - m_options.trailingEntries });
-    }
+    m_unsnapshottedBytes = 0;
+    m_log.compactTo(m_log.compactionIndex(index, m_options.trailingEntries, m_options.trailingBytes));
     m_logger.write(ConsensusEvents::kSnapshotTaken, { field("index", index.value), field("bytes", m_snapshot->data.size()) });
 }
 
@@ -103,6 +104,7 @@
     }
     setCommit(snapshot.lastIndex);
     m_appliedIndex = snapshot.lastIndex;
+    m_unsnapshottedBytes = 0;
     m_logger.write(ConsensusEvents::kSnapshotInstalled, { field("index", snapshot.lastIndex.value), field("bytes", snapshot.data.size()) });
     m_snapshot = std::make_shared<const Snapshot>(std::move(snapshot));
 }
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -14,8 +14,10 @@
         || options.electionTimeoutMax <= options.electionTimeoutMin) {
         return fail(ErrorCode::InvalidArgument, "times must satisfy 0 < heartbeat < electionTimeoutMin < electionTimeoutMax");
     }
-    if (options.snapshotInterval == 0 || options.snapshotChunkBytes == 0 || options.appendBytes == 0 || options.appendsInFlight == 0) {
-        return fail(ErrorCode::InvalidArgument, "snapshotInterval, snapshotChunkBytes, appendBytes and appendsInFlight must be positive");
+    if (options.snapshotInterval == 0 || options.snapshotBytes == 0 || options.snapshotChunkBytes == 0 || options.appendBytes == 0
+        || options.appendsInFlight == 0) {
+        return fail(ErrorCode::InvalidArgument,
+                    "snapshotInterval, snapshotBytes, snapshotChunkBytes, appendBytes and appendsInFlight must be positive");
     }
     if (!options.initialMembership.members.empty()) {
         BOOST_LEAF_CHECK(checkMembership(options.initialMembership));
--- a/src/consensus/replica_core.h
+++ b/src/consensus/replica_core.h
@@ -196,6 +196,7 @@
     std::optional<ReplicaId> m_termLeader; ///< Leader of the current term; kept when contact with it is lost.
     LogIndex m_commitIndex;
     LogIndex m_appliedIndex;
+    std::size_t m_unsnapshottedBytes = 0; ///< Data of the entries applied since the last snapshot.
     LogIndex m_leaderCommit; ///< Follower: last entry known to be committed that matches the leader's log; it may not be synced here yet.
     TimePoint m_lastLeaderContact;
     TimePoint m_electionDeadline;
--- a/src/consensus/replica_log.cpp
+++ b/src/consensus/replica_log.cpp
@@ -74,6 +74,20 @@
     }
 }
 
+LogIndex ReplicaLog::compactionIndex(LogIndex last, std::uint64_t maxEntries, std::size_t maxBytes) const
+{
+    auto index = last;
+    std::size_t bytes = 0;
+    while (index > m_baseIndex && last.value - index.value < maxEntries) {
+        bytes += at(index).data.size();
+        if (bytes > maxBytes) {
+            break;
+        }
+        --index.value;
+    }
+    return index;
+}
+
 void ReplicaLog::compactTo(LogIndex index)
 {
     while (m_baseIndex < index) {
--- a/src/consensus/replica_log.h
+++ b/src/consensus/replica_log.h
@@ -34,6 +34,10 @@
     void append(LogEntry entry);
     void truncateFrom(LogIndex index);
 
+    /// Index up to which the log can be compacted so that of the entries up to @p last only the latest stay: at most @p maxEntries entries,
+    /// with at most @p maxBytes bytes of data.
+    LogIndex compactionIndex(LogIndex last, std::uint64_t maxEntries, std::size_t maxBytes) const;
+
     /// Drops the entries up to the index. The entry at the index becomes the base.
     void compactTo(LogIndex index);
 
--- a/src/consensus/replica_options.h
+++ b/src/consensus/replica_options.h
@@ -25,10 +25,13 @@
     Duration electionTimeoutMin = std::chrono::milliseconds(150);
     Duration electionTimeoutMax = std::chrono::milliseconds(300);
 
-    std::uint64_t snapshotInterval = 4096; ///< Entries applied between two snapshots.
+    /// Limits on the entries applied between two snapshots. A replica that loads its log needs several times this memory.
+    std::uint64_t snapshotInterval = 4096;
+    std::size_t snapshotBytes = 8U << 20U;
 
-    /// Entries before the snapshot that stay in memory, so that a replica that lags by fewer entries needs no snapshot.
+    /// Limits on the entries before the snapshot that stay in memory, so that a replica that lags by fewer entries needs no snapshot.
     std::uint64_t trailingEntries = 1024;
+    std::size_t trailingBytes = 4U << 20U;
 
     std::size_t snapshotChunkBytes = 64 * 1024;
     std::size_t appendBytes = 256 * 1024; ///< Maximum size of the entries in an append message; a larger entry is sent alone.
--- a/src/fleet/replica_group.cpp
+++ b/src/fleet/replica_group.cpp
@@ -17,7 +17,7 @@
 /// Several heartbeat intervals, so that a burst of work on a controller with a fraction of a core does not cause an election.
 constexpr milliseconds kElectionTimeoutMin{ 500 };
 constexpr milliseconds kElectionTimeoutMax{ 900 };
-constexpr std::uint64_t kSnapshotInterval = 512; ///< Log entries; bounds the size of the log when manifests are large.
+constexpr std::uint64_t kSnapshotInterval = 512; ///< Log entries.
 constexpr milliseconds kJoinInterval{ 300 };
 constexpr milliseconds kRejoinAfter{ 2000 }; ///< Without a known leader.
 constexpr milliseconds kRepairInterval{ 200 };
--- a/test/consensus/test_snapshots.cpp
+++ b/test/consensus/test_snapshots.cpp
@@ -82,3 +82,29 @@
     ASSERT_TRUE(cluster.runUntil([&] { return cluster.node(lagging).machine.lastApplied() == cluster.checker.lastAcknowledged(); }, 2s));
     EXPECT_FALSE(chunkSent);
 }
+
+// Guards against a log whose few but large entries need more memory to load than a controller has.
+TEST(Snapshots, CompactALogOfFewLargeEntries)
+{
+    constexpr std::size_t kEntryBytes = 1000;
+    constexpr std::size_t kSnapshotEntries = 20; // Per snapshot, by their size.
+    ReplicaOptions options;
+    options.snapshotBytes = kSnapshotEntries * kEntryBytes;
+    options.trailingBytes = kSnapshotEntries * kEntryBytes;
+    FakeCluster cluster(44, 3, options);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.leader() != nullptr && cluster.leader()->replica->isLeaderReady(); }, 3s));
+    for (std::size_t n = 1; n <= 5 * kSnapshotEntries; ++n) {
+        ASSERT_TRUE(cluster.propose(cluster.leader()->slot, fmt::format("k{}={}", n, std::string(kEntryBytes, 'x'))));
+        ASSERT_TRUE(cluster.runUntil([&] { return cluster.checker.acknowledgedCount() == n; }, 1s));
+    }
+    cluster.run(200ms);
+    const int lagging = (cluster.leader()->slot + 1) % 3;
+    for (int n = 0; n < 3; ++n) {
+        EXPECT_LE(cluster.node(n).store.syncedState().entries.size(), kSnapshotEntries + 1);
+    }
+    cluster.crash(lagging);
+    cluster.start(lagging);
+    ASSERT_TRUE(cluster.runUntil([&] { return cluster.node(lagging).machine.lastApplied() == cluster.checker.lastAcknowledged(); }, 2s));
+    EXPECT_EQ(cluster.node(lagging).machine.values(), cluster.checker.referenceValues());
+    EXPECT_TRUE(cluster.checker.violations().empty());
+}
