Answer operators whose requests are not UTF-8 instead of ending the process

What operators could see in toucandeckd: one request with a byte above 0x7f in its path ended the controller that received it; the same held for such a byte in the id of a controller or in a column of an imported table, which ended the leader. An imported table whose request id has such a byte was answered 503 ("the edit may have been accepted") each time, and never accepted.

Cause: messages of errors quote the request; the writer of JSON throws for bytes that are not UTF-8, and nothing catches an exception in a handler of the event loop. The request id of an edit is a field of type string of a command, which protobuf writes and refuses to read; ClusterState then ignores the command.

Change: answers to operators are written with replacement characters.

Evidence, before the change: ControllerRoleTest.QuotesBytesThatAreNotUtf8InValidJson: C++ exception with description "[json.exception.type_error.316] invalid UTF-8 byte at index 26: 0xFF" thrown in the test body.

--- a/src/daemon/operator_http.cpp
+++ b/src/daemon/operator_http.cpp
@@ -32,7 +32,10 @@
 
 HttpResponse jsonResponse(int status, const nlohmann::json &body)
 {
-    return { status, { { "Content-Type", "application/json" } }, body.dump() + '\n' };
+    // Messages quote what operators sent, which may not be UTF-8; dump() would throw.
+    constexpr int kCompact = -1;
+    const auto text = body.dump(kCompact, ' ', false, nlohmann::json::error_handler_t::replace);
+    return { status, { { "Content-Type", "application/json" } }, text + '\n' };
 }
 
 HttpResponse errorResponse(const Error &error)
--- a/test/daemon/test_controller_role.cpp
+++ b/test/daemon/test_controller_role.cpp
@@ -201,3 +201,35 @@
     const auto [column, second] = operate("POST", "/v1/table/edit", weightEdit("b", "heavy", 0));
     EXPECT_EQ(column, 400);
 }
+
+// Guards against a controller that ends because it cannot quote such bytes in the JSON of its answer.
+TEST_F(ControllerRoleTest, QuotesBytesThatAreNotUtf8InValidJson)
+{
+    EXPECT_EQ(call(0, "GET", "/v1/\xff", "", "wrong").response->status, 401);
+    EXPECT_EQ(call(0, "GET", "/v1/\xff", "").response->status, 404);
+    EXPECT_EQ(operate("POST", "/v1/controllers/remove?replica=%ff").first, 400);
+    EXPECT_EQ(operate("POST", "/v1/table/import?request_id=a", "serv\xff,\xff\nx,y\n").first, 400);
+    const auto events = call(0, "GET", "/v1/events", "");
+    EXPECT_EQ(events.response->status, 200);
+    EXPECT_TRUE(json::accept(events.response->body));
+}
+
+// Guards against an edit that is never acknowledged because its request id is not UTF-8.
+TEST_F(ControllerRoleTest, AcceptsAnEditWhoseRequestIdIsNotUtf8)
+{
+    const std::string table = "service,failure_domain,instance,weight,revision\nclue-svc,*,*,50,0\n";
+    const auto [status, answer] = operate("GET", "/v1/table");
+    ASSERT_EQ(status, 200);
+    std::vector<json> revisions;
+    for (int n = 0; n < 2; ++n) {
+        for (const auto &[slot, controller] : controllers) {
+            const auto result = call(slot, "POST", "/v1/table/import?request_id=%ff", table);
+            if (result.response && result.response->status != 421) {
+                EXPECT_EQ(result.response->status, 200) << result.response->body;
+                revisions.push_back(json::parse(result.response->body, nullptr, false)["revision"]);
+            }
+        }
+    }
+    ASSERT_EQ(revisions.size(), 2U);
+    EXPECT_EQ(revisions[0], revisions[1]);
+}
