Refuse JSON that is nested too deeply instead of exhausting the stack

What callers could see: one heartbeat or order whose body has some hundred thousand opening brackets ended the gateway or controller that received it with code 139, and with it every request in progress there. The order is sent again to each further controller. In toucandeckd the same held for the edit of a table.

Cause: the parser of the library needs no stack per level, but copying a value and writing it recurse. JsonFields::value() copies each field that is read, and readPut() writes the request to identify it.

Change: parseJson() refuses documents that are nested deeper than 64 levels, and operators' requests to toucandeckd are parsed by it too.

Evidence, before the change: test_platform, Codecs.RefuseADeeplyNestedBody: Segmentation fault, exit code 139; test_daemon ended within ControllerRoleTest.RefusesADeeplyNestedEdit without a result. Not run: the time that the additional pass over a large manifest takes.

--- a/src/config/json_fields.cpp
+++ b/src/config/json_fields.cpp
@@ -1,5 +1,6 @@
 #include "config/json_fields.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -8,6 +9,34 @@
 
 using nlohmann::json;
 
+namespace
+{
+
+constexpr std::size_t kMaxNestingDepth = 64; ///< Values are copied and written recursively.
+
+/// Largest number of objects and arrays that contain each other in the JSON text.
+std::size_t nestingDepth(std::string_view text)
+{
+    std::size_t depth = 0;
+    std::size_t deepest = 0;
+    bool inString = false;
+    for (std::size_t n = 0; n < text.size(); ++n) {
+        const char c = text[n];
+        if (inString && c == '\\') {
+            ++n;
+        } else if (c == '"') {
+            inString = !inString;
+        } else if (!inString && (c == '[' || c == '{')) {
+            deepest = std::max(deepest, ++depth);
+        } else if (!inString && (c == ']' || c == '}')) {
+            depth -= std::min<std::size_t>(depth, 1);
+        }
+    }
+    return deepest;
+}
+
+} // namespace
+
 Result<JsonFields> JsonFields::of(const json &value, std::string where)
 {
     if (!value.is_object()) {
@@ -116,6 +145,9 @@
 
 Result<json> parseJson(std::string_view text)
 {
+    if (nestingDepth(text) > kMaxNestingDepth) {
+        return fail(ErrorCode::InvalidArgument, fmt::format("not valid JSON: nested deeper than {} levels", kMaxNestingDepth));
+    }
     try {
         return json::parse(text);
     } catch (const json::parse_error &error) {
--- a/src/config/json_fields.h
+++ b/src/config/json_fields.h
@@ -45,7 +45,8 @@
     std::string m_where;
 };
 
-/// Parses a document. Errors: InvalidArgument, with the position.
+/// Parses a document. Errors: InvalidArgument, with the position; also for a document that is nested so deeply that copying or writing its
+/// values could exhaust the stack.
 Result<nlohmann::json> parseJson(std::string_view text);
 
 /// Reads a time with its unit. Errors: InvalidArgument.
--- a/src/daemon/operator_json.cpp
+++ b/src/daemon/operator_json.cpp
@@ -1,5 +1,6 @@
 #include "daemon/operator_json.h"
 
+#include "config/json_fields.h"
 #include "state/table_columns.h"
 
 #include <charconv>
@@ -195,7 +196,7 @@
 
 Result<wire::EditTable> editFromJson(const std::string &body, bool &force)
 {
-    const auto edit = json::parse(body, nullptr, false);
+    BOOST_LEAF_AUTO(edit, parseJson(body));
     if (!edit.is_object()) {
         return fail(ErrorCode::InvalidArgument, "the body must be a JSON object");
     }
@@ -219,7 +220,7 @@
 
 Result<Membership> membershipFromJson(const std::string &body)
 {
-    const auto parsed = json::parse(body, nullptr, false);
+    BOOST_LEAF_AUTO(parsed, parseJson(body));
     if (!parsed.is_object() || !parsed.contains("members") || !parsed["members"].is_array()) {
         return fail(ErrorCode::InvalidArgument, "the body must be a JSON object with an array 'members'");
     }
--- a/test/daemon/test_controller_role.cpp
+++ b/test/daemon/test_controller_role.cpp
@@ -233,3 +233,12 @@
     ASSERT_EQ(revisions.size(), 2U);
     EXPECT_EQ(revisions[0], revisions[1]);
 }
+
+// Guards against a controller that ends because the values of a deeply nested body exhaust its stack.
+TEST_F(ControllerRoleTest, RefusesADeeplyNestedEdit)
+{
+    constexpr std::size_t kDepth = 200'000;
+    const auto nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    const auto edit = R"({"request_id":"a","edits":[{"row":"clue-svc/*/*","set":{"weight":"50"},"seen_revision":)" + nested + "}]}";
+    EXPECT_EQ(operate("POST", "/v1/table/edit", edit).first, 400);
+}
--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -165,6 +165,22 @@
     EXPECT_NO_THROW(nlohmann::json(message).dump());
 }
 
+// Guards against a process that ends because the values of a deeply nested body exhaust its stack.
+TEST(Codecs, RefuseADeeplyNestedBody)
+{
+    constexpr std::size_t kDepth = 1'000'000;
+    const auto nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    EXPECT_FALSE(readsHeartbeat("{\"born\":" + nested + "}"));
+    const auto isOrderRead = handleError(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(ManifestJson::readPut("{\"version\":1,\"routes\":{\"r\":" + nested + "}}"));
+            return true;
+        },
+        [](const Error &) { return false; });
+    EXPECT_FALSE(isOrderRead);
+    EXPECT_TRUE(parseJson("[\"" + nested + "\"]")) << "brackets in a string do not nest";
+}
+
 TEST(HeartbeatJson, WritesHoldsOnlyWhenThereIsALease)
 {
     EXPECT_EQ(writeHeartbeatAnswer(std::nullopt), "{}");
