--- a/src/fleet/replica_group.cpp
+++ b/src/fleet/replica_group.cpp
@@ -17,7 +17,7 @@
 /// Several heartbeat intervals, so that a burst of work on a controller with a fraction of a core does not cause an election.
 constexpr milliseconds kElectionTimeoutMin{ 500 };
 constexpr milliseconds kElectionTimeoutMax{ 900 };
-constexpr std::uint64_t kSnapshotInterval = 512; ///< Log entries; bounds the size of the log when manifests are large.
+constexpr std::uint64_t kSnapshotInterval = 512; ///< Log entries.
 constexpr milliseconds kJoinInterval{ 300 };
 constexpr milliseconds kRejoinAfter{ 2000 }; ///< Without a known leader.
 constexpr milliseconds kRepairInterval{ 200 };
@@ -47,6 +47,9 @@
         if (m_pendingProposals.count(index) != 0) {
             m_outcomes[index] = outcome;
         }
+        if (command.body_case() == wire::FleetCommand::BODY_NOT_SET) {
+            m_parts.logger.write(FleetEvents::kCommandIgnored, { field("index", index.value) });
+        }
         if (m_appliedHandler) {
             m_appliedHandler(index, command, outcome);
         }
