Analyse the fixtures of the tests of BackendConnection only once

The linter spent most of its time on some tests in the static analyser, not in parsing: 76 of 86 s for test_response_limits.cpp (7 to 10 s in each body of a test), since the analyser follows each visible function of the fixture again in every test that calls it, and its constructor in the constructor of every test. The fixtures are now defined in source files of their own, where each function is analysed once. Checks, rules and tests are the same.

Heavy headers matter less: parsing takes 2.6 s of 13.4 s for http_client_connection.cpp, and Boost.LEAF without diagnostics and capture changed nothing (13.4 s).

Run: test_http, all 61 passed. Not measured: the linter on an empty cache.

--- a/test/http/backend_fixture.h
+++ b/test/http/backend_fixture.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "http/backend_connection.h"
-#include "link/free_port.h"
 #include "link/listener.h"
 #include "runtime/raw_socket.h"
 
@@ -13,30 +12,19 @@
 {
 
 /// A backend server on loopback that accepts connections and sends only what the test writes.
+///
+/// Not inline, as the static analyser follows inline functions again in each test that calls them.
 class BackendFixture : public testing::Test
 {
 protected:
     static constexpr Duration kLimit = std::chrono::seconds(5);
 
-    BackendFixture()
-        : m_loop(EventLoop::create(m_clock).value())
-        , m_address{ "127.0.0.1", freePort() }
-    {
-        m_listener = Listener::listen(*m_loop, m_address, [this](int descriptor, const std::string &) {
-                         m_accepted = std::make_unique<RawSocket>(descriptor);
-                     }).value();
-    }
-
-    bool runUntil(const std::function<bool()> &done)
-    {
-        return m_loop->runUntil(done, kLimit);
-    }
+    BackendFixture();
+    ~BackendFixture() override;
 
+    bool runUntil(const std::function<bool()> &done);
     /// True once the backend server has received the text.
-    bool hasReceived(const std::string &text)
-    {
-        return m_accepted && m_accepted->receivedText().find(text) != std::string::npos;
-    }
+    bool hasReceived(const std::string &text);
 
     SystemClock m_clock;
     std::unique_ptr<EventLoop> m_loop;
--- a/test/http/test_response_limits.cpp
+++ b/test/http/test_response_limits.cpp
@@ -1,70 +1,11 @@
 // Guards against responses without end: they must end their request and connection at a limit.
-#include "backend_fixture.h"
+#include "response_limits_fixture.h"
 
 using namespace Toucandeck;
 
 namespace
 {
 
-constexpr std::size_t kKiB = 1024;
-constexpr std::size_t kMiB = 1024 * kKiB;
-constexpr std::size_t kSocketBuffers = 16 * kMiB; ///< Bytes that the kernel may hold beyond those that the connection has read.
-constexpr std::size_t kGiveUpBytes = 64 * kMiB;
-
-class ResponseLimitsTest : public BackendFixture
-{
-protected:
-    ResponseLimitsTest()
-    {
-        m_connection = std::make_unique<BackendConnection>(*m_loop, m_address, "X-Id");
-        HttpRequest request;
-        request.headers.push_back({ "X-Id", "one" });
-        m_connection->send(request, "one", [this](BackendResult result) { m_result = std::move(result); });
-        EXPECT_TRUE(runUntil([this] { return hasReceived("\r\n\r\n"); }));
-    }
-
-    /// Sends the start, then the unit again and again until the request ends. Returns the number of bytes sent.
-    std::size_t flood(const std::string &start, const std::string &unit)
-    {
-        std::string units;
-        while (units.size() < 64 * kKiB) {
-            units += unit;
-        }
-        m_accepted->write(start);
-        std::size_t sent = start.size();
-        std::size_t offset = 0; // The unit that was sent in part is continued.
-        runUntil([this, &units, &sent, &offset] {
-            const auto n = m_accepted->tryWrite(std::string_view(units).substr(offset));
-            sent += n;
-            offset = (offset + n) % units.size();
-            return m_result.has_value() || sent > kGiveUpBytes;
-        });
-        return sent;
-    }
-
-    void expectEndsWithin(std::size_t limit, const std::string &start, const std::string &unit)
-    {
-        EXPECT_LT(flood(start, unit), limit + kSocketBuffers);
-        ASSERT_TRUE(m_result);
-        EXPECT_EQ(m_result->error, BackendError::InvalidResponse);
-        EXPECT_FALSE(m_connection->isReusable());
-        EXPECT_TRUE(runUntil([this] { return m_accepted->isClosed(); }));
-    }
-
-    /// Sends a whole response in parts that fit into the socket.
-    void answer(const std::string &text)
-    {
-        std::size_t sent = 0;
-        EXPECT_TRUE(runUntil([this, &text, &sent] {
-            sent += m_accepted->tryWrite(std::string_view(text).substr(sent));
-            return m_result.has_value();
-        }));
-    }
-
-    std::unique_ptr<BackendConnection> m_connection;
-    std::optional<BackendResult> m_result;
-};
-
 const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: one\r\n";
 
 } // namespace
