Cover connections to controllers, unanswered requests and lost disks in the fleet soak

- Relays carry the connections of gateways to controllers; they are cut one way or both, delayed and reset.
No new check belongs to this.
A gateway that never leaves a silent controller and counts its leases from their receipt was caught by the check for service after the faults; no planted fault that only these disturbances show was tried.
The relay takes any loopback address as its target, so backend servers need no port derived from the process id, which could be the same in two runs with many gateways.
- A gateway must end by itself within 6 s of SIGTERM, with exit code 0.
- A process that ends without a signal is a violation.
- At the end, right after a manifest is acknowledged, all processes are killed and two controllers lose their disks: the one that acknowledged and another.
The manifest must be read back, and service must return.

A process that ends within a second of its start is not counted by the platform's rules, so the exit code is not checked, and SIGHUP is not sent, in that second.

--- a/prove/fleet/faults.cpp
+++ b/prove/fleet/faults.cpp
@@ -10,6 +10,7 @@
 {
 
 using namespace std::chrono_literals;
+using Standin::LinkCut;
 
 constexpr std::size_t kMaxControllersDown = 2; ///< Maximum number of controllers that are down at the same time.
 constexpr Duration kDiskRebuildTime = 6s; ///< A controller whose disk was lost votes again within this time (`syncTime`), with a margin.
@@ -47,10 +48,14 @@
         { "link_silenced", &Faults::silenceLink },
         { "link_reset", &Faults::resetLink },
         { "link_delayed", &Faults::delayLink },
+        { "controller_link_cut", &Faults::cutControllerLink },
+        { "controller_link_reset", &Faults::resetControllerLink },
+        { "controller_link_delayed", &Faults::delayControllerLink },
         { "manifest_changed", &Faults::changeManifest },
         { "domain_evacuated", &Faults::evacuate },
     };
     endEvacuations(m_loop.clock().now());
+    checkProcesses();
     const auto &it = kFaults[m_random.below(std::size(kFaults))];
     ++m_counts[it.name];
     (this->*it.fault)();
@@ -61,6 +66,7 @@
 {
     m_loop.runUntil([this] { return m_pendingRepairs.empty(); }, 30s);
     endEvacuations(TimePoint::max());
+    checkProcesses();
 }
 
 const std::map<std::string, std::uint64_t> &Faults::counts() const
@@ -73,6 +79,38 @@
     return m_version;
 }
 
+void Faults::loseTwoDisksAfterChange()
+{
+    ++m_counts["two_disks_lost"];
+    putNextManifest();
+    const int first = m_fleet.latestResponder();
+    const int second = (first + 1 + static_cast<int>(m_random.below(Fleet::kControllers - 1))) % Fleet::kControllers;
+    killAll();
+    for (int i = 0; i < m_fleet.gateways(); ++i) {
+        m_fleet.backend(i).crash();
+        startBackend(i);
+    }
+    m_fleet.loseController(first);
+    m_fleet.loseController(second);
+    settle();
+}
+
+void Faults::checkProcesses()
+{
+    for (int i = 0; i < m_fleet.gateways(); ++i) {
+        if (m_gatewaysDown.count(i) == 0 && !m_fleet.gateway(i).isRunning()) {
+            m_fleet.audit().violation(fmt::format("gateway {} ended by itself, exit code {}", i, m_fleet.gateway(i).exitCode()));
+            restartGateway(i);
+        }
+    }
+    for (int i = 0; i < Fleet::kControllers; ++i) {
+        if (m_controllersDown.count(i) == 0 && !m_fleet.controller(i).isRunning()) {
+            m_fleet.audit().violation(fmt::format("controller {} ended by itself, exit code {}", i, m_fleet.controller(i).exitCode()));
+            restartController(i);
+        }
+    }
+}
+
 int Faults::randomGateway()
 {
     return static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_fleet.gateways())));
@@ -128,10 +166,11 @@
 {
     const int i = randomGateway();
     if (m_gatewaysDown.insert(i).second) {
-        m_fleet.gateway(i).signal(SIGTERM);
+        m_fleet.stopGateway(i);
         scheduleRepair(kShutdownGracePeriod, [this, i] {
-            m_fleet.gateway(i).signal(SIGKILL);
-            restartGateway(i);
+            handleError([&] { return m_fleet.restartStoppedGateway(i); },
+                        [&](const Error &error) { m_fleet.audit().violation(error.message); });
+            m_gatewaysDown.erase(i);
         });
     }
 }
@@ -150,7 +189,10 @@
 
 void Faults::reloadGateway()
 {
-    m_fleet.gateway(randomGateway()).signal(SIGHUP);
+    const int i = randomGateway();
+    if (!m_fleet.isGatewayStarting(i)) {
+        m_fleet.gateway(i).signal(SIGHUP);
+    }
 }
 
 void Faults::killController()
@@ -181,9 +223,7 @@
         return;
     }
     m_diskLost = true;
-    m_fleet.controller(i).signal(SIGKILL);
-    m_fleet.controller(i).waitForEnd(1s);
-    m_fleet.wipeDisk(i);
+    m_fleet.loseController(i);
     scheduleRepair(randomDuration(200ms, 1500ms), [this, i] {
         restartController(i);
         m_controllersDown.insert(i); // Counts as down until its disk is rebuilt.
@@ -244,35 +284,64 @@
 void Faults::silenceLink()
 {
     const int i = randomGateway();
-    m_fleet.link(i).setCut(true);
-    scheduleRepair(randomDuration(300ms, 4000ms), [this, i] { m_fleet.link(i).setCut(false); });
+    m_fleet.backendLink(i).setCut(LinkCut::Both);
+    scheduleRepair(randomDuration(300ms, 4000ms), [this, i] { m_fleet.backendLink(i).setCut(LinkCut::None); });
 }
 
 void Faults::resetLink()
 {
-    m_fleet.link(randomGateway()).reset();
+    m_fleet.backendLink(randomGateway()).reset();
 }
 
 void Faults::delayLink()
 {
     const int i = randomGateway();
-    m_fleet.link(i).setDelay(randomDuration(20ms, 300ms));
-    scheduleRepair(randomDuration(500ms, 3000ms), [this, i] { m_fleet.link(i).setDelay(Duration::zero()); });
+    m_fleet.backendLink(i).setDelay(randomDuration(20ms, 300ms));
+    scheduleRepair(randomDuration(500ms, 3000ms), [this, i] { m_fleet.backendLink(i).setDelay(Duration::zero()); });
 }
 
-void Faults::changeManifest()
+void Faults::cutControllerLink()
+{
+    static constexpr LinkCut kCuts[] = { LinkCut::Forward, LinkCut::Backward, LinkCut::Both };
+    const int i = randomController();
+    m_fleet.controllerLink(i).setCut(kCuts[m_random.below(std::size(kCuts))]);
+    scheduleRepair(randomDuration(300ms, 4000ms), [this, i] { m_fleet.controllerLink(i).setCut(LinkCut::None); });
+}
+
+void Faults::resetControllerLink()
+{
+    m_fleet.controllerLink(randomController()).reset();
+}
+
+void Faults::delayControllerLink()
+{
+    const int i = randomController();
+    m_fleet.controllerLink(i).setDelay(randomDuration(20ms, 500ms));
+    scheduleRepair(randomDuration(500ms, 3000ms), [this, i] { m_fleet.controllerLink(i).setDelay(Duration::zero()); });
+}
+
+std::string Faults::putNextManifest()
 {
     const auto next = m_version + 1 + m_random.below(3);
-    const auto body = m_fleet.manifest(next, m_version);
+    auto body = m_fleet.manifest(next, m_version);
     const int status = m_fleet.sendOperatorRequest("POST", "/toucandeck/config/put", body);
     if (status != 200) {
         m_fleet.audit().violation(fmt::format("manifest {} on top of {} got {}", next, m_version, status));
-        return;
+        return {};
     }
     m_version = next;
+    return body;
+}
+
+void Faults::changeManifest()
+{
+    const auto body = putNextManifest();
+    if (body.empty()) {
+        return;
+    }
     const int again = m_fleet.sendOperatorRequest("POST", "/toucandeck/config/put", body);
     if (again != 200 && again != 0) {
-        m_fleet.audit().violation(fmt::format("manifest {}, sent again, got {}", next, again));
+        m_fleet.audit().violation(fmt::format("manifest {}, sent again, got {}", m_version, again));
     }
 }
 
--- a/prove/fleet/faults.h
+++ b/prove/fleet/faults.h
@@ -18,6 +18,9 @@
     void step();
     /// Waits up to 30 s for pending repairs, then ends all evacuations.
     void settle();
+    /// The final fault, when no other is active: changes the manifest and, as soon as this is acknowledged, kills all processes together
+    /// and erases the disks of the controller that acknowledged and of another one.
+    void loseTwoDisksAfterChange();
 
     const std::map<std::string, std::uint64_t> &counts() const;
     /// Version of the latest manifest that was acknowledged.
@@ -40,10 +43,17 @@
     void silenceLink();
     void resetLink();
     void delayLink();
+    void cutControllerLink();
+    void resetControllerLink();
+    void delayControllerLink();
     void changeManifest();
+    /// Sends the next version of the manifest; empty if it was not acknowledged.
+    std::string putNextManifest();
     void evacuate();
 
     void endEvacuations(TimePoint due);
+    /// Processes without a signal of this class must be running.
+    void checkProcesses();
 
     int randomGateway();
     int randomController();
--- a/prove/fleet/fleet.cpp
+++ b/prove/fleet/fleet.cpp
@@ -17,17 +17,19 @@
 using namespace std::chrono_literals;
 using nlohmann::json;
 
-constexpr std::uint16_t kPeerPort = 17280;
+constexpr std::uint16_t kPeerPort = 17280; ///< At the address of a controller, the port of the relay in front of it.
 constexpr std::uint16_t kMetricsPort = 17281;
 constexpr std::uint16_t kControlPort = 17282;
 constexpr std::uint16_t kOutboundPort = 17283;
 constexpr std::uint16_t kReadyPort = 17284;
 constexpr std::uint16_t kBackendPort = 17285; ///< Port of the relay in front of the backend server.
-constexpr std::uint16_t kFirstServerPort = 17300; ///< First port of the backend servers themselves, on 127.0.0.1.
+constexpr std::uint16_t kBackendServerPort = 17286; ///< Port of the backend server itself.
+constexpr std::uint16_t kControllerPeerPort = 17287; ///< Port for connections between controllers.
 
 constexpr int kFirstGateway = 20; ///< Last number of the address of the first gateway.
 constexpr Duration kOperatorRequestTimeout = 20s;
 constexpr Duration kCallTimeout = 1s;
+constexpr Duration kGatewayStartTime = 1s; ///< The rules do not count a process that ends this soon after its start.
 
 } // namespace
 
@@ -36,6 +38,7 @@
     , m_options(std::move(options))
     , m_controllers(kControllers)
     , m_gateways(static_cast<std::size_t>(m_options.gateways))
+    , m_gatewayStartTimes(m_gateways.size())
 {
     std::filesystem::create_directories(m_options.folder);
 }
@@ -86,6 +89,7 @@
     const auto name = fmt::format("controller-{}", i);
     auto settings = commonSettings(name, controllerIp(i));
     settings["role"] = "controller";
+    settings["peerPort"] = kControllerPeerPort;
     settings["failureDomain"] = domainOf(i);
     settings["dataFolder"] = fmt::format("{}/disk-{}", m_options.folder, i);
     settings["firstStart"] = m_firstStart;
@@ -107,28 +111,62 @@
     settings["backend"] = SocketAddress{ address, kBackendPort }.toString();
     settings["outbound"] = SocketAddress{ address, kOutboundPort }.toString();
     settings["ready"] = SocketAddress{ address, kReadyPort }.toString();
+    m_gatewayStartTimes[static_cast<std::size_t>(i)] = m_loop.clock().now();
     BOOST_LEAF_ASSIGN(m_gateways[static_cast<std::size_t>(i)], startProcess(name, settings));
     return {};
 }
 
-void Fleet::wipeDisk(int i)
+void Fleet::stopGateway(int i)
 {
+    m_stoppingGateways[i] = isGatewayStarting(i);
+    gateway(i).signal(SIGTERM);
+}
+
+Result<void> Fleet::restartStoppedGateway(int i)
+{
+    if (gateway(i).isRunning()) {
+        m_audit.violation(fmt::format("gateway {} still ran at the end of the time for its shutdown", i));
+    } else if (gateway(i).exitCode() != 0 && !m_stoppingGateways[i]) {
+        m_audit.violation(fmt::format("gateway {} ended its shutdown with exit code {}", i, gateway(i).exitCode()));
+    }
+    m_stoppingGateways.erase(i);
+    gateway(i).signal(SIGKILL);
+    return restartGateway(i);
+}
+
+bool Fleet::isGatewayStarting(int i) const
+{
+    return m_loop.clock().now() - m_gatewayStartTimes[static_cast<std::size_t>(i)] < kGatewayStartTime;
+}
+
+bool Fleet::isStopping(int i) const
+{
+    return m_stoppingGateways.count(i) != 0;
+}
+
+void Fleet::loseController(int i)
+{
+    controller(i).signal(SIGKILL);
+    controller(i).waitForEnd(1s);
     std::filesystem::remove_all(fmt::format("{}/disk-{}", m_options.folder, i));
 }
 
 Result<void> Fleet::start()
 {
     for (int i = 0; i < kControllers; ++i) {
+        const SocketAddress relay{ controllerIp(i), kPeerPort };
+        const SocketAddress target{ controllerIp(i), kControllerPeerPort };
+        BOOST_LEAF_AUTO(link, Standin::LinkRelay::create(m_loop.base(), relay, target, Duration::zero()));
+        m_controllerLinks.push_back(std::move(link));
         BOOST_LEAF_CHECK(restartController(i));
     }
     std::vector<const Standin::PlatformBackend *> all;
     for (int i = 0; i < gateways(); ++i) {
-        const auto port = static_cast<std::uint16_t>(kFirstServerPort + ::getpid() % 500 * 32 + i);
-        BOOST_LEAF_AUTO(link, Standin::LinkRelay::create(m_loop.base(), gatewayIp(i), kBackendPort, port, Duration::zero()));
-        m_links.push_back(std::move(link));
         Standin::PlatformBackendOptions options;
-        options.listen = { "127.0.0.1", port };
+        options.listen = { gatewayIp(i), kBackendServerPort };
         options.announced = { gatewayIp(i), kBackendPort };
+        BOOST_LEAF_AUTO(link, Standin::LinkRelay::create(m_loop.base(), options.announced, options.listen, Duration::zero()));
+        m_backendLinks.push_back(std::move(link));
         options.control = { gatewayIp(i), kControlPort };
         options.service = i % 2 == 0 ? "keyed" : "plain";
         options.failureDomain = domainOf(i);
@@ -147,6 +185,11 @@
     return {};
 }
 
+int Fleet::latestResponder() const
+{
+    return m_latestResponder;
+}
+
 std::string Fleet::manifest(std::uint64_t version, std::uint64_t base) const
 {
     const auto route = [](const char *host, const char *kind, const char *service) -> json {
@@ -170,6 +213,7 @@
         Standin::OneShotClient client(m_loop, { controllerIp(i % kControllers), kControlPort });
         const auto response = client.send({ method, target, { { "Host", "x" } }, body }, kCallTimeout);
         if (response && response->status != 307 && response->status != 503) {
+            m_latestResponder = i % kControllers;
             if (answer != nullptr) {
                 *answer = response->body;
             }
@@ -230,9 +274,14 @@
     return *m_backends[static_cast<std::size_t>(i)];
 }
 
-Standin::LinkRelay &Fleet::link(int i)
+Standin::LinkRelay &Fleet::backendLink(int i)
+{
+    return *m_backendLinks[static_cast<std::size_t>(i)];
+}
+
+Standin::LinkRelay &Fleet::controllerLink(int i)
 {
-    return *m_links[static_cast<std::size_t>(i)];
+    return *m_controllerLinks[static_cast<std::size_t>(i)];
 }
 
 SocketAddress Fleet::outbound(int i) const
--- a/prove/fleet/fleet.h
+++ b/prove/fleet/fleet.h
@@ -4,6 +4,7 @@
 #include "link_relay.h"
 #include "platform/platform_backend.h"
 
+#include <map>
 #include <set>
 
 namespace Toucandeck::Prove
@@ -17,7 +18,7 @@
 };
 
 /// Real controllers and gateways as separate processes, each with a loopback address of its own, and a stand-in backend server beside
-/// each gateway, reached through a relay.
+/// each gateway. Relays carry the connections of the gateways to the controllers and to the backend servers.
 class Fleet
 {
 public:
@@ -37,18 +38,31 @@
     ChildProcess &controller(int i);
     ChildProcess &gateway(int i);
     Standin::PlatformBackend &backend(int i);
-    Standin::LinkRelay &link(int i);
+    /// The link from a gateway to its backend server.
+    Standin::LinkRelay &backendLink(int i);
+    /// The links of all gateways to a controller.
+    Standin::LinkRelay &controllerLink(int i);
     SocketAddress outbound(int i) const;
     static std::string domainOf(int i);
 
     Result<void> restartController(int i);
     Result<void> restartGateway(int i);
-    /// Erases the disk of a controller, whose process must not be running.
-    void wipeDisk(int i);
+    /// Sends SIGTERM to a gateway.
+    void stopGateway(int i);
+    /// Checks that a gateway has ended within its time for a shutdown, and restarts it.
+    Result<void> restartStoppedGateway(int i);
+    /// True in the first second after a start, in which the process may not handle signals yet.
+    bool isGatewayStarting(int i) const;
+    /// True from SIGTERM until the time for the shutdown is over.
+    bool isStopping(int i) const;
+    /// Kills a controller and erases its disk.
+    void loseController(int i);
 
     /// Sends an operator's request to one controller after the other until one gives a final response (neither 307 nor 503).
     /// Returns its status; zero if there was none within the time limit.
     int sendOperatorRequest(const std::string &method, const std::string &target, const std::string &body, std::string *answer = nullptr);
+    /// The controller that gave the latest final response to an operator's request.
+    int latestResponder() const;
     std::string manifest(std::uint64_t version, std::uint64_t base) const;
 
     /// Waits until backend servers hold all keys of the keyed service and each gateway is ready; false if they do not within @p limit.
@@ -69,8 +83,12 @@
     Standin::RunAudit m_audit;
     std::vector<std::unique_ptr<ChildProcess>> m_controllers;
     std::vector<std::unique_ptr<ChildProcess>> m_gateways;
-    std::vector<std::unique_ptr<Standin::LinkRelay>> m_links;
+    std::vector<std::unique_ptr<Standin::LinkRelay>> m_backendLinks;
+    std::vector<std::unique_ptr<Standin::LinkRelay>> m_controllerLinks;
     std::vector<std::unique_ptr<Standin::PlatformBackend>> m_backends;
+    std::vector<TimePoint> m_gatewayStartTimes;
+    std::map<int, bool> m_stoppingGateways; ///< True if the gateway was starting when it was stopped.
+    int m_latestResponder = 0;
     bool m_firstStart = true;
 };
 
--- a/prove/fleet/main.cpp
+++ b/prove/fleet/main.cpp
@@ -81,7 +81,9 @@
     }
     faults.settle();
     checkCalmService(*loop, fleet, callers);
+    faults.loseTwoDisksAfterChange();
     checkManifest(fleet, faults.acknowledgedVersion());
+    checkCalmService(*loop, fleet, callers);
     loop->runUntil([] { return false; }, 2500ms); // Lets the last requests complete or time out.
     callers.check();
     const auto &violations = fleet.audit().violations();
@@ -89,10 +91,11 @@
     for (const auto &[status, count] : callers.statusCounts()) {
         answers[std::to_string(status)] = count;
     }
-    fmt::print("prove_fleet seed={} requests={} served={} answers:{} faults:{} violations={}\n",
+    fmt::print("prove_fleet seed={} requests={} served={} to_stopping={} answers:{} faults:{} violations={}\n",
                options.seed,
                callers.sentCount(),
                callers.servedCount(),
+               callers.sentToStoppingCount(),
                countText(answers),
                countText(faults.counts()),
                violations.size());
--- a/standin/link_main.cpp
+++ b/standin/link_main.cpp
@@ -29,7 +29,7 @@
         }
         ++changed;
         if (state) {
-            relay->setCut(std::string_view(state) == "cut");
+            relay->setCut(std::string_view(state) == "cut" ? Standin::LinkCut::Both : Standin::LinkCut::None);
         }
         if (state && std::string_view(state) == "reset") {
             relay->reset();
@@ -96,14 +96,13 @@
             fmt::print(stderr, "toucandeck-link: '{}' is not IP:LISTEN_PORT:TARGET_PORT\n", it);
             return 2;
         }
-        const auto listenPort = static_cast<std::uint16_t>(std::strtoul(it.c_str() + first + 1, nullptr, 10));
         const auto targetPort = static_cast<std::uint16_t>(std::strtoul(it.c_str() + second + 1, nullptr, 10));
         const bool started = handleError(
             [&]() -> Result<bool> {
-                BOOST_LEAF_AUTO(
-                    relay,
-                    Standin::LinkRelay::create(base, it.substr(0, first), listenPort, targetPort, std::chrono::milliseconds(delayMs)));
-                links[listenPort] = std::move(relay);
+                BOOST_LEAF_AUTO(listen, SocketAddress::parse(it.substr(0, second)));
+                const SocketAddress target{ "127.0.0.1", targetPort };
+                BOOST_LEAF_AUTO(relay, Standin::LinkRelay::create(base, listen, target, std::chrono::milliseconds(delayMs)));
+                links[listen.port] = std::move(relay);
                 return true;
             },
             [](const Error &error) {
--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -1,6 +1,5 @@
 #include "link_relay.h"
 
-#include <arpa/inet.h>
 #include <deque>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -16,15 +15,6 @@
 namespace
 {
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
 timeval toTimeval(Duration time)
 {
     const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(time).count();
@@ -56,9 +46,9 @@
     event_base *base = nullptr;
     evconnlistener *listener = nullptr;
     std::uint16_t listenPort = 0;
-    std::uint16_t targetPort = 0;
+    SocketAddress target;
     Duration delay{};
-    bool cut = false;
+    LinkCut cut = LinkCut::None;
     std::uint64_t bytes = 0;
     std::uint64_t packets = 0;
     std::set<Connection *> connections;
@@ -91,9 +81,16 @@
     }
 }
 
+bool isCut(const Direction &direction)
+{
+    const auto *connection = direction.connection;
+    const auto own = &direction == &connection->forward ? LinkCut::Forward : LinkCut::Backward;
+    return connection->relay->cut == LinkCut::Both || connection->relay->cut == own;
+}
+
 void deliverDue(Direction &direction)
 {
-    if (direction.connection->relay->cut) {
+    if (isCut(direction)) {
         return;
     }
     while (!direction.waiting.empty() && direction.waiting.front().due <= now()) {
@@ -150,7 +147,7 @@
     auto *relay = static_cast<LinkRelay::Private *>(argument);
     auto *client = bufferevent_socket_new(relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
     auto *server = bufferevent_socket_new(relay->base, -1, BEV_OPT_CLOSE_ON_FREE);
-    const auto target = loopback(relay->targetPort);
+    const auto target = relay->target.toSockaddr();
     if (bufferevent_socket_connect(server, reinterpret_cast<const sockaddr *>(&target), sizeof(target)) != 0) {
         bufferevent_free(client);
         bufferevent_free(server);
@@ -172,23 +169,20 @@
 } // namespace
 
 Result<std::unique_ptr<LinkRelay>>
-LinkRelay::create(event_base *base, const std::string &listenIp, std::uint16_t listenPort, std::uint16_t targetPort, Duration delay)
+LinkRelay::create(event_base *base, const SocketAddress &listen, const SocketAddress &target, Duration delay)
 {
     auto d = std::make_unique<Private>();
     d->base = base;
-    d->listenPort = listenPort;
-    d->targetPort = targetPort;
+    d->listenPort = listen.port;
+    d->target = target;
     d->delay = delay;
-    auto address = loopback(listenPort);
-    if (inet_pton(AF_INET, listenIp.c_str(), &address.sin_addr) != 1) {
-        return fail(ErrorCode::InvalidArgument, fmt::format("'{}' is not an IP address", listenIp));
-    }
+    const auto address = listen.toSockaddr();
     constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
     constexpr int kBacklog = 256;
     d->listener = evconnlistener_new_bind(
         base, onAccept, d.get(), kOptions, kBacklog, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
     if (!d->listener) {
-        return fail(ErrorCode::Io, fmt::format("cannot listen on {}:{}", listenIp, listenPort));
+        return fail(ErrorCode::Io, fmt::format("cannot listen on {}", listen.toString()));
     }
     return std::unique_ptr<LinkRelay>(new LinkRelay(std::move(d)));
 }
@@ -204,12 +198,9 @@
     evconnlistener_free(m_d->listener);
 }
 
-void LinkRelay::setCut(bool cut)
+void LinkRelay::setCut(LinkCut cut)
 {
     m_d->cut = cut;
-    if (cut) {
-        return;
-    }
     for (auto *it : m_d->connections) {
         deliverDue(it->forward);
         deliverDue(it->backward);
--- a/standin/link_relay.h
+++ b/standin/link_relay.h
@@ -2,29 +2,37 @@
 
 #include "common/result.h"
 #include "common/time.h"
+#include "link/socket_address.h"
 
 #include <cstdint>
 #include <memory>
-#include <string>
 
 struct event_base;
 
 namespace Toucandeck::Standin
 {
 
-/// Relays TCP connections between two loopback ports with a fixed one-way delay. While cut it forwards nothing and keeps the
+/// Directions in which a link delivers nothing. Forward is from the side that opens connections.
+enum class LinkCut {
+    None,
+    Forward,
+    Backward,
+    Both
+};
+
+/// Relays TCP connections between two loopback addresses with a fixed one-way delay. While cut it forwards nothing and keeps the
 /// connections open, as a network that silently drops packets does; TCP delivers the bytes after the link is back.
 class LinkRelay
 {
 public:
-    /// Listens on @p listenIp, an address of the loopback range, and connects to 127.0.0.1:@p targetPort for each connection.
+    /// Listens on @p listen and opens a connection to @p target for each that it accepts; both are addresses of the loopback range.
     static Result<std::unique_ptr<LinkRelay>>
-    create(event_base *base, const std::string &listenIp, std::uint16_t listenPort, std::uint16_t targetPort, Duration delay);
+    create(event_base *base, const SocketAddress &listen, const SocketAddress &target, Duration delay);
     ~LinkRelay();
     LinkRelay(const LinkRelay &) = delete;
     LinkRelay &operator=(const LinkRelay &) = delete;
 
-    void setCut(bool cut);
+    void setCut(LinkCut cut);
     void setDelay(Duration delay);
     /// Closes all connections, as a restarted switch does.
     void reset();
