--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -236,12 +236,6 @@
     }
 }
 
-bool CallRouter::isKeyed(const RoutedCall &it) const
-{
-    const auto *service = m_parts.view.service(it.call.service);
-    return service != nullptr && service->keyed;
-}
-
 bool CallRouter::mayRetry(const RoutedCall &it) const
 {
     const auto left = it.call.deadline - m_parts.loop.clock().now();
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -101,7 +101,6 @@
     /// Retries a call whose gateway sends nothing, if that is safe.
     void onSilence(std::uint64_t callId);
     void recordResult(RoutedCall &it, const std::string &gateway, const CallResult &result);
-    bool isKeyed(const RoutedCall &it) const;
     void onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void onFailure(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void waitForHolder(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
