Answer all requests of a pipeline during a drain

They had been read.

Cause: the first request that a connection sent during a drain was answered with "Connection: close", and whatever the client had sent behind it was discarded as soon as it arrived. Clients that pipeline their requests lost all but the first.

Change: while a connection has unread input, it is read and answered also during a drain. "Connection: close" goes with the response that leaves nothing unread, in the socket included; an idle connection with unread input is not closed either.

The new test on the code before: test_pipelined_server.cpp:125: Failure Value of: runUntil([this] { return m_exchanges.size() == 2; }) Actual: false [ FAILED ] PipelinedServerTest.AnswersAllRequestsOfAPipelineWhileDraining (5000 ms)

--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -137,8 +137,7 @@
     const auto exchange = std::make_shared<HttpExchange>(weak_from_this(), std::move(request), now);
     m_slots.push_back({ exchange.get(), exchange, head, message.keepAlive, std::nullopt });
     m_hadRequest = true;
-    if (!message.keepAlive || m_server.m_draining) {
-        m_slots.back().keepAlive = false;
+    if (!message.keepAlive) {
         m_noMoreRequests = true;
     }
     m_server.m_handler(exchange);
@@ -190,7 +189,7 @@
     while (m_stream != nullptr && !m_slots.empty() && m_slots.front().response) {
         const auto slot = std::move(m_slots.front());
         m_slots.pop_front();
-        const bool last = m_slots.empty() && (m_noMoreRequests || m_server.m_draining);
+        const bool last = m_slots.empty() && (m_noMoreRequests || (m_server.m_draining && !hasUnreadInput()));
         write(slot, last || !slot.keepAlive);
         m_lastActive = m_server.m_loop.clock().now();
         m_noMoreRequests = m_noMoreRequests || last;
@@ -238,10 +237,16 @@
     m_lingerSince = m_server.m_loop.clock().now();
 }
 
+bool PipelinedConnection::hasUnreadInput() const
+{
+    char next = 0;
+    return m_parser.isInMessage() || evbuffer_get_length(bufferevent_get_input(m_stream)) > 0
+        || ::recv(bufferevent_getfd(m_stream), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void PipelinedConnection::closeIfIdle()
 {
-    const bool isIdle = m_stream != nullptr && m_hadRequest && m_slots.empty() && !m_parser.isInMessage();
-    if (isIdle && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0) {
+    if (m_stream != nullptr && m_hadRequest && m_slots.empty() && !hasUnreadInput()) {
         m_noMoreRequests = true;
         finishWriting();
     }
--- a/src/http/pipelined_connection.h
+++ b/src/http/pipelined_connection.h
@@ -49,6 +49,8 @@
     void refuse(int status, const char *text);
     void refuseMalformed(ParseError error);
     void writeResponses();
+    /// True if the client has sent a further request, or a part of one.
+    bool hasUnreadInput() const;
     void write(const Slot &slot, bool last);
     void finishWriting();
     void abandon();
--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -116,6 +116,24 @@
     EXPECT_NE(text.find("second"), std::string::npos);
 }
 
+// Guards against reading the further requests of a pipeline while draining and closing the connection without answering them.
+TEST_F(PipelinedServerTest, AnswersAllRequestsOfAPipelineWhileDraining)
+{
+    auto client = RawSocket::connectTo(m_address);
+    m_server->drain();
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 2; }));
+    client.write("GET /c HTTP/1.1\r\nHost: h\r\n\r\n");
+    m_exchanges[0]->respond(withBody("first"));
+    m_exchanges[1]->respond(withBody("second"));
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 3; }));
+    m_exchanges[2]->respond(withBody("third"));
+    ASSERT_TRUE(runUntil([&client] { return client.isClosed(); }));
+    const auto &text = client.receivedText();
+    EXPECT_LT(text.find("second"), text.find("Connection: close"));
+    EXPECT_NE(text.find("third"), std::string::npos);
+}
+
 // Guards against closing a new connection before its first request has arrived.
 TEST_F(PipelinedServerTest, AnswersTheFirstRequestOfAConnectionWhileClosingIdleOnes)
 {
