Accept waiting connections before a stopping gateway closes its listener

Cause: callers had established these connections, but they waited in the queue of the listener. Closing it reset them, and the calls on them were taken as perhaps run.

Change: the waiting connections are accepted first. They get GoAway like all others, so their calls are known as not run.

A connection whose handshake is completed after the listener has closed can still be reset; that is open.

--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -92,7 +92,10 @@
 
 void PeerServer::stopListening()
 {
-    m_listener.reset();
+    if (m_listener != nullptr) {
+        m_listener->acceptPending();
+        m_listener.reset();
+    }
 }
 
 bool PeerServer::isListening() const
--- a/src/gateway/peer_server.h
+++ b/src/gateway/peer_server.h
@@ -26,7 +26,7 @@
     /// For graceful shutdown: further calls are not run, and the callers are told so. They close their connections once they have the
     /// replies to the calls that were accepted before.
     void stopAcceptingCalls();
-    /// Stops accepting connections.
+    /// Stops accepting connections, after those that are established already.
     void stopListening();
     bool isListening() const;
 
--- a/src/link/listener.cpp
+++ b/src/link/listener.cpp
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 #include <fmt/format.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace Toucandeck
 {
@@ -42,6 +43,18 @@
     }
 }
 
+void Listener::acceptPending()
+{
+    sockaddr_in peer{};
+    auto *sa = reinterpret_cast<sockaddr *>(&peer);
+    socklen_t n = sizeof(peer);
+    int descriptor = -1;
+    while ((descriptor = ::accept4(evconnlistener_get_fd(m_listener), sa, &n, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        onAccept(m_listener, descriptor, sa, static_cast<int>(n), this);
+        n = sizeof(peer);
+    }
+}
+
 void Listener::onAccept(evconnlistener * /*listener*/, int descriptor, sockaddr *peer, int /*length*/, void *self)
 {
     char ip[INET_ADDRSTRLEN] = "";
--- a/src/link/listener.h
+++ b/src/link/listener.h
@@ -27,6 +27,9 @@
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
 
+    /// Accepts the connections that are established but wait in the queue; closing the listener would reset them.
+    void acceptPending();
+
 private:
     explicit Listener(AcceptHandler handler);
     static void onAccept(evconnlistener *listener, int descriptor, sockaddr *peer, int length, void *self);
--- a/test/gateway/test_peer_calls.cpp
+++ b/test/gateway/test_peer_calls.cpp
@@ -4,6 +4,7 @@
 
 #include "fakes.h"
 
+#include <array>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -232,6 +233,21 @@
     EXPECT_TRUE(m_backend.m_sentRequests.empty());
 }
 
+// Guards against resetting connections that callers have established but that are not accepted yet when the server stops listening.
+TEST_F(PeerServerTest, AcceptsTheWaitingConnectionsBeforeItStopsListening)
+{
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto sa = SocketAddress{ kGatewayIp, m_port }.toSockaddr();
+    ASSERT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa)), 0);
+    m_server->stopAcceptingCalls();
+    m_server->stopListening();
+    EXPECT_EQ(m_server->connectionCount(), 1U);
+    m_loop->runUntil([] { return false; }, milliseconds(100));
+    std::array<char, 64> buf{};
+    EXPECT_GT(::recv(descriptor, buf.data(), buf.size(), MSG_DONTWAIT), 0);
+    ::close(descriptor);
+}
+
 // Guards against a call without an answer if the caller is of a version that does not know GoAway.
 TEST_F(PeerServerTest, RepliesToCallersThatDoNotKnowGoAway)
 {
