--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -120,7 +120,7 @@
 // Guards against reading the further requests of a pipeline while draining and closing the connection without answering them.
 TEST_F(PipelinedServerTest, AnswersAllRequestsOfAPipelineWhileDraining)
 {
-    auto client = RawSocket::connectTo(m_address);
+    auto client = RawSocket::connectTo(m_address.port);
     m_server->drain();
     client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 2; }));
