Add a failing test of a successor in another failure domain

What operators could see: with one controller cut off and another one replaced in another failure domain than before, the loss of two disks leaves no quorum, although the disk of the controller that was cut off holds everything.

Cause: of two silent voters in equally crowded failure domains the one silent for longest is removed, which may be the one that is cut off. Nothing that the leader knows tells it from the one that is gone for good.

--- a/test/fleet/test_membership_repair.cpp
+++ b/test/fleet/test_membership_repair.cpp
@@ -470,6 +470,23 @@
     }
 }
 
+// Guards against the removal of a voter that is cut off, with the log on its disk, in place of the one whose successor has joined in
+// another failure domain.
+TEST(MembershipRepair, AcknowledgedOrdersSurviveTwoLostDisksAfterAReplacementInAnotherFailureDomain)
+{
+    RepairedCluster it(11);
+    ASSERT_TRUE(it.runUntil([&] { return it.isServing(); }, 5s));
+    const auto followers = it.followers();
+    it.cluster.isolate(followers[2]);
+    it.run(2s);
+    it.cluster.loseDisk(followers[3]);
+    it.addController(it.cluster.domainOf(followers[0]));
+    it.run(kSyncTime);
+    ASSERT_TRUE(it.order(3s)) << "no order is acknowledged while one controller is cut off";
+    it.loseDisksAndPower({ followers[0], followers[1] }, { followers[3] });
+    EXPECT_TRUE(it.runUntil([&] { return it.hasAllAcknowledged(); }, kRecoveryLimit)) << "an acknowledged order is gone";
+}
+
 // Guards against a repair that leaves too few voters when one controller after the other returns with an empty disk.
 TEST(MembershipRepair, AcknowledgedOrdersSurviveASecondLostDiskWhileTheFirstIsReplaced)
 {
