--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -200,9 +200,6 @@
     if (sinceDrainStart >= kClientDrainTime) {
         m_outbound->closeIdleConnections();
     }
-    if (sinceDrainStart >= kClientDrainTime) {
-        m_outbound->closeIdleConnections();
-    }
     if (sinceDrainStart >= kRefuseClientsAfter) {
         m_requestHandler.refuseNewRequests();
     }
