Report how the slots of a backend server are shared by origin of the calls

Cause: the lines of single calls are limited to 100 a second and process, so the logs could not tell whether fresh requests, retries or nested calls had the slots of a service that is short, nor what was left out; nor how long a client said that it waits.

Change: admission_report, a line per second and origin with calls in the last second (at most three a second), covers all calls: started, started late, refused, time in slots, running, waiting.

--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -137,6 +137,7 @@
 {
     const auto now = m_clock.now();
     m_coldLimiter.record(now);
+    m_tally.recordStart(call.call, now + currentServiceTime(call) > call.call.targetTime);
     const auto id = call.id;
     auto &running = m_running[id];
     running = { std::move(call.call), std::move(call.done), now, now - call.enqueuedAt, m_slowness.relative(now) };
@@ -153,6 +154,7 @@
     m_running.erase(found);
     const auto now = m_clock.now();
     const auto serviceTime = now - running.startedAt;
+    m_tally.recordEnd(running.call, serviceTime);
     m_slowness.report(result.slownessPercent, now);
     if (result.outcome == wire::ANSWERED) {
         const double slowness = (running.slowness + m_slowness.relative(now)) / 2;
@@ -165,6 +167,7 @@
                    { field("request", running.call.requestId),
                      field("service", running.call.service),
                      field("instance", result.instance),
+                     field("origin", toString(originOf(running.call))),
                      field("outcome", wire::CallOutcome_Name(result.outcome)),
                      field("reason", wire::CallReason_Name(result.reason)),
                      field("status", result.response.status),
@@ -185,10 +188,12 @@
 void BackendAdmission::refuse(const WaitingCall &call, wire::CallReason reason)
 {
     const auto wait = expectedQueueingDelay(call);
+    m_tally.recordRefusal(call.call);
     m_logger.write(GatewayEvents::kCallRefused,
                    { field("request", call.call.requestId),
                      field("service", call.call.service),
                      field("instance", m_backendStatus.instance()),
+                     field("origin", toString(originOf(call.call))),
                      field("reason", wire::CallReason_Name(reason)),
                      field("waited_ms", inMs(m_clock.now() - call.enqueuedAt).count()),
                      field("expected_wait_ms", inMs(wait).count()),
@@ -213,6 +218,7 @@
         return;
     }
     m_logger.write(GatewayEvents::kCallCancelled, { field("request", found->second.call.requestId), field("was", "running") });
+    m_tally.recordEnd(found->second.call, m_clock.now() - found->second.startedAt);
     m_running.erase(found);
     m_port.cancel(id);
     processQueue();
@@ -241,11 +247,27 @@
     return m_running.size();
 }
 
+std::size_t BackendAdmission::runningCount(CallOrigin origin) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_running.begin(), m_running.end(), [origin](const auto &it) { return originOf(it.second.call) == origin; }));
+}
+
 std::size_t BackendAdmission::waitingCount() const
 {
     return m_queue.size();
 }
 
+std::size_t BackendAdmission::waitingCount(CallOrigin origin) const
+{
+    return m_queue.count(origin);
+}
+
+const AdmissionTally &BackendAdmission::tally() const
+{
+    return m_tally;
+}
+
 Duration BackendAdmission::meanServiceTime() const
 {
     return m_serviceTimes.mean();
--- a/src/gateway/backend_admission.h
+++ b/src/gateway/backend_admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission_tally.h"
 #include "gateway/backend_port.h"
 #include "gateway/cold_limiter.h"
 #include "gateway/machine_slowness.h"
@@ -59,7 +60,10 @@
 
     wire::LoadReport loadReport() const;
     std::size_t runningCount() const;
+    std::size_t runningCount(CallOrigin origin) const;
     std::size_t waitingCount() const;
+    std::size_t waitingCount(CallOrigin origin) const;
+    const AdmissionTally &tally() const;
     Duration meanServiceTime() const;
 
 private:
@@ -91,6 +95,7 @@
     ColdLimiter m_coldLimiter;
     ServiceTimes m_serviceTimes; ///< Normalised to the usual speed of the machine.
     MachineSlowness m_slowness;
+    AdmissionTally m_tally;
     std::unordered_map<std::uint64_t, RunningCall> m_running;
     std::uint64_t m_nextId = 1;
     double m_failedShare = 0;
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -1,6 +1,7 @@
 #include "gateway/call.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Toucandeck
 {
@@ -34,6 +35,20 @@
 
 } // namespace
 
+CallOrigin originOf(const Call &call)
+{
+    if (call.nested) {
+        return CallOrigin::Nested;
+    }
+    return call.clientRetry ? CallOrigin::ClientRetry : CallOrigin::Client;
+}
+
+std::string_view toString(CallOrigin origin)
+{
+    static constexpr std::array<std::string_view, kCallOriginCount> kNames{ "client", "client_retry", "nested" };
+    return kNames.at(static_cast<std::size_t>(origin));
+}
+
 CallResult notRun(wire::CallReason reason, Duration retryAfter)
 {
     CallResult result;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <peer.pb.h>
 #include <string>
+#include <string_view>
 
 namespace Toucandeck
 {
@@ -28,6 +29,19 @@
     std::optional<std::uint32_t> key; ///< Below kKeyCount.
 };
 
+/// Origin of a call.
+enum class CallOrigin {
+    Client,
+    ClientRetry,
+    Nested,
+};
+
+inline constexpr std::size_t kCallOriginCount = 3;
+
+CallOrigin originOf(const Call &call);
+/// "client", "client_retry" or "nested".
+std::string_view toString(CallOrigin origin);
+
 /// Outcome of a call.
 struct CallResult
 {
--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -124,7 +124,7 @@
     it->callId = m_parts.router.route(std::move(call), policy, [this, it](RoutedResult result) { onResult(it, std::move(result)); });
 }
 
-Call ClientRequestHandler::makeCall(const PendingRequest &pending, const HttpRequest &request)
+Call ClientRequestHandler::makeCall(PendingRequest &pending, const HttpRequest &request)
 {
     const auto &route = *pending.route;
     Call call;
@@ -137,9 +137,12 @@
     const Duration wait = sent ? Duration(milliseconds(*sent)) : route.timeout;
     call.deadline = pending.receivedAt + std::min(wait, route.timeout);
     call.nested = isNested(pending.requestId);
-    const auto sinceFirstAttempt = sent && !call.nested ? m_firstAttempts.timeSinceFirstAttempt(route.name, wait) : Duration::zero();
-    call.targetTime = pending.receivedAt + route.targetLatency - sinceFirstAttempt;
-    call.clientRetry = sinceFirstAttempt > kMinAgeOfRetry;
+    if (sent) {
+        pending.clientDeadline = wait;
+        pending.sinceFirstAttempt = call.nested ? Duration::zero() : m_firstAttempts.timeSinceFirstAttempt(route.name, wait);
+    }
+    call.targetTime = pending.receivedAt + route.targetLatency - pending.sinceFirstAttempt;
+    call.clientRetry = pending.sinceFirstAttempt > kMinAgeOfRetry;
     const auto key = readNumber(request.header(m_parts.headers.key));
     if (key && *key < kKeyCount) {
         call.key = static_cast<std::uint32_t>(*key);
@@ -206,6 +209,8 @@
                            field("attempts", result.attempts),
                            field("reached", result.reachedBackends),
                            field("took_ms", ms(m_parts.loop.clock().now() - it->receivedAt)),
+                           field("client_deadline_ms", ms(it->clientDeadline)),
+                           field("since_first_attempt_ms", ms(it->sinceFirstAttempt)),
                            field("manifest_version", it->manifest->manifest.version) });
     respond(it, std::move(result.result.response), "answered");
 }
@@ -231,6 +236,8 @@
                            field("attempts", result.attempts),
                            field("reached", result.reachedBackends),
                            field("took_ms", ms(m_parts.loop.clock().now() - it->receivedAt)),
+                           field("client_deadline_ms", ms(it->clientDeadline)),
+                           field("since_first_attempt_ms", ms(it->sinceFirstAttempt)),
                            field("left_ms", ms(left)),
                            field("retry_after_ms", ms(retryAfter)),
                            field("manifest_version", it->manifest->manifest.version),
@@ -257,6 +264,8 @@
                            field("attempts", result.attempts),
                            field("reached", result.reachedBackends),
                            field("took_ms", ms(m_parts.loop.clock().now() - it->receivedAt)),
+                           field("client_deadline_ms", ms(it->clientDeadline)),
+                           field("since_first_attempt_ms", ms(it->sinceFirstAttempt)),
                            field("manifest_version", it->manifest->manifest.version),
                            field("view_age_ms", ms(m_parts.view.age())) });
     HttpResponse response;
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -62,6 +62,8 @@
         std::string requestId;
         TimePoint receivedAt;
         TimePoint deadline;
+        Duration clientDeadline{}; ///< Time that the client waits for its answer, as it says; zero if it does not say.
+        Duration sinceFirstAttempt{}; ///< Estimated time since the client's first attempt.
         std::uint64_t callId = 0; ///< Id at the call router; zero if no call is pending.
         EventLoop::Watch timer;
     };
@@ -69,7 +71,7 @@
     using RequestPtr = std::shared_ptr<PendingRequest>;
 
     void reject(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &reason);
-    Call makeCall(const PendingRequest &pending, const HttpRequest &request);
+    Call makeCall(PendingRequest &pending, const HttpRequest &request);
     bool isNested(const std::string &requestId) const;
     HttpHeaders forwardedHeaders(const HttpRequest &request) const;
     void onResult(const RequestPtr &it, RoutedResult result);
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -38,6 +38,9 @@
 inline constexpr Event kResponseDropped{
     10214, LogLevel::Warning, "response_dropped", "Responses of the backend server to other requests were discarded during a call."
 };
+inline constexpr Event kAdmissionReport{
+    10215, LogLevel::Info, "admission_report", "Calls of one origin at the backend server since the previous report, a second before."
+};
 inline constexpr Event kInstanceStarted{
     10220, LogLevel::Info, "instance_started", "A new incarnation of the backend server sent its first heartbeat."
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kAdmissionInterval{ 20 }; ///< Interval of processing the admission queue while calls wait.
+constexpr milliseconds kAdmissionReportInterval{ 1000 };
 constexpr milliseconds kInstanceCheckInterval{ 300 };
 constexpr milliseconds kMaxHeartbeatDelay{ 600 }; ///< A backend server whose heartbeat is overdue by more than this is probed.
 constexpr milliseconds kDrainInterval{ 50 };
@@ -46,6 +47,7 @@
     , m_instance(parts.loop, parts.logger, m_options.backend.toString(), m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
     , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
+    , m_admissionReport(parts.logger, parts.metrics)
     , m_calls(parts.loop, m_links, m_admission, m_options.ip)
     , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser }, m_options.failureDomain, m_options.retryShare)
     , m_fleet(parts.loop, m_links, parts.logger, m_view, m_instance, m_options.ip, m_options.failureDomain, m_options.seeds)
@@ -67,6 +69,7 @@
         applyPolicy();
         m_router.onViewChanged();
     });
+    m_admissionReportTimer = parts.loop.every(kAdmissionReportInterval, [this] { m_admissionReport.write(m_admission); });
     m_instanceTimer = parts.loop.every(kInstanceCheckInterval, [this] { checkInstance(); });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission_report.h"
 #include "gateway/backend_runner.h"
 #include "gateway/client_request_handler.h"
 #include "gateway/fleet_client.h"
@@ -82,6 +83,7 @@
     BackendRunner m_runner;
     UrgencyOrder m_order;
     BackendAdmission m_admission;
+    AdmissionReport m_admissionReport;
     RemoteCalls m_calls;
     LeastTimeChooser m_chooser;
     CallRouter m_router;
@@ -93,6 +95,7 @@
     TimePoint m_drainStart;
     TimePoint m_lastBusy;
     EventLoop::Watch m_admissionTimer;
+    EventLoop::Watch m_admissionReportTimer;
     EventLoop::Watch m_instanceTimer;
     EventLoop::Watch m_drainTimer;
 };
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -90,4 +90,10 @@
     return m_calls.size();
 }
 
+std::size_t WaitQueue::count(CallOrigin origin) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_calls.begin(), m_calls.end(), [origin](const auto &it) { return originOf(it.call) == origin; }));
+}
+
 } // namespace Toucandeck
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -76,6 +76,8 @@
     }
 
     std::size_t size() const;
+    /// Number of calls of this origin.
+    std::size_t count(CallOrigin origin) const;
 
 private:
     const QueueOrder &m_order;
