Recognise retries of clients by their request and deadline

What callers saw: a service that is short served them late, or refused them, although the same slots could have answered more of them in time.

Cause: the time since a client's first attempt was estimated as the longest deadline seen on the route minus the deadline of the request. That holds only if all clients of a route wait equally long. Their order in the queue and the bound on their wait followed from that.

Change: the gateway remembers each attempt that ended without success until its client's deadline. A retry is the same request (method, host, target, body) with the same absolute deadline, within 100 ms; it keeps the latency target of its first attempt. At most 8,192 attempts are kept. Deadlines above an hour count as an hour, so that times cannot overflow.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -25,7 +25,7 @@
     std::uint32_t rank = 0; ///< 0 is the most urgent.
     bool idempotent = false;
     bool nested = false; ///< Sent by a backend server while it runs another request.
-    bool clientRetry = false; ///< The client retries after a rejection.
+    bool clientRetry = false; ///< The client retries after an attempt without success.
     std::optional<std::uint32_t> key; ///< Below kKeyCount.
 };
 
--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -19,7 +19,8 @@
 constexpr milliseconds kMinRetryAfter{ 60 };
 constexpr milliseconds kDefaultRetryAfter{ 250 };
 constexpr double kMaxRetryAfterShare = 0.31; ///< Clients retry within a third of the time left until their deadline.
-constexpr milliseconds kMinAgeOfRetry{ 40 }; ///< Deadlines of clients' first attempts differ by less than this.
+constexpr std::chrono::hours kMaxClientWait{ 1 }; ///< Larger numbers in a request are taken as this, so that times do not overflow.
+constexpr int kFirstErrorStatus = 500; ///< Lowest status after which clients may retry.
 
 std::optional<std::uint64_t> readNumber(std::optional<std::string_view> text)
 {
@@ -34,6 +35,12 @@
     return n;
 }
 
+Duration clientWait(std::uint64_t deadlineMs)
+{
+    const auto longest = duration_cast<milliseconds>(kMaxClientWait);
+    return milliseconds(std::min(deadlineMs, static_cast<std::uint64_t>(longest.count())));
+}
+
 std::int64_t ms(Duration it)
 {
     return duration_cast<milliseconds>(it).count();
@@ -60,16 +67,10 @@
 
 } // namespace
 
-Duration FirstAttemptEstimator::timeSinceFirstAttempt(const std::string &route, Duration deadline)
-{
-    auto &longest = m_longestDeadlines[route];
-    longest = std::max(longest, deadline);
-    return longest - deadline;
-}
-
 ClientRequestHandler::ClientRequestHandler(const ClientRequestHandlerParts &parts, std::function<std::string()> callerService)
     : m_parts(parts)
     , m_callerService(std::move(callerService))
+    , m_retryDetector(parts.loop.clock())
     , m_latency(parts.metrics.histogram("toucandeck_request_seconds", "Time to the answer, by the client", Metrics::latencyBuckets()))
 {
 }
@@ -134,15 +135,17 @@
     call.rank = route.rank;
     call.idempotent = route.kind == RequestKind::Idempotent;
     const auto sent = readNumber(request.header(m_parts.headers.deadlineMs));
-    const Duration wait = sent ? Duration(milliseconds(*sent)) : route.timeout;
+    const Duration wait = sent ? clientWait(*sent) : route.timeout;
     call.deadline = pending.receivedAt + std::min(wait, route.timeout);
     call.nested = isNested(pending.requestId);
-    if (sent) {
+    pending.attempt.firstAttempt = pending.receivedAt;
+    if (sent && !call.nested) {
         pending.clientDeadline = wait;
-        pending.sinceFirstAttempt = call.nested ? Duration::zero() : m_firstAttempts.timeSinceFirstAttempt(route.name, wait);
+        pending.attempt.fingerprint = RetryDetector::fingerprint(request);
+        pending.attempt.deadline = pending.receivedAt + wait;
+        call.clientRetry = findFirstAttempt(pending);
     }
-    call.targetTime = pending.receivedAt + route.targetLatency - pending.sinceFirstAttempt;
-    call.clientRetry = pending.sinceFirstAttempt > kMinAgeOfRetry;
+    call.targetTime = pending.attempt.firstAttempt + route.targetLatency;
     const auto key = readNumber(request.header(m_parts.headers.key));
     if (key && *key < kKeyCount) {
         call.key = static_cast<std::uint32_t>(*key);
@@ -150,6 +153,13 @@
     return call;
 }
 
+bool ClientRequestHandler::findFirstAttempt(PendingRequest &pending)
+{
+    const auto firstAttempt = m_retryDetector.takeFirstAttempt(pending.attempt.fingerprint, pending.attempt.deadline);
+    pending.attempt.firstAttempt = firstAttempt.value_or(pending.receivedAt);
+    return firstAttempt.has_value();
+}
+
 bool ClientRequestHandler::isNested(const std::string &requestId) const
 {
     const auto end = requestId.rfind(m_parts.headers.nestedIdSeparator);
@@ -191,6 +201,9 @@
 {
     it->timer.cancel();
     m_pending.erase(it);
+    if (response.status >= kFirstErrorStatus) {
+        rememberFailure(*it);
+    }
     const auto took = m_parts.loop.clock().now() - it->receivedAt;
     m_latency.Observe(std::chrono::duration<double>(took).count());
     m_parts.metrics.counter("toucandeck_requests_total", "Requests of clients by route kind and outcome", { { "outcome", outcome } })
@@ -198,6 +211,18 @@
     it->exchange->respond(std::move(response));
 }
 
+void ClientRequestHandler::rememberFailure(const PendingRequest &it)
+{
+    if (it.clientDeadline != Duration::zero()) {
+        m_retryDetector.recordFailure(it.attempt);
+    }
+}
+
+Duration ClientRequestHandler::sinceFirstAttempt(const PendingRequest &it) const
+{
+    return it.receivedAt - it.attempt.firstAttempt;
+}
+
 void ClientRequestHandler::answer(const RequestPtr &it, RoutedResult result)
 {
     m_parts.logger.write(GatewayEvents::kRequestAnswered,
@@ -210,7 +235,7 @@
                            field("reached", result.reachedBackends),
                            field("took_ms", ms(m_parts.loop.clock().now() - it->receivedAt)),
                            field("client_deadline_ms", ms(it->clientDeadline)),
-                           field("since_first_attempt_ms", ms(it->sinceFirstAttempt)),
+                           field("since_first_attempt_ms", ms(sinceFirstAttempt(*it))),
                            field("manifest_version", it->manifest->manifest.version) });
     respond(it, std::move(result.result.response), "answered");
 }
@@ -237,7 +262,7 @@
                            field("reached", result.reachedBackends),
                            field("took_ms", ms(m_parts.loop.clock().now() - it->receivedAt)),
                            field("client_deadline_ms", ms(it->clientDeadline)),
-                           field("since_first_attempt_ms", ms(it->sinceFirstAttempt)),
+                           field("since_first_attempt_ms", ms(sinceFirstAttempt(*it))),
                            field("left_ms", ms(left)),
                            field("retry_after_ms", ms(retryAfter)),
                            field("manifest_version", it->manifest->manifest.version),
@@ -265,7 +290,7 @@
                            field("reached", result.reachedBackends),
                            field("took_ms", ms(m_parts.loop.clock().now() - it->receivedAt)),
                            field("client_deadline_ms", ms(it->clientDeadline)),
-                           field("since_first_attempt_ms", ms(it->sinceFirstAttempt)),
+                           field("since_first_attempt_ms", ms(sinceFirstAttempt(*it))),
                            field("manifest_version", it->manifest->manifest.version),
                            field("view_age_ms", ms(m_parts.view.age())) });
     HttpResponse response;
@@ -290,6 +315,7 @@
 {
     it->timer.cancel();
     m_pending.erase(it);
+    rememberFailure(*it);
     m_parts.logger.write(GatewayEvents::kRequestAbandoned,
                          { field("request", it->requestId),
                            field("route", it->route->name),
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -3,6 +3,7 @@
 #include "gateway/backend_admission.h"
 #include "gateway/call_router.h"
 #include "gateway/header_names.h"
+#include "gateway/retry_detector.h"
 #include "http/pipelined_server.h"
 #include "runtime/metrics.h"
 
@@ -12,19 +13,6 @@
 namespace Toucandeck
 {
 
-/// Estimates the time since a client's first attempt. A client that retries has less time left, so the difference between the longest
-/// deadline observed for the route and the deadline of the request is the estimate.
-class FirstAttemptEstimator
-{
-public:
-    /// Estimated time since the client's first attempt; near zero for a first attempt.
-    /// @param deadline is the time left that the client sends with its request.
-    Duration timeSinceFirstAttempt(const std::string &route, Duration deadline);
-
-private:
-    std::unordered_map<std::string, Duration> m_longestDeadlines; ///< Longest deadline observed, by route.
-};
-
 /// Dependencies of a client request handler. All must outlive it.
 struct ClientRequestHandlerParts
 {
@@ -63,7 +51,7 @@
         TimePoint receivedAt;
         TimePoint deadline;
         Duration clientDeadline{}; ///< Time that the client waits for its answer, as it says; zero if it does not say.
-        Duration sinceFirstAttempt{}; ///< Estimated time since the client's first attempt.
+        ClientAttempt attempt; ///< For the recognition of its retry, if the client says how long it waits.
         std::uint64_t callId = 0; ///< Id at the call router; zero if no call is pending.
         EventLoop::Watch timer;
     };
@@ -81,13 +69,18 @@
     void onAnswerTimeout(const RequestPtr &it);
     void onClientDisconnected(const RequestPtr &it);
     void respond(const RequestPtr &it, HttpResponse response, const char *outcome);
+    /// Sets the time of the client's first attempt. @return true if the request is a retry.
+    bool findFirstAttempt(PendingRequest &pending);
+    /// Remembers an attempt that ended without success, so that its client's retry is recognised.
+    void rememberFailure(const PendingRequest &it);
+    Duration sinceFirstAttempt(const PendingRequest &it) const;
     /// Time after which a refused client should retry.
     Duration retryDelay(Duration hint, Duration left);
 
     ClientRequestHandlerParts m_parts;
     std::function<std::string()> m_callerService;
     WeightedRoundRobin m_split;
-    FirstAttemptEstimator m_firstAttempts;
+    RetryDetector m_retryDetector;
     std::set<RequestPtr> m_pending;
     bool m_refusesNewRequests = false;
     prometheus::Histogram &m_latency;
