Order waiting calls by the probability of a late answer

Cause: a call counted as in time if its expected service time fitted exactly, and among such calls the one with the least time left went first. So in an overload the next call was always one that just fitted, and half of these end late; refused requests come back with little time left and take that place from fresh ones. Besides, a client's retry ranked 0.4 better and could wait 0.4 of its time left although late; the reason given was what refusing it again costs, which is no reason of the caller.

Change: the value that a call loses by being late counts with the estimated probability of that, so calls with enough time go before those that just fit. Retries are no longer preferred, neither in the queue nor in the bound on late waits.

--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -16,7 +16,6 @@
 /// Longest queueing delay of a call that misses its latency target, as a share of the time left until its deadline. Calls that wait
 /// longer are mostly not answered in time.
 constexpr double kLateWaitShare = 0.15;
-constexpr double kLateWaitShareRetry = 0.4; ///< The same for a client's retry after a rejection, its last attempt.
 constexpr double kFailureSmoothing = 0.05; ///< Weight of the latest call in the moving average of failures.
 
 milliseconds inMs(Duration it)
@@ -91,7 +90,7 @@
     }
     const bool missesTarget = now + wait + serviceTime > call.call.targetTime;
     const auto totalDelay = (now - call.enqueuedAt) + wait;
-    return missesTarget && totalDelay > left * (call.call.clientRetry ? kLateWaitShareRetry : kLateWaitShare);
+    return missesTarget && totalDelay > left * kLateWaitShare;
 }
 
 void BackendAdmission::processQueue()
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -9,13 +9,23 @@
 {
 
 constexpr double kLateRankPenalty = 1; ///< A late answer has a third of the value, about the difference between two ranks.
-/// Refusing a client's retry again costs more than the missing answer.
-constexpr double kRetryRankBonus = 0.4;
+
+/// Service times are taken to be spread evenly between the expected one less this share and the expected one plus this share.
+constexpr double kServiceTimeSpread = 0.5;
+constexpr std::chrono::duration<double> kMinServiceTime{ 0.001 };
+
+/// Estimated probability that a call misses its latency target if it starts now.
+double probabilityOfMiss(const WaitingCall &it, TimePoint now)
+{
+    const std::chrono::duration<double> slack = it.call.targetTime - now;
+    const auto serviceTime = std::max<std::chrono::duration<double>>(it.serviceTime, kMinServiceTime);
+    const double longest = 1 + kServiceTimeSpread;
+    return std::clamp((longest - slack / serviceTime) / (2 * kServiceTimeSpread), 0.0, 1.0);
+}
 
 double effectiveRank(const WaitingCall &it, TimePoint now)
 {
-    const bool missesTarget = now + it.serviceTime > it.call.targetTime;
-    return it.call.rank + (missesTarget ? kLateRankPenalty : 0) - (it.call.clientRetry ? kRetryRankBonus : 0);
+    return it.call.rank + kLateRankPenalty * probabilityOfMiss(it, now);
 }
 
 } // namespace
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -37,8 +37,9 @@
     bool precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const override;
 };
 
-/// Orders nested calls first, since the requests that sent them occupy slots elsewhere; then by rank, where a call that would miss its
-/// latency target ranks behind those that can meet it, and a client's retry ahead of equal calls; then by latency target.
+/// Orders nested calls first, since the requests that sent them occupy slots elsewhere; then by rank, where the value that a call loses if
+/// it misses its latency target counts by the probability of that; then by latency target. A retry of a client is a call with less time
+/// left, so in an overload it follows fresh requests that can still be answered in time.
 class UrgencyOrder : public QueueOrder
 {
 public:
