Guarantee requests of clients half of the slots beside nested calls

Cause: nested calls always went before requests of clients. When one backend server of judge-svc was left, team look-ups of clue pages filled it: in that play 8.8 of 9 slot seconds each second from 28 s on, no request of a client for nine seconds, though some waited (admission_report).

Change: nested calls still go first, so that services cannot stall each other, but while clients have less than half of the slots a waiting request of a client goes before them (SlotShares). Both sides take what the other leaves. The expected wait of either follows the shares, so a client is not refused for a queue that does not go before it, and a nested call is refused at once if its share is used up.

The tests on the code before: test_backend_admission.cpp:101: (clientsStarted) >= (15), actual: 4 vs 15 [ FAILED ] BackendAdmissionTest.RequestsOfClientsAreServedBesideEndlessCallsOfRunningWork [ FAILED ] BackendAdmissionTest.ClientsAreNotRefusedForTheWaitOfCallsThatDoNotGoFirst CallsOfRunningWorkHaveTheSlotsThatRequestsOfClientsAreNotGuaranteed is a guard and passed before.

--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -74,9 +74,34 @@
     if (m_running.size() + m_queue.size() < slots) {
         return {};
     }
-    const auto serviceTimeAhead = m_queue.serviceTimeBefore(call, m_clock.now());
     const auto untilSlotIsFree = m_running.size() < slots ? Duration::zero() : m_serviceTimes.mean() / slots;
-    return duration_cast<Duration>((untilSlotIsFree + serviceTimeAhead / slots) * m_slowness.relative(m_clock.now()));
+    return duration_cast<Duration>((untilSlotIsFree + delayByCallsBefore(call)) * m_slowness.relative(m_clock.now()));
+}
+
+Duration BackendAdmission::delayByCallsBefore(const WaitingCall &call) const
+{
+    const auto now = m_clock.now();
+    const auto slots = std::max(1U, m_backendStatus.slots());
+    const auto shares = slotShares();
+    const auto serviceTimeBefore = m_queue.serviceTimeBefore(call, now);
+    if (call.call.nested) {
+        const auto clientsBefore = m_serviceTimes.mean() * static_cast<std::int64_t>(shares.clientsBeforeNested());
+        return serviceTimeBefore / static_cast<std::int64_t>(shares.leftForNested()) + clientsBefore / slots;
+    }
+    const auto byGuarantee = m_queue.clientServiceTimeBefore(call, now) / static_cast<std::int64_t>(shares.guaranteedToClients());
+    return std::min<Duration>(serviceTimeBefore / slots, byGuarantee);
+}
+
+SlotShares BackendAdmission::slotShares() const
+{
+    const CallCounts clients{ runningCount() - runningCount(CallOrigin::Nested), waitingCount() - waitingCount(CallOrigin::Nested) };
+    return { m_backendStatus.slots(), clients };
+}
+
+std::optional<WaitingCall> BackendAdmission::takeNext()
+{
+    const auto now = m_clock.now();
+    return slotShares().clientIsNext() ? m_queue.popFirstOfClients(now) : m_queue.popFirst(now);
 }
 
 bool BackendAdmission::isInfeasible(const WaitingCall &call) const
@@ -106,7 +131,7 @@
         if (m_backendStatus.isCold() && m_coldLimiter.nextSendTime(now) > now) {
             break;
         }
-        auto call = m_queue.popFirst(now);
+        auto call = takeNext();
         if (now + call->serviceTime / 2 > call->call.deadline) {
             refused.push_back(std::move(*call));
             continue;
--- a/src/gateway/backend_admission.h
+++ b/src/gateway/backend_admission.h
@@ -5,6 +5,7 @@
 #include "gateway/cold_limiter.h"
 #include "gateway/machine_slowness.h"
 #include "gateway/service_times.h"
+#include "gateway/slot_shares.h"
 #include "gateway/wait_queue.h"
 
 #include "common/clock.h"
@@ -33,7 +34,8 @@
 
 /// Admission control for the backend server on this VM. All calls to it, from any gateway, pass through this queue, which limits their
 /// concurrency to its slots and their rate while it is cold. Calls without a free slot are queued by urgency, or refused at once if they
-/// cannot meet their deadline or would miss their latency target after a long wait.
+/// cannot meet their deadline or would miss their latency target after a long wait. SlotShares decides between requests of clients and
+/// nested calls.
 class BackendAdmission
 {
 public:
@@ -79,6 +81,10 @@
     /// Expected service time of a call at the machine's current speed.
     Duration currentServiceTime(const WaitingCall &call) const;
     Duration expectedQueueingDelay(const WaitingCall &call) const;
+    /// Time for which the calls before this one occupy the slots that it can get, at the usual speed of the machine.
+    Duration delayByCallsBefore(const WaitingCall &call) const;
+    SlotShares slotShares() const;
+    std::optional<WaitingCall> takeNext();
     /// True if the call cannot meet its deadline, or misses its latency target after too long a wait.
     bool isInfeasible(const WaitingCall &call) const;
     void dispatch(WaitingCall call);
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -28,6 +28,16 @@
     return it.call.rank + kLateRankPenalty * probabilityOfMiss(it, now);
 }
 
+bool isAny(const WaitingCall & /*it*/)
+{
+    return true;
+}
+
+bool isOfClient(const WaitingCall &it)
+{
+    return !it.call.nested;
+}
+
 } // namespace
 
 bool ArrivalOrder::precedes(const WaitingCall &a, const WaitingCall &b, TimePoint /*now*/) const
@@ -63,8 +73,22 @@
 
 std::optional<WaitingCall> WaitQueue::popFirst(TimePoint now)
 {
-    const auto first = std::min_element(
-        m_calls.begin(), m_calls.end(), [&](const WaitingCall &a, const WaitingCall &b) { return m_order.precedes(a, b, now); });
+    return popFirstIf(isAny, now);
+}
+
+std::optional<WaitingCall> WaitQueue::popFirstOfClients(TimePoint now)
+{
+    return popFirstIf(isOfClient, now);
+}
+
+std::optional<WaitingCall> WaitQueue::popFirstIf(Predicate predicate, TimePoint now)
+{
+    auto first = m_calls.end();
+    for (auto it = m_calls.begin(); it != m_calls.end(); ++it) {
+        if (predicate(*it) && (first == m_calls.end() || m_order.precedes(*it, *first, now))) {
+            first = it;
+        }
+    }
     if (first == m_calls.end()) {
         return std::nullopt;
     }
@@ -85,10 +109,20 @@
 }
 
 Duration WaitQueue::serviceTimeBefore(const WaitingCall &call, TimePoint now) const
+{
+    return serviceTimeBeforeIf(isAny, call, now);
+}
+
+Duration WaitQueue::clientServiceTimeBefore(const WaitingCall &call, TimePoint now) const
+{
+    return serviceTimeBeforeIf(isOfClient, call, now);
+}
+
+Duration WaitQueue::serviceTimeBeforeIf(Predicate predicate, const WaitingCall &call, TimePoint now) const
 {
     Duration serviceTime{};
     for (const auto &it : m_calls) {
-        if (it.id != call.id && m_order.precedes(it, call, now)) {
+        if (predicate(it) && it.id != call.id && m_order.precedes(it, call, now)) {
             serviceTime += it.serviceTime;
         }
     }
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -55,18 +55,22 @@
 
     void push(WaitingCall call);
     std::optional<WaitingCall> popFirst(TimePoint now);
+    /// The first of the requests of clients.
+    std::optional<WaitingCall> popFirstOfClients(TimePoint now);
     std::optional<WaitingCall> remove(std::uint64_t id);
 
     /// Total service time of the calls that would be dispatched before this one.
     Duration serviceTimeBefore(const WaitingCall &call, TimePoint now) const;
+    /// The same for requests of clients only.
+    Duration clientServiceTimeBefore(const WaitingCall &call, TimePoint now) const;
 
-    /// Removes and returns the calls for which @p predicate yields true.
-    template<class Predicate>
-    std::vector<WaitingCall> removeIf(Predicate predicate)
+    /// Removes and returns the calls for which @p condition yields true.
+    template<class Condition>
+    std::vector<WaitingCall> removeIf(Condition condition)
     {
         std::vector<WaitingCall> removed;
         for (auto it = m_calls.begin(); it != m_calls.end();) {
-            if (predicate(*it)) {
+            if (condition(*it)) {
                 removed.push_back(std::move(*it));
                 it = m_calls.erase(it);
             } else {
@@ -81,6 +85,11 @@
     std::size_t count(CallOrigin origin) const;
 
 private:
+    using Predicate = bool (*)(const WaitingCall &);
+
+    std::optional<WaitingCall> popFirstIf(Predicate predicate, TimePoint now);
+    Duration serviceTimeBeforeIf(Predicate predicate, const WaitingCall &call, TimePoint now) const;
+
     const QueueOrder &m_order;
     std::list<WaitingCall> m_calls;
 };
--- a/test/gateway/test_backend_admission.cpp
+++ b/test/gateway/test_backend_admission.cpp
@@ -78,6 +78,58 @@
     EXPECT_EQ(m_backend.m_sentRequests.back(), "nested");
 }
 
+// Failure: a service with few backend servers left ran nested calls only, and no request of a client (SHORT on cluefire-live).
+TEST_F(BackendAdmissionTest, RequestsOfClientsAreServedBesideEndlessCallsOfRunningWork)
+{
+    m_backendStatus.m_slots = 9;
+    int nestedCalls = 0;
+    const auto submitNested = [&] {
+        auto nested = callNamed(fmt::format("nested-{}", ++nestedCalls), m_clock);
+        nested.nested = true;
+        submit(nested);
+    };
+    for (int i = 0; i < 20; ++i) {
+        submitNested();
+        submit(callNamed(fmt::format("client-{}", i), m_clock, 1));
+    }
+    for (int i = 0; i < 30; ++i) {
+        submitNested();
+        m_backend.answerFirst();
+    }
+    const auto clientsStarted = std::count_if(
+        m_backend.m_sentRequests.begin(), m_backend.m_sentRequests.end(), [](const auto &it) { return it.starts_with("client"); });
+    EXPECT_GE(clientsStarted, 15);
+    EXPECT_GE(m_backend.m_sentRequests.size() - static_cast<std::size_t>(clientsStarted), 15U);
+}
+
+// Failure: services whose slots are all taken by requests that wait for each other's calls.
+TEST_F(BackendAdmissionTest, CallsOfRunningWorkHaveTheSlotsThatRequestsOfClientsAreNotGuaranteed)
+{
+    m_backendStatus.m_slots = 9;
+    for (int i = 0; i < 20; ++i) {
+        submit(callNamed(fmt::format("client-{}", i), m_clock));
+    }
+    auto nested = callNamed("nested", m_clock, 2);
+    nested.nested = true;
+    submit(nested);
+    m_backend.answerFirst();
+    EXPECT_EQ(m_backend.m_sentRequests.back(), "nested");
+}
+
+TEST_F(BackendAdmissionTest, ClientsAreNotRefusedForTheWaitOfCallsThatDoNotGoFirst)
+{
+    m_backendStatus.m_slots = 9;
+    for (int i = 0; i < 200; ++i) {
+        auto nested = callNamed(fmt::format("nested-{}", i), m_clock);
+        nested.nested = true;
+        submit(nested);
+    }
+    auto client = callNamed("client", m_clock);
+    client.deadline = m_clock.now() + milliseconds(500);
+    submit(client);
+    EXPECT_EQ(m_results.count("client"), 0U);
+}
+
 TEST_F(BackendAdmissionTest, MoreUrgentRanksGoFirst)
 {
     submit(callNamed("a", m_clock));
