Run nested calls of requests that are further on first

What callers saw: with few backend servers of judge-svc left, clue pages got one of their two team look-ups answered and failed on the other; their callers sent them again at once.

Cause: waiting nested calls of all requests were equal, so in an overload every look-up had the same chance, and a request needs them all. What a failed request had used, its run and its first look-up, was lost.

Change: a nested call carries the number of earlier calls of the same request that were answered (sibling_answers; gateways of the former build send none, which counts as zero). Among equals the call of the request that is further on goes first, so requests that cannot be completed fail on their first call.

The test on the code before: test_backend_admission.cpp:145: m_backend.m_sentRequests.back() Which is: "nested-after-0" "nested-after-1" [ FAILED ] BackendAdmissionTest.NestedCallsOfRequestsThatAreFurtherOnGoFirst Now 132 tests of the gateway pass.

--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -164,7 +164,7 @@
     m_tally.recordStart(call.call, now + currentServiceTime(call) > call.call.targetTime);
     const auto id = call.id;
     auto &running = m_running[id];
-    running = { std::move(call.call), std::move(call.done), now, now - call.enqueuedAt, m_slowness.relative(now) };
+    running = { std::move(call.call), std::move(call.done), now, now - call.enqueuedAt, 0, m_slowness.relative(now) };
     m_port.run(id, running.call, [this, id](CallResult result) { finish(id, std::move(result)); });
 }
 
@@ -248,9 +248,28 @@
     processQueue();
 }
 
+std::unordered_map<std::uint64_t, BackendAdmission::RunningCall>::const_iterator
+BackendAdmission::findRunning(std::string_view requestId) const
+{
+    return std::find_if(m_running.begin(), m_running.end(), [requestId](const auto &it) { return it.second.call.requestId == requestId; });
+}
+
 bool BackendAdmission::isRunning(std::string_view requestId) const
 {
-    return std::any_of(m_running.begin(), m_running.end(), [requestId](const auto &it) { return it.second.call.requestId == requestId; });
+    return findRunning(requestId) != m_running.end();
+}
+
+std::uint32_t BackendAdmission::answeredCalls(std::string_view requestId) const
+{
+    const auto it = findRunning(requestId);
+    return it == m_running.end() ? 0 : it->second.answeredCalls;
+}
+
+void BackendAdmission::onNestedCallAnswered(std::string_view requestId)
+{
+    if (const auto it = findRunning(requestId); it != m_running.end()) {
+        ++m_running.at(it->first).answeredCalls;
+    }
 }
 
 wire::LoadReport BackendAdmission::loadReport() const
--- a/src/gateway/backend_admission.h
+++ b/src/gateway/backend_admission.h
@@ -59,6 +59,10 @@
 
     /// True if the backend server runs a request with this id.
     bool isRunning(std::string_view requestId) const;
+    /// Number of nested calls of a running request that were answered; zero if no request with this id runs.
+    std::uint32_t answeredCalls(std::string_view requestId) const;
+    /// Handles the answer to a nested call of a running request.
+    void onNestedCallAnswered(std::string_view requestId);
 
     wire::LoadReport loadReport() const;
     std::size_t runningCount() const;
@@ -75,6 +79,7 @@
         CallDone done;
         TimePoint startedAt;
         Duration queueingDelay;
+        std::uint32_t answeredCalls = 0; ///< Nested calls of this request that were answered.
         double slowness = 1; ///< Relative slowness of the machine when the call started.
     };
 
@@ -87,6 +92,7 @@
     std::optional<WaitingCall> takeNext();
     /// True if the call cannot meet its deadline, or misses its latency target after too long a wait.
     bool isInfeasible(const WaitingCall &call) const;
+    std::unordered_map<std::uint64_t, RunningCall>::const_iterator findRunning(std::string_view requestId) const;
     void dispatch(WaitingCall call);
     void finish(std::uint64_t id, CallResult result);
     void refuse(const WaitingCall &call, wire::CallReason reason);
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -72,6 +72,7 @@
     out.set_idempotent(call.idempotent);
     out.set_nested(call.nested);
     out.set_returned(call.clientRetry);
+    out.set_sibling_answers(call.siblingAnswers);
     if (call.key) {
         out.set_has_key(true);
         out.set_key(*call.key);
@@ -91,6 +92,7 @@
     call.idempotent = request.idempotent();
     call.nested = request.nested();
     call.clientRetry = request.returned();
+    call.siblingAnswers = request.sibling_answers();
     if (request.has_key()) {
         call.key = request.key();
     }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -25,6 +25,7 @@
     std::uint32_t rank = 0; ///< 0 is the most urgent.
     bool idempotent = false;
     bool nested = false; ///< Sent by a backend server while it runs another request.
+    std::uint32_t siblingAnswers = 0; ///< Of a nested call: number of earlier calls of the same request that were answered.
     bool clientRetry = false; ///< The client retries after an attempt without success.
     std::optional<std::uint32_t> key; ///< Below kKeyCount.
 };
--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -137,7 +137,9 @@
     const auto sent = readNumber(request.header(m_parts.headers.deadlineMs));
     const Duration wait = sent ? clientWait(*sent) : route.timeout;
     call.deadline = pending.receivedAt + std::min(wait, route.timeout);
-    call.nested = isNested(pending.requestId);
+    const auto parent = parentOf(pending.requestId);
+    call.nested = !parent.empty();
+    call.siblingAnswers = m_parts.admission.answeredCalls(parent);
     pending.attempt.firstAttempt = pending.receivedAt;
     if (sent && !call.nested) {
         pending.clientDeadline = wait;
@@ -160,10 +162,14 @@
     return firstAttempt.has_value();
 }
 
-bool ClientRequestHandler::isNested(const std::string &requestId) const
+std::string_view ClientRequestHandler::parentOf(const std::string &requestId) const
 {
     const auto end = requestId.rfind(m_parts.headers.nestedIdSeparator);
-    return end != std::string::npos && m_parts.admission.isRunning(std::string_view(requestId).substr(0, end));
+    if (end == std::string::npos) {
+        return {};
+    }
+    const auto parent = std::string_view(requestId).substr(0, end);
+    return m_parts.admission.isRunning(parent) ? parent : std::string_view();
 }
 
 HttpHeaders ClientRequestHandler::forwardedHeaders(const HttpRequest &request) const
@@ -225,6 +231,9 @@
 
 void ClientRequestHandler::answer(const RequestPtr &it, RoutedResult result)
 {
+    if (const auto parent = parentOf(it->requestId); !parent.empty()) {
+        m_parts.admission.onNestedCallAnswered(parent);
+    }
     m_parts.logger.write(GatewayEvents::kRequestAnswered,
                          { field("request", it->requestId),
                            field("route", it->route->name),
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -22,7 +22,7 @@
     Metrics &metrics;
     const HeaderNames &headers;
     const FleetView &view;
-    const BackendAdmission &admission;
+    BackendAdmission &admission;
     CallRouter &router;
 };
 
@@ -60,7 +60,8 @@
 
     void reject(const std::shared_ptr<HttpExchange> &exchange, int status, const std::string &reason);
     Call makeCall(PendingRequest &pending, const HttpRequest &request);
-    bool isNested(const std::string &requestId) const;
+    /// Id of the request that the backend server on this VM runs and that sent this one; empty if a client sent it.
+    std::string_view parentOf(const std::string &requestId) const;
     HttpHeaders forwardedHeaders(const HttpRequest &request) const;
     void onResult(const RequestPtr &it, RoutedResult result);
     void answer(const RequestPtr &it, RoutedResult result);
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -55,6 +55,9 @@
     if (rankA != rankB) {
         return rankA < rankB;
     }
+    if (a.call.siblingAnswers != b.call.siblingAnswers) {
+        return a.call.siblingAnswers > b.call.siblingAnswers;
+    }
     if (a.call.targetTime != b.call.targetTime) {
         return a.call.targetTime < b.call.targetTime;
     }
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -38,8 +38,9 @@
 };
 
 /// Orders nested calls first, since the requests that sent them occupy slots elsewhere; then by rank, where the value that a call loses if
-/// it misses its latency target counts by the probability of that; then by latency target. A retry of a client is a call with less time
-/// left, so in an overload it follows fresh requests that can still be answered in time.
+/// it misses its latency target counts by the probability of that. Among equals, nested calls of requests that have more answers already
+/// go first, since such a request has used more slots in vain if one of its calls is refused; then the earlier latency target goes first.
+/// A retry of a client is a call with less time left, so in an overload it follows fresh requests that can still be answered in time.
 class UrgencyOrder : public QueueOrder
 {
 public:
--- a/test/gateway/test_backend_admission.cpp
+++ b/test/gateway/test_backend_admission.cpp
@@ -130,6 +130,30 @@
     EXPECT_EQ(m_results.count("client"), 0U);
 }
 
+// Failure: in an overload of nested calls most requests got some of their calls answered and failed on the next one.
+TEST_F(BackendAdmissionTest, NestedCallsOfRequestsThatAreFurtherOnGoFirst)
+{
+    submit(callNamed("a", m_clock));
+    submit(callNamed("b", m_clock));
+    for (const auto answers : { 0U, 1U, 0U }) {
+        auto nested = callNamed(fmt::format("nested-after-{}", answers), m_clock);
+        nested.nested = true;
+        nested.siblingAnswers = answers;
+        submit(nested);
+    }
+    m_backend.answerFirst();
+    EXPECT_EQ(m_backend.m_sentRequests.back(), "nested-after-1");
+}
+
+TEST_F(BackendAdmissionTest, CountsTheAnsweredCallsOfARunningRequest)
+{
+    submit(callNamed("a", m_clock));
+    m_admission.onNestedCallAnswered("a");
+    m_admission.onNestedCallAnswered("unknown");
+    EXPECT_EQ(m_admission.answeredCalls("a"), 1U);
+    EXPECT_EQ(m_admission.answeredCalls("unknown"), 0U);
+}
+
 TEST_F(BackendAdmissionTest, MoreUrgentRanksGoFirst)
 {
     submit(callNamed("a", m_clock));
--- a/test/gateway/test_client_request_handler.cpp
+++ b/test/gateway/test_client_request_handler.cpp
@@ -92,6 +92,21 @@
         return m_port.m_call;
     }
 
+    /// Sends a nested call of the request that the backend server on this VM runs.
+    Call sendNested(const std::string &id)
+    {
+        HttpRequest request{ "GET", "/teams/1", { { "Host", "hunt.example" }, { m_names.requestId, id } }, {} };
+        m_handler.handle(std::make_shared<HttpExchange>(std::weak_ptr<internal::PipelinedConnection>(), std::move(request), m_clock.now()));
+        return m_port.m_call;
+    }
+
+    void answer()
+    {
+        CallResult result;
+        result.outcome = wire::ANSWERED;
+        m_port.m_done(std::move(result));
+    }
+
     void refuse()
     {
         m_port.m_done(notRun(wire::OVERLOADED));
@@ -156,13 +171,23 @@
 TEST_F(ClientRequestHandlerTest, ARequestAfterAnAnsweredOneIsNoRetry)
 {
     send("/answers/1", milliseconds(2600));
-    CallResult result;
-    result.outcome = wire::ANSWERED;
-    m_port.m_done(std::move(result));
+    answer();
     m_clock.advance(milliseconds(300));
     EXPECT_FALSE(send("/answers/1", milliseconds(2300)).clientRetry);
 }
 
+TEST_F(ClientRequestHandlerTest, ANestedCallTellsHowManyOfItsSiblingsWereAnswered)
+{
+    m_admission.submit(callNamed("parent", m_clock), [](const CallResult &) {});
+    EXPECT_EQ(sendNested("parent.1").siblingAnswers, 0U);
+    answer();
+    const auto second = sendNested("parent.2");
+    EXPECT_TRUE(second.nested);
+    EXPECT_EQ(second.siblingAnswers, 1U);
+    refuse();
+    EXPECT_EQ(sendNested("parent.3").siblingAnswers, 1U);
+}
+
 TEST_F(ClientRequestHandlerTest, AnAbsurdDeadlineDoesNotOverflow)
 {
     const auto call = sendWithDeadline("/answers/1", "18446744073709551615");
