Ignore odd entries among the heartbeats of backend servers

What could be seen: a heartbeat of another writer took the place of a backend server. Its own heartbeats were out of date from then on, so it got no keys and no requests.

Cause: born was accepted up to 2^64-1, so that a number out of range made an incarnation later than any real one (or one before 1970). And a heartbeat for the right address, but for a service that no manifest names, started a new incarnation and ended the one that was there.

A heartbeat that would replace the service of a backend server by one that the manifest in force does not name is ignored and logged; the first heartbeat is accepted, since the manifest may be late, and so is the drain of a backend server whose service was removed.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -57,7 +57,7 @@
     10223,
     LogLevel::Warning,
     "heartbeat_ignored",
-    "A heartbeat was ignored: it is out of date, from an earlier incarnation or for another address."
+    "A heartbeat was ignored: it is out of date, from an earlier incarnation, for another address or an unknown service."
 };
 inline constexpr Event kHoldsGranted{ 10224, LogLevel::Info, "holds_granted", "The keys granted to the backend server have changed." };
 inline constexpr Event kKeysReleased{ 10225, LogLevel::Info, "keys_freed", "The backend server has released keys." };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,6 +54,8 @@
     , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router },
                        [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
 {
+    m_instance.setServiceCheck(
+        [this](const std::string &service) { return m_view.manifest() == nullptr || m_view.service(service) != nullptr; });
     m_instance.setStartHandler([this] { onInstanceStarted(); });
     m_instance.setChangeHandler([this] { onInstanceChanged(); });
     m_runner.setConnectionRefusedHandler([this] { m_instance.onConnectionRefused(); });
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -46,6 +46,11 @@
     m_startHandler = std::move(handler);
 }
 
+void LocalInstance::setServiceCheck(std::function<bool(const std::string &service)> isKnown)
+{
+    m_isServiceKnown = std::move(isKnown);
+}
+
 bool LocalInstance::isStale(const Heartbeat &it) const
 {
     const auto &latest = m_current ? m_current : m_previous;
@@ -58,12 +63,18 @@
     return it.sequence <= latest->sequence;
 }
 
+bool LocalInstance::namesUnknownService(const Heartbeat &it) const
+{
+    return m_current && m_isServiceKnown && it.service != m_current->service && !m_isServiceKnown(it.service);
+}
+
 void LocalInstance::handleHeartbeat(const Heartbeat &it, AnswerHandler answer)
 {
-    if (it.address != m_address || isStale(it)) {
+    if (it.address != m_address || namesUnknownService(it) || isStale(it)) {
         m_logger.write(GatewayEvents::kHeartbeatIgnored,
                        { field("instance", it.instance),
                          field("address", it.address),
+                         field("service", it.service),
                          field("born_ms", it.startUnixMs),
                          field("sequence", it.sequence),
                          field("current", m_current ? m_current->name : std::string()) });
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -41,6 +41,9 @@
     /// Called after the first heartbeat of a new incarnation.
     void setStartHandler(std::function<void()> handler);
 
+    /// @p isKnown tells whether a service may exist. A heartbeat for another service than before that is not known is ignored.
+    void setServiceCheck(std::function<bool(const std::string &service)> isKnown);
+
     /// Handles a heartbeat. The answer may be delayed, so that changes of the keys reach the backend server at once.
     void handleHeartbeat(const Heartbeat &it, AnswerHandler answer);
     /// Handles the backend server's notice that it stops: it is draining from now on.
@@ -96,6 +99,8 @@
     };
 
     bool isStale(const Heartbeat &it) const;
+    /// True if the heartbeat would replace the service of the backend server with an unknown one.
+    bool namesUnknownService(const Heartbeat &it) const;
     void startIncarnation(const Heartbeat &it);
     void updateIncarnation(const Heartbeat &it);
     std::vector<KeyRow> rowsToHold() const;
@@ -112,6 +117,7 @@
     Duration m_maxAnswerDelay;
     std::function<void()> m_changeHandler;
     std::function<void()> m_startHandler;
+    std::function<bool(const std::string &service)> m_isServiceKnown;
     std::optional<Incarnation> m_current;
     std::optional<Incarnation> m_previous; ///< Last incarnation that was presumed terminated; its late heartbeats are ignored.
     std::string m_terminatedIncarnation; ///< Last incarnation whose process has terminated.
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -126,6 +126,35 @@
     EXPECT_FALSE(m_instance.isPresent());
 }
 
+// Failure: a heartbeat of another writer, for this address but an unknown service, takes the keys of the backend server there.
+TEST_F(LocalInstanceTest, IgnoresHeartbeatsForAnUnknownService)
+{
+    m_instance.setServiceCheck([](const std::string &service) { return service == "svc" || service == "next"; });
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    auto it = beat(2, 1);
+    it.instance = "odd";
+    it.service = "unknown";
+    const auto answer = send(it);
+    ASSERT_TRUE(answer);
+    EXPECT_FALSE(*answer);
+    EXPECT_EQ(m_instance.report().incarnation(), "i@1");
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+    it.service = "next"; // The address of a backend server that has ended may belong to another service.
+    send(it);
+    EXPECT_EQ(m_instance.report().incarnation(), "odd@2");
+}
+
+TEST_F(LocalInstanceTest, AcceptsTheDrainOfABackendServerWhoseServiceWasRemoved)
+{
+    send(beat(1, 1));
+    m_instance.setServiceCheck([](const std::string &) { return false; });
+    auto it = beat(1, 2);
+    it.draining = true;
+    send(it);
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+}
+
 TEST_F(LocalInstanceTest, ANewIncarnationHoldsNothingAndTerminatesTheOneBefore)
 {
     send(beat(1, 1));
--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -4,6 +4,7 @@
 
 #include "config/json_fields.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
@@ -152,6 +153,26 @@
     EXPECT_FALSE(readsHeartbeat(replaced(text, "\"250ms\"", "250")));
 }
 
+// Failure: an entry of another writer with a number out of range displaces the backend server, whose own heartbeats are then out of date.
+TEST(HeartbeatJson, RefusesNumbersOutOfRange)
+{
+    const std::string text = kHeartbeat;
+    const std::string born = "\"born\":1777424534000";
+    ASSERT_NE(text.find(born), std::string::npos);
+    for (const auto *it :
+         { "18446744073709551615", "9223372036854775808", "253402300800000", "1e400", "1.5", "-1", "\"1777424534000\"", "null" }) {
+        EXPECT_FALSE(readsHeartbeat(replaced(text, born, fmt::format("\"born\":{}", it)))) << it;
+    }
+    for (const auto *it : { "-4", "4.0", "1e400", "18446744073709551616", "[4]" }) {
+        EXPECT_FALSE(readsHeartbeat(replaced(text, "\"seqNum\":4", fmt::format("\"seqNum\":{}", it)))) << it;
+    }
+    for (const auto *it : { "0", "-1", "100001", "1e9", "9.0" }) {
+        EXPECT_FALSE(readsHeartbeat(replaced(text, "\"slots\":9", fmt::format("\"slots\":{}", it)))) << it;
+    }
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "[[0,4095,7]]", "[[0,4095,18446744073709551616]]")));
+    EXPECT_FALSE(readsHeartbeat(replaced(text, "\"250ms\"", "\"1e300s\"")));
+}
+
 // Guards against a process that ends because a body without valid UTF-8 is quoted in the JSON of its own answer.
 TEST(Codecs, DescribeABodyThatIsNotUtf8InValidJson)
 {
