Answer requests before the end of a graceful stop

What callers saw: a request that came late in a gateway's graceful stop, or still ran at its end, was cut off without an answer when the process ended.

Cause: such a request was passed on with the client's whole deadline, which may be later than the end of the process, and the timer for a final answer followed that deadline.

Change: from SIGTERM on no deadline is later than 250 ms before the end of the stop. A request that cannot be served until then is refused at once by the usual rule; what still runs then gets 504, which says that it may have run. Requests later than 3 s after SIGTERM are refused at once with 503, as before; a test shows it now.

--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -120,11 +120,18 @@
     it->deadline = call.deadline;
     m_pending.insert(it);
     exchange->setDisconnectHandler([this, it] { onClientDisconnected(it); });
-    it->timer = m_parts.loop.after(it->deadline - m_parts.loop.clock().now() + kAnswerGrace, [this, it] { onAnswerTimeout(it); });
+    startTimer(it);
     const AttemptPolicy policy{ route->kind == RequestKind::Idempotent, std::max(1U, route->maxAttempts) };
     it->callId = m_parts.router.route(std::move(call), policy, [this, it](RoutedResult result) { onResult(it, std::move(result)); });
 }
 
+void ClientRequestHandler::startTimer(const RequestPtr &it)
+{
+    const auto end = std::min(it->deadline + kAnswerGrace, m_answerLimit);
+    it->timer
+        = m_parts.loop.after(std::max<Duration>(end - m_parts.loop.clock().now(), Duration::zero()), [this, it] { onAnswerTimeout(it); });
+}
+
 Call ClientRequestHandler::makeCall(PendingRequest &pending, const HttpRequest &request)
 {
     const auto &route = *pending.route;
@@ -136,7 +143,7 @@
     call.idempotent = route.kind == RequestKind::Idempotent;
     const auto sent = readNumber(request.header(m_parts.headers.deadlineMs));
     const Duration wait = sent ? clientWait(*sent) : route.timeout;
-    call.deadline = pending.receivedAt + std::min(wait, route.timeout);
+    call.deadline = std::min(pending.receivedAt + std::min(wait, route.timeout), m_answerLimit);
     const auto parent = parentOf(pending.requestId);
     call.nested = !parent.empty();
     call.siblingAnswers = m_parts.admission.answeredCalls(parent);
@@ -336,6 +343,14 @@
     }
 }
 
+void ClientRequestHandler::setAnswerLimit(TimePoint limit)
+{
+    m_answerLimit = limit;
+    for (const auto &it : m_pending) {
+        startTimer(it);
+    }
+}
+
 void ClientRequestHandler::refuseNewRequests()
 {
     m_refusesNewRequests = true;
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -35,6 +35,9 @@
 
     void handle(const std::shared_ptr<HttpExchange> &exchange);
 
+    /// All requests get their final answer by this time, also those in progress: the gateway ends soon after it.
+    void setAnswerLimit(TimePoint limit);
+
     /// Refuses all new requests from now on, since the gateway would stop before their answer.
     void refuseNewRequests();
 
@@ -70,6 +73,8 @@
     void onAnswerTimeout(const RequestPtr &it);
     void onClientDisconnected(const RequestPtr &it);
     void respond(const RequestPtr &it, HttpResponse response, const char *outcome);
+    /// Starts the timer after which the request fails without an answer of a backend server.
+    void startTimer(const RequestPtr &it);
     /// Sets the time of the client's first attempt. @return true if the request is a retry.
     bool findFirstAttempt(PendingRequest &pending);
     /// Remembers an attempt that ended without success, so that its client's retry is recognised.
@@ -83,6 +88,7 @@
     WeightedRoundRobin m_split;
     RetryDetector m_retryDetector;
     std::set<RequestPtr> m_pending;
+    TimePoint m_answerLimit = TimePoint::max();
     bool m_refusesNewRequests = false;
     prometheus::Histogram &m_latency;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,8 @@
 /// No other backend server can run calls for the keys held on this VM, so they are accepted for as long as possible.
 constexpr milliseconds kKeyedPeerDrainTime{ 2200 };
 constexpr milliseconds kPeerCloseTime{ 1000 }; ///< After GoAway, peers are given this time to close their connections.
+/// Requests without an answer this long before the end of a graceful stop fail, so that their clients get an answer.
+constexpr milliseconds kFinalAnswerTime{ 250 };
 constexpr milliseconds kMinIdleTime{ 150 }; ///< The drain is complete after this time without pending requests and calls.
 
 } // namespace
@@ -189,6 +191,7 @@
                            field("calls", m_peers->pendingCount()),
                            field("running", m_admission.runningCount()) });
     m_fleet.setLeaving();
+    m_requestHandler.setAnswerLimit(m_drainStart + m_options.shutdownLimit - kFinalAnswerTime);
     m_outbound->drain();
     m_drainTimer = m_parts.loop.every(kDrainInterval, [this] { checkDrain(); });
 }
--- a/test/gateway/test_client_request_handler.cpp
+++ b/test/gateway/test_client_request_handler.cpp
@@ -88,7 +88,8 @@
         request.headers.push_back({ "Host", "hunt.example" });
         request.headers.push_back({ m_names.requestId, std::to_string(++m_requests) });
         request.headers.push_back({ m_names.deadlineMs, deadlineMs });
-        m_handler.handle(std::make_shared<HttpExchange>(std::weak_ptr<internal::PipelinedConnection>(), std::move(request), m_clock.now()));
+        m_exchange = std::make_shared<HttpExchange>(std::weak_ptr<internal::PipelinedConnection>(), std::move(request), m_clock.now());
+        m_handler.handle(m_exchange);
         return m_port.m_call;
     }
 
@@ -130,6 +131,7 @@
     ClientRequestHandler m_handler{ { *m_loop, m_logger, m_random, m_metrics, m_names, m_view, m_admission, m_router },
                                     [] { return "other"; } };
     int m_requests = 0;
+    std::shared_ptr<HttpExchange> m_exchange; ///< Of the latest request of a client.
 };
 
 } // namespace
@@ -188,6 +190,27 @@
     EXPECT_EQ(sendNested("parent.3").siblingAnswers, 1U);
 }
 
+// Failure: a request that came late in the graceful stop of a gateway, or still ran at its end, was cut off without an answer.
+TEST_F(ClientRequestHandlerTest, RequestsGetTheirAnswerBeforeTheGatewayEnds)
+{
+    send("/answers/1", milliseconds(3000));
+    const auto pending = m_exchange;
+    m_handler.setAnswerLimit(m_clock.now() + milliseconds(50));
+    const auto call = send("/answers/2", milliseconds(3000));
+    EXPECT_EQ(call.deadline, m_clock.now() + milliseconds(50));
+    EXPECT_TRUE(m_loop->runUntil([&] { return pending->isAnswered() && m_exchange->isAnswered(); }, seconds(2)));
+    EXPECT_EQ(m_handler.pendingCount(), 0U);
+}
+
+TEST_F(ClientRequestHandlerTest, RequestsTooLateInAGracefulStopAreRefusedAtOnce)
+{
+    m_handler.refuseNewRequests();
+    send("/answers/1", milliseconds(3000));
+    EXPECT_TRUE(m_exchange->isAnswered());
+    EXPECT_EQ(m_port.m_call.requestId, "");
+    EXPECT_EQ(m_handler.pendingCount(), 0U);
+}
+
 TEST_F(ClientRequestHandlerTest, AnAbsurdDeadlineDoesNotOverflow)
 {
     const auto call = sendWithDeadline("/answers/1", "18446744073709551615");
