Count a lost connection between gateways once, whatever calls were pending on it

What could be seen: after one second of silence, or one reset, of a connection with several calls, its gateway was avoided for 2.4 s in place of 300 ms, and its keys could count as unreachable after one failure.

Cause: each pending call reports the silence or the loss, and each report doubled the time and raised the count of consecutive failures.

Change: while a gateway is avoided, further reports of lost or silent connections count as the same failure. Refused connections count each, as before: calls for keys rely on two in a row.

--- a/src/gateway/gateway_loads.cpp
+++ b/src/gateway/gateway_loads.cpp
@@ -43,8 +43,11 @@
         load.suspectUntil = std::max(load.suspectUntil, now + kInitialSuspicion);
         return;
     }
-    const bool unreachable = result.reason == wire::LINK_LOST || (result.reason == wire::CONNECT_FAILED && result.load.slots() == 0);
-    if (unreachable) {
+    if (result.reason == wire::LINK_LOST) {
+        onConnectionLost(load);
+        return;
+    }
+    if (result.reason == wire::CONNECT_FAILED && result.load.slots() == 0) {
         markUnreachable(load);
         return;
     }
@@ -57,7 +60,14 @@
 
 void GatewayLoads::onSilence(const std::string &ip)
 {
-    markUnreachable(m_loads[ip]);
+    onConnectionLost(m_loads[ip]);
+}
+
+void GatewayLoads::onConnectionLost(GatewayLoad &load) const
+{
+    if (m_clock.now() >= load.suspectUntil) {
+        markUnreachable(load);
+    }
 }
 
 void GatewayLoads::markUnreachable(GatewayLoad &load) const
--- a/src/gateway/gateway_loads.h
+++ b/src/gateway/gateway_loads.h
@@ -41,6 +41,8 @@
     bool isFresh(const GatewayLoad &load) const;
 
 private:
+    /// Counts one failure, although each call that was pending on the connection reports it.
+    void onConnectionLost(GatewayLoad &load) const;
     void markUnreachable(GatewayLoad &load) const;
 
     const Clock &m_clock;
