Serve the depths of nested requests in turn

What could be seen (toucandeckd): a backend server under a lasting backlog of deeper requests served no shallower service-to-service request, so the requests that wait for these failed at their deadline.

Cause: within the class of service-to-service requests the deepest was always served next.

Change: depths are served in turn, from the deepest to the shallowest. The slots that each deeper level keeps for itself, which let services not stall each other, stay as they are.

Callers' requests and service-to-service requests took turns before (ClassesTakeTurnsUnderBacklog); toucandeckd has no preference of retries, and is told the time of a first attempt (Toucandeck-First-Sent-Ms).

--- a/src/admission/request_queue.cpp
+++ b/src/admission/request_queue.cpp
@@ -49,11 +49,15 @@
 
 std::optional<AdmissionRequest> RequestQueue::popFromClass(std::size_t classIndex, const std::function<bool(unsigned)> &mayStart)
 {
-    for (unsigned depth = kMaxDepth + 1; depth-- > 0;) {
+    constexpr unsigned kDepths = kMaxDepth + 1;
+    const auto last = m_lastServedDepths[classIndex];
+    for (unsigned step = 1; step <= kDepths; ++step) {
+        const auto depth = (last + kDepths - step) % kDepths;
         auto &queue = m_classes[classIndex][depth];
         if (queue.empty() || !mayStart(depth)) {
             continue;
         }
+        m_lastServedDepths[classIndex] = depth;
         const auto request = queue.front().request;
         queue.pop_front();
         --m_sizes[classIndex];
--- a/src/admission/request_queue.h
+++ b/src/admission/request_queue.h
@@ -20,8 +20,9 @@
     TimePoint enqueueTime;
 };
 
-/// Bounded queue with two classes, callers' requests and service-to-service requests, which are served in turn. Within a class
-/// deeper calls are served first, because shallower ones wait for them; within a depth the order is first in, first out.
+/// Bounded queue with two classes, callers' requests and service-to-service requests, which are served in turn. Within a class the
+/// depths are served in turn from the deepest to the shallowest, because shallower calls wait for deeper ones but must not starve behind
+/// them; within a depth the order is first in, first out.
 class RequestQueue
 {
 public:
@@ -60,6 +61,7 @@
     std::array<Depths, 2> m_classes; ///< Callers' requests, service-to-service requests.
     std::array<std::size_t, 2> m_sizes{};
     std::size_t m_lastServedClass = 1;
+    std::array<unsigned, 2> m_lastServedDepths{}; ///< By class.
     std::unordered_set<std::uint64_t> m_ids;
 };
 
--- a/test/admission/test_admission_controller.cpp
+++ b/test/admission/test_admission_controller.cpp
@@ -56,6 +56,34 @@
     EXPECT_LE(callers, 5U);
 }
 
+// Failure: service-to-service requests of one depth starve while deeper ones keep coming, so the callers that wait for them fail.
+TEST(AdmissionController, DepthsTakeTurnsUnderBacklog)
+{
+    AdmissionFixture fixture;
+    fixture.startAll(1, true);
+    std::vector<std::uint64_t> shallow;
+    for (int i = 0; i < 4; ++i) {
+        fixture.submit(1, true);
+        shallow.push_back(fixture.lastId);
+    }
+    std::size_t shallowStarted = 0;
+    std::size_t deepStarted = 0;
+    for (int i = 0; i < 20 && !fixture.running.empty(); ++i) {
+        fixture.submit(2, true); // There is always a deeper request in the queue.
+        fixture.submit(2, true);
+        fixture.finish(fixture.running.front());
+        fixture.running.erase(fixture.running.begin());
+        fixture.clock.advance(1ms);
+        for (const auto &it : fixture.controller.poll().starts) {
+            fixture.running.push_back(it.id);
+            const bool isShallow = std::find(shallow.begin(), shallow.end(), it.id) != shallow.end();
+            ++(isShallow ? shallowStarted : deepStarted);
+        }
+    }
+    EXPECT_EQ(shallowStarted, shallow.size());
+    EXPECT_GT(deepStarted, shallowStarted);
+}
+
 TEST(AdmissionController, StatusCheckNeverQueues)
 {
     AdmissionFixture it;
