--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -148,12 +148,7 @@
     call.nested = !parent.empty();
     call.siblingAnswers = m_parts.admission.answeredCalls(parent);
     pending.attempt.firstAttempt = pending.receivedAt;
-    if (sent && !call.nested) {
-        pending.clientDeadline = wait;
-        pending.attempt.fingerprint = RetryDetector::fingerprint(request);
-        pending.attempt.deadline = pending.receivedAt + wait;
-        call.clientRetry = findFirstAttempt(pending);
-    }
+    call.clientRetry = sent && !call.nested && detectRetry(pending, request, wait);
     call.targetTime = pending.attempt.firstAttempt + route.targetLatency;
     const auto key = readNumber(request.header(m_parts.headers.key));
     if (key && *key < kKeyCount) {
@@ -162,10 +157,14 @@
     return call;
 }
 
-bool ClientRequestHandler::findFirstAttempt(PendingRequest &pending)
+bool ClientRequestHandler::detectRetry(PendingRequest &pending, const HttpRequest &request, Duration wait)
 {
-    const auto firstAttempt = m_retryDetector.takeFirstAttempt(pending.attempt.fingerprint, pending.attempt.deadline);
-    pending.attempt.firstAttempt = firstAttempt.value_or(pending.receivedAt);
+    auto &attempt = pending.attempt;
+    pending.clientDeadline = wait;
+    attempt.fingerprint = RetryDetector::fingerprint(request);
+    attempt.deadline = pending.receivedAt + wait;
+    const auto firstAttempt = m_retryDetector.takeFirstAttempt(attempt.fingerprint, attempt.deadline);
+    attempt.firstAttempt = firstAttempt.value_or(pending.receivedAt);
     return firstAttempt.has_value();
 }
 
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -8,7 +8,7 @@
 #include "runtime/metrics.h"
 
 #include <memory>
-#include <unordered_map>
+#include <set>
 
 namespace Toucandeck
 {
@@ -75,8 +75,9 @@
     void respond(const RequestPtr &it, HttpResponse response, const char *outcome);
     /// Starts the timer after which the request fails without an answer of a backend server.
     void startTimer(const RequestPtr &it);
-    /// Sets the time of the client's first attempt. @return true if the request is a retry.
-    bool findFirstAttempt(PendingRequest &pending);
+    /// Sets what identifies the attempts of this client, which waits for @p wait, and the time of its first one.
+    /// @return true if the request is a retry.
+    bool detectRetry(PendingRequest &pending, const HttpRequest &request, Duration wait);
     /// Remembers an attempt that ended without success, so that its client's retry is recognised.
     void rememberFailure(const PendingRequest &it);
     Duration sinceFirstAttempt(const PendingRequest &it) const;
