--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -120,10 +120,12 @@
 
 TEST_F(LocalInstanceTest, IgnoresHeartbeatsForAnotherAddress)
 {
-    auto it = beat(1, 1);
-    it.address = "10.0.0.2:80";
-    send(it);
-    EXPECT_FALSE(m_instance.isPresent());
+    for (const auto *address : { "10.0.0.2:80", "10.0.0.1:81", "10.0.0.1:0", "10.0.0.1:65616", "10.0.0.1", "" }) {
+        auto it = beat(1, 1);
+        it.address = address;
+        send(it);
+        EXPECT_FALSE(m_instance.isPresent()) << address;
+    }
 }
 
 // Failure: a heartbeat of another writer, for this address but an unknown service, takes the keys of the backend server there.
