Grant no lease on keys that are proposed for another holder

Cause: a holder that was silent for 3 s is lost once its lease has ended, and its keys are proposed for another one. If it announced itself again before the proposal was committed, it got a lease on these keys, since the committed table still named it; then the proposal was committed, and both held them.

Change: while a proposal is pending, a lease names only rows that the proposal leaves with the holder.

--- a/src/fleet/key_coordinator.cpp
+++ b/src/fleet/key_coordinator.cpp
@@ -53,9 +53,18 @@
     if (found == m_state.tables().end() || m_terminatedIncarnations.count(incarnation) != 0) {
         return grant;
     }
-    const auto &state = m_services[service];
-    KeyRows kept = found->second.keys;
-    for (const auto &row : found->second.keys.rowsHeldBy(incarnation)) {
+    for (const auto &it : rowsToKeep(found->second.keys, m_services[service], incarnation)) {
+        *grant.add_rows() = toWire(it);
+    }
+    const auto maxDuration = std::chrono::duration_cast<Duration>(m_options.leaseDuration * (1 + m_options.clockDrift)) + kLeaseMargin;
+    m_leaseExpiries[incarnation] = m_clock.now() + maxDuration;
+    return grant;
+}
+
+std::vector<KeyRow> KeyCoordinator::rowsToKeep(const KeyRows &rows, const ServiceState &state, const std::string &incarnation)
+{
+    KeyRows kept = rows;
+    for (const auto &row : rows.rowsHeldBy(incarnation)) {
         for (const auto &it : state.pendingReleases) {
             if (matches(it, it.from, row)) {
                 kept.assign({ intersection(it.range, row.range), {}, {}, 0, {} });
@@ -67,12 +76,15 @@
             }
         }
     }
-    for (const auto &it : kept.rowsHeldBy(incarnation)) {
-        *grant.add_rows() = toWire(it);
+    if (state.pendingProposal) {
+        // A holder that was lost may return after its keys were proposed for another one, and before that is committed.
+        for (const auto &it : state.pendingProposal->rows()) {
+            if (it.holder != incarnation) {
+                kept.assign({ it.range, {}, {}, 0, {} });
+            }
+        }
     }
-    const auto maxDuration = std::chrono::duration_cast<Duration>(m_options.leaseDuration * (1 + m_options.clockDrift)) + kLeaseMargin;
-    m_leaseExpiries[incarnation] = m_clock.now() + maxDuration;
-    return grant;
+    return kept.rowsHeldBy(incarnation);
 }
 
 void KeyCoordinator::onReleased(const std::string &service, const wire::FreedKeys &keys)
@@ -132,7 +144,7 @@
     }
     std::erase_if(state.releasedRanges, [now](const ReleasedRange &it) { return now - it.receivedAt > kReleasedRangeRetention; });
     recordDemand(state, announced);
-    if (state.isProposalPending || eligible.empty()) {
+    if (state.pendingProposal || eligible.empty()) {
         return;
     }
     const auto found = m_state.tables().find(service);
@@ -173,10 +185,10 @@
                              field("revision", table.revision) });
         }
     }
-    state.isProposalPending = true;
+    state.pendingProposal = rows;
     m_propose(command, [this, service, rows](bool committed) {
         auto &current = m_services[service];
-        current.isProposalPending = false;
+        current.pendingProposal.reset();
         if (!committed) {
             return;
         }
--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -113,7 +113,7 @@
         std::size_t eligibleCount = 0;
         TimePoint lastEligibleChange; ///< Last change of eligibleCount.
         TimePoint lastRebalance;
-        bool isProposalPending = false;
+        std::optional<KeyRows> pendingProposal; ///< Rows that are proposed and neither committed nor rejected.
     };
 
     using Holders = std::vector<const KeyHolder *>;
@@ -134,6 +134,8 @@
         return row.holder == holder && row.fencingToken == it.fencingToken && row.range.overlaps(it.range);
     }
 
+    /// Rows that the incarnation may keep: neither released, nor to be released, nor assigned to another one by a pending proposal.
+    static std::vector<KeyRow> rowsToKeep(const KeyRows &rows, const ServiceState &state, const std::string &incarnation);
     static std::optional<std::size_t> findHolder(const Holders &holders, const std::string &incarnation);
     /// Time by which each lease of the incarnation has expired by any permitted clock, including leases of the previous leader.
     TimePoint latestLeaseExpiry(const std::string &incarnation) const;
--- a/test/fleet/test_key_coordinator.cpp
+++ b/test/fleet/test_key_coordinator.cpp
@@ -22,9 +22,16 @@
             m_clock, m_logger, m_state, m_planner, options(), [this](const wire::KeyTable &table, const std::function<void(bool)> &done) {
                 wire::FleetCommand command;
                 *command.mutable_set_keys() = table;
-                const auto before = revision();
-                m_state.apply(LogIndex{ ++m_index }, command.SerializeAsString());
-                done(revision() != before);
+                const auto commit = [this, command, done] {
+                    const auto before = revision();
+                    m_state.apply(LogIndex{ ++m_index }, command.SerializeAsString());
+                    done(revision() != before);
+                };
+                if (m_delaysCommits) {
+                    m_delayedCommits.push_back(commit);
+                } else {
+                    commit();
+                }
             })
     {
     }
@@ -95,6 +102,8 @@
     FleetState m_state;
     SlicePlanner m_planner;
     std::uint64_t m_index = 0;
+    bool m_delaysCommits = false;
+    std::vector<std::function<void()>> m_delayedCommits;
     std::vector<KeyHolder> m_holders;
     KeyCoordinator m_coordinator;
 };
@@ -348,3 +357,22 @@
         it.tick(milliseconds(*rc::gen::inRange(10, 2000)));
     }
 }
+
+// The lost holder got a lease on the keys after they were proposed for another one; both held them (prove_grants, seed 541).
+TEST(KeyCoordinator, AHolderThatReturnsWhileItsKeysAreProposedForAnotherOneGetsNoLeaseOnThem)
+{
+    Fixture it;
+    it.add("a");
+    it.add("b");
+    it.tick();
+    ASSERT_FALSE(it.granted("b").empty());
+    it.m_delaysCommits = true;
+    it.remove("b");
+    it.tick(seconds(6)); // The lease of the lost holder has expired.
+    ASSERT_EQ(it.m_delayedCommits.size(), 1U);
+    it.add("b");
+    EXPECT_TRUE(it.granted("b").empty());
+    it.m_delayedCommits[0]();
+    EXPECT_EQ(it.at(kKeyCount - 1).holder, "a");
+    EXPECT_TRUE(it.granted("b").empty());
+}
