Grant keys by calls to the backend servers of services that ask for it

Change: the manifest chooses the way of granting for each service. CallGrants decides which grants and releases are due and when released keys may be reported: not while a grant without an answer can still come into force. GrantCaller sends the calls, only to the process that sends the heartbeats. A lease older than the latest one is ignored.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -61,6 +61,12 @@
 };
 inline constexpr Event kHoldsGranted{ 10224, LogLevel::Info, "holds_granted", "The keys granted to the backend server have changed." };
 inline constexpr Event kKeysReleased{ 10225, LogLevel::Info, "keys_freed", "The backend server has released keys." };
+inline constexpr Event kGrantCalled{
+    10226, LogLevel::Info, "grant_called", "A call that grants keys to the backend server has ended; renewals are logged only if they fail."
+};
+inline constexpr Event kReleaseCalled{
+    10227, LogLevel::Info, "release_called", "A call that takes keys back from the backend server has ended."
+};
 inline constexpr Event kManifestInForce{ 10230, LogLevel::Info, "manifest_in_force", "A manifest is in force at this gateway." };
 inline constexpr Event kManifestUnreadable{
     10231,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,8 @@
           [this](const std::string &peer, const wire::PeerMessage &message) { receive(peer, message); },
           [this](const std::string &peer, bool, const std::string &) { m_fleet.onPeerClosed(peer); })
     , m_view(parts.loop.clock(), parts.logger, parts.codec)
-    , m_instance(parts.loop, parts.logger, m_options.backend.toString(), m_options.heartbeatInterval)
+    , m_grantCaller(parts.loop, parts.grantCodec, m_options.backend, parts.headers.requestId)
+    , m_instance(parts.loop, parts.logger, m_grantCaller, m_options.backend.toString(), m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
     , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
     , m_admissionReport(parts.logger, parts.metrics)
@@ -58,6 +59,7 @@
 {
     m_instance.setServiceCheck(
         [this](const std::string &service) { return m_view.manifest() == nullptr || m_view.service(service) != nullptr; });
+    m_grantCaller.setReadyHandler([this] { m_instance.updateCallGrants(); });
     m_instance.setStartHandler([this] { onInstanceStarted(); });
     m_instance.setChangeHandler([this] { onInstanceChanged(); });
     m_runner.setConnectionRefusedHandler([this] { m_instance.onConnectionRefused(); });
@@ -138,6 +140,7 @@
     policy.evacuated = m_view.isEvacuated(m_options.failureDomain);
     if (const auto *service = m_view.service(m_instance.service())) {
         policy.keyed = service->keyed;
+        policy.grantWay = service->grantWay;
         policy.coldRequestsPerSecond = service->coldRequestsPerSecond;
         policy.coldPeriod = service->coldPeriod;
     }
@@ -236,6 +239,15 @@
     metrics.gauge("toucandeck_gate_waiting", "Calls that wait for a slot").Set(static_cast<double>(m_admission.waitingCount()));
     metrics.gauge("toucandeck_requests_pending", "Requests of clients in progress")
         .Set(static_cast<double>(m_requestHandler.pendingCount()));
+    const auto &grants = m_instance.callGrants();
+    const auto &counters = grants.counters();
+    metrics.gauge("toucandeck_grants_sent", "Calls that granted keys to the backend server").Set(static_cast<double>(counters.sent));
+    metrics.gauge("toucandeck_grants_accepted", "Of these, answered with success").Set(static_cast<double>(counters.accepted));
+    metrics.gauge("toucandeck_grants_refused", "Of these, refused by the backend server").Set(static_cast<double>(counters.refused));
+    metrics.gauge("toucandeck_grants_unanswered", "Of these, without an answer").Set(static_cast<double>(counters.unanswered));
+    metrics.gauge("toucandeck_key_releases_sent", "Calls that took keys back").Set(static_cast<double>(counters.releases));
+    metrics.gauge("toucandeck_grant_oldest_unanswered_seconds", "Age of the oldest unanswered grant that may be in force")
+        .Set(std::chrono::duration<double>(grants.oldestUnanswered()).count());
     metrics.gauge("toucandeck_manifest_version", "Version of the manifest in force").Set(static_cast<double>(m_view.manifestVersion()));
     metrics.gauge("toucandeck_view_age_seconds", "Time since the last update from a controller")
         .Set(std::chrono::duration<double>(m_view.age()).count());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "gateway/backend_runner.h"
 #include "gateway/client_request_handler.h"
 #include "gateway/fleet_client.h"
+#include "gateway/grant_caller.h"
 #include "gateway/peer_server.h"
 #include "gateway/remote_calls.h"
 
@@ -34,6 +35,7 @@
     Metrics &metrics;
     const HeaderNames &headers;
     const ManifestCodec &codec;
+    const GrantCodec &grantCodec;
 };
 
 /// The gateway on the VM of a backend server: handles the requests that originate on this VM, admits calls to the backend server, and
@@ -79,6 +81,7 @@
     GatewayOptions m_options;
     PeerLinks m_links;
     FleetView m_view;
+    GrantCaller m_grantCaller;
     LocalInstance m_instance;
     BackendRunner m_runner;
     UrgencyOrder m_order;
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -20,20 +20,30 @@
 /// connection.
 constexpr double kAnswerDelayShare = 0.9;
 constexpr milliseconds kMinSurgeReportInterval{ 300 }; ///< Between two announcements triggered by a surge of demand.
+constexpr milliseconds kCallGrantsInterval{ 200 };
 constexpr int kRefusalsForTermination = 2; ///< Consecutive refused connections that show that the process has terminated.
 constexpr milliseconds kMinRefusalSpan{ 50 }; ///< Between the first and the last of them.
 constexpr milliseconds kHeartbeatTransitTime{ 30 }; ///< The state in a heartbeat may be this much older than the interval.
 
 } // namespace
 
-LocalInstance::LocalInstance(EventLoop &loop, Logger &logger, std::string address, Duration heartbeatInterval)
+LocalInstance::LocalInstance(EventLoop &loop, Logger &logger, GrantPort &grantPort, std::string address, Duration heartbeatInterval)
     : m_loop(loop)
     , m_logger(logger)
+    , m_grantPort(grantPort)
     , m_address(std::move(address))
     , m_maxHeartbeatAge(heartbeatInterval + kHeartbeatTransitTime)
     , m_maxAnswerDelay(std::min<Duration>(kMaxAnswerDelay, std::chrono::duration_cast<Duration>(heartbeatInterval * kAnswerDelayShare)))
     , m_pendingReleases(logger)
+    , m_createdAt(loop.clock().now())
+    , m_callGrants(loop.clock(), logger, grantPort)
 {
+    m_callGrants.setReleasedHandler([this](const HeldKeys &keys, const std::string &handover) {
+        m_pendingReleases.add(m_current->name, keys, handover);
+        if (m_changeHandler) {
+            m_changeHandler();
+        }
+    });
 }
 
 void LocalInstance::setChangeHandler(std::function<void()> handler)
@@ -90,6 +100,10 @@
     if (starts && m_startHandler) {
         m_startHandler();
     }
+    if (grantsByCall()) {
+        m_grantPort.onHeartbeat();
+        updateCallGrants();
+    }
     if (!mayDelayAnswer(it)) {
         sendAnswer(answer);
         return;
@@ -100,6 +114,7 @@
 
 void LocalInstance::startIncarnation(const Heartbeat &it)
 {
+    m_isFirstIncarnation = !m_current && !m_previous;
     if (m_current) {
         m_terminatedIncarnation = m_current->name; // The new incarnation has bound its address.
         m_logger.write(GatewayEvents::kInstanceTerminated,
@@ -114,6 +129,8 @@
     m_sentRows.clear();
     m_sentRowsExpiry = {};
     m_pendingReleases.clear();
+    m_grantPort.onProcessEnded();
+    m_callGrants.clear();
     m_demand.clear();
     m_logger.write(GatewayEvents::kInstanceStarted,
                    { field("incarnation", m_current->name),
@@ -136,7 +153,8 @@
     m_current->lastHeartbeat = now;
     m_current->coldUntil = now + it.coldRemaining;
     m_connectionRefusals = 0;
-    m_pendingReleases.record(m_current->name, it, m_reportedHolds, m_sentRows);
+    m_pendingReleases.record(
+        m_current->name, it, m_reportedHolds, m_sentRows, [this](KeyRange range) { return m_callGrants.unansweredEnd(range); });
     m_reportedHolds = it.holds;
     if (changed) {
         m_logger.write(GatewayEvents::kInstanceState,
@@ -159,6 +177,7 @@
     m_current->draining = true;
     m_logger.write(GatewayEvents::kInstanceState, { field("incarnation", m_current->name), field("state", "deregistered") });
     answerPending();
+    updateCallGrants();
     if (m_changeHandler) {
         m_changeHandler();
     }
@@ -186,6 +205,8 @@
     m_previous = std::exchange(m_current, std::nullopt);
     m_pendingAnswer = nullptr;
     m_pendingAnswerTimer.cancel();
+    m_grantPort.onProcessEnded();
+    m_callGrants.clear();
     if (m_changeHandler) {
         m_changeHandler();
     }
@@ -196,7 +217,15 @@
     if (m_policy.evacuated && !policy.evacuated) {
         m_evacuationEnd = m_loop.clock().now();
     }
+    const bool beginsCalls = policy.keyed && policy.grantWay == GrantWay::Call && !grantsByCall();
     m_policy = policy;
+    if (!grantsByCall()) {
+        m_callGrantsTimer.cancel();
+    } else if (beginsCalls) {
+        m_callGrants.recordHeld(m_sentRows, m_sentRowsExpiry);
+        m_callGrantsTimer = m_loop.every(kCallGrantsInterval, [this] { updateCallGrants(); });
+        answerPending();
+    }
 }
 
 void LocalInstance::setLeaving()
@@ -307,7 +336,7 @@
 
 void LocalInstance::addReleasedKeys(wire::Announce &announce)
 {
-    m_pendingReleases.addTo(announce);
+    m_pendingReleases.addTo(announce, m_loop.clock().now());
 }
 
 void LocalInstance::addDemand(wire::Announce &announce)
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "gateway/backend_admission.h"
+#include "gateway/call_grants.h"
 #include "gateway/demand_sampler.h"
 #include "gateway/heartbeat.h"
 #include "gateway/pending_releases.h"
 
 #include "log/logger.h"
+#include "manifest/manifest.h"
 #include "runtime/event_loop.h"
 
 #include <functional>
@@ -21,6 +23,7 @@
     bool hasManifest = false; ///< A manifest is in force.
     bool evacuated = false; ///< Its failure domain is evacuated.
     bool keyed = false; ///< Its service is divided by key.
+    GrantWay grantWay = GrantWay::HeartbeatAnswer; ///< How the keys reach the backend server.
     double coldRequestsPerSecond = 0;
     Duration coldPeriod{};
 };
@@ -34,7 +37,8 @@
 
     /// @param address of the backend server, as "IP:PORT"; heartbeats for another address are ignored.
     /// @param heartbeatInterval between two heartbeats of the backend server.
-    LocalInstance(EventLoop &loop, Logger &logger, std::string address, Duration heartbeatInterval);
+    /// @param grantPort is used for services whose keys are granted by calls; it must outlive this object.
+    LocalInstance(EventLoop &loop, Logger &logger, GrantPort &grantPort, std::string address, Duration heartbeatInterval);
 
     /// Called when the incarnation, its state or its released keys have changed, so that the controllers are notified at once.
     void setChangeHandler(std::function<void()> handler);
@@ -83,6 +87,10 @@
 
     void setMeanServiceTime(Duration serviceTime);
 
+    const CallGrants &callGrants() const;
+    /// Sends the calls about keys that are due, for services whose keys are granted by calls.
+    void updateCallGrants();
+
 private:
     struct Incarnation
     {
@@ -107,11 +115,15 @@
     std::optional<HeartbeatAnswer> currentAnswer() const;
     bool mayDelayAnswer(const Heartbeat &it) const;
     void answerPending();
+    bool grantsByCall() const;
+    /// True if the latest answer to a heartbeat granted the key and the grant has not expired.
+    bool holdsByHeartbeatAnswer(std::uint32_t key) const;
     void sendAnswer(const AnswerHandler &answer);
     bool holdsKey(std::uint32_t key) const;
 
     EventLoop &m_loop;
     Logger &m_logger;
+    GrantPort &m_grantPort;
     std::string m_address;
     Duration m_maxHeartbeatAge; ///< Maximum age of the state in the latest heartbeat, just before the next one.
     Duration m_maxAnswerDelay;
@@ -129,10 +141,15 @@
     TimePoint m_evacuationEnd; ///< When the last evacuation of the failure domain ended.
     std::vector<KeyRow> m_leasedRows; ///< Rows of the latest lease.
     TimePoint m_leaseExpiry;
+    std::uint64_t m_leaseSequence = 0; ///< Of the announcement that the latest lease answers.
     std::vector<KeyRow> m_sentRows; ///< Rows in the latest answer to the backend server.
     TimePoint m_sentRowsExpiry; ///< End of the hold time in the latest answer.
     std::vector<HeldKeys> m_reportedHolds; ///< Keys held according to its latest heartbeat.
     PendingReleases m_pendingReleases;
+    TimePoint m_createdAt;
+    bool m_isFirstIncarnation = true; ///< It may have been granted keys by an earlier process of this gateway.
+    CallGrants m_callGrants;
+    EventLoop::Watch m_callGrantsTimer;
     DemandSampler m_demand;
     TimePoint m_lastSurgeReport;
     Duration m_meanServiceTime{};
--- a/src/gateway/local_instance_keys.cpp
+++ b/src/gateway/local_instance_keys.cpp
@@ -1,6 +1,7 @@
 #include "gateway/local_instance.h"
 
 #include "gateway/events.h"
+#include "gateway/hold_time.h"
 
 #include <algorithm>
 
@@ -12,18 +13,17 @@
 
 using std::chrono::milliseconds;
 
-constexpr double kClockDrift = 0.03; ///< Margin of the hold time; a backend server's clock may run 2% slow.
-constexpr milliseconds kHoldMargin{ 20 }; ///< Subtracted from the hold time.
-/// An answer grants no keys for less time than this: the grant would expire before the next heartbeat.
-constexpr milliseconds kMinHoldTime{ 300 };
+constexpr double kLeaseDrift = 0.03; ///< Margin of a lease for the clocks of the VMs.
 
 } // namespace
 
 void LocalInstance::applyLease(const wire::LeaseGrant &lease, TimePoint sentAt)
 {
-    if (!m_current || lease.incarnation() != m_current->name) {
+    // A late lease could name keys whose release the controllers have recorded since.
+    if (!m_current || lease.incarnation() != m_current->name || lease.sequence() < m_leaseSequence) {
         return;
     }
+    m_leaseSequence = lease.sequence();
     std::vector<KeyRow> rows;
     for (const auto &it : lease.rows()) {
         rows.push_back(fromWire(it));
@@ -31,11 +31,33 @@
     const bool changed = rows != m_leasedRows;
     m_leasedRows = std::move(rows);
     m_leaseExpiry = std::max(m_leaseExpiry, sentAt + milliseconds(lease.duration_ms()));
+    if (m_isFirstIncarnation && grantsByCall()) {
+        const auto longest = std::chrono::duration_cast<Duration>(milliseconds(lease.duration_ms()) * (1 + kLeaseDrift));
+        m_callGrants.setEarlierGrantsEnd(m_createdAt + longest);
+    }
     if (changed) {
         answerPending();
+        updateCallGrants();
+    }
+}
+
+bool LocalInstance::grantsByCall() const
+{
+    return m_policy.keyed && m_policy.grantWay == GrantWay::Call;
+}
+
+void LocalInstance::updateCallGrants()
+{
+    if (m_current && grantsByCall()) {
+        m_callGrants.setRows(rowsToHold(), m_leaseExpiry);
     }
 }
 
+const CallGrants &LocalInstance::callGrants() const
+{
+    return m_callGrants;
+}
+
 void LocalInstance::onAnnouncementAcknowledged(std::uint64_t sequence)
 {
     m_pendingReleases.onAnnouncementAcknowledged(sequence);
@@ -53,15 +75,11 @@
 
 std::optional<HeartbeatAnswer> LocalInstance::currentAnswer() const
 {
-    if (!m_current || !m_policy.keyed) {
-        return std::nullopt;
-    }
-    const auto left = m_leaseExpiry - m_loop.clock().now();
-    const auto hold = std::chrono::duration_cast<Duration>(left / (1 + kClockDrift)) - kHoldMargin;
-    if (hold < kMinHoldTime) {
+    if (!m_current || !m_policy.keyed || grantsByCall()) {
         return std::nullopt;
     }
-    return HeartbeatAnswer{ rowsToHold(), hold };
+    const auto hold = holdTimeFor(m_leaseExpiry - m_loop.clock().now());
+    return hold ? std::optional(HeartbeatAnswer{ rowsToHold(), *hold }) : std::nullopt;
 }
 
 void LocalInstance::answerPending()
@@ -94,16 +112,21 @@
 
 bool LocalInstance::holdsKey(std::uint32_t key) const
 {
-    const auto now = m_loop.clock().now();
-    const auto containsKey = [key](const KeyRow &it) { return it.range.contains(key); };
     const auto rows = rowsToHold();
-    return now < m_sentRowsExpiry && now < m_leaseExpiry && std::any_of(m_sentRows.begin(), m_sentRows.end(), containsKey)
-        && std::any_of(rows.begin(), rows.end(), containsKey);
+    const bool leased = m_loop.clock().now() < m_leaseExpiry
+        && std::any_of(rows.begin(), rows.end(), [key](const KeyRow &it) { return it.range.contains(key); });
+    return leased && (holdsByHeartbeatAnswer(key) || m_callGrants.holds(key));
+}
+
+bool LocalInstance::holdsByHeartbeatAnswer(std::uint32_t key) const
+{
+    return m_loop.clock().now() < m_sentRowsExpiry
+        && std::any_of(m_sentRows.begin(), m_sentRows.end(), [key](const KeyRow &it) { return it.range.contains(key); });
 }
 
 bool LocalInstance::mayDelayAnswer(const Heartbeat &it) const
 {
-    if (!m_policy.keyed || it.draining || m_leaving || !it.released.empty()) {
+    if (!m_policy.keyed || grantsByCall() || it.draining || m_leaving || !it.released.empty()) {
         return false;
     }
     // If the backend server holds keys that it is to release, or lacks some, it must be notified at once.
--- a/src/gateway/pending_releases.cpp
+++ b/src/gateway/pending_releases.cpp
@@ -50,32 +50,37 @@
 void PendingReleases::record(const std::string &incarnation,
                              const Heartbeat &heartbeat,
                              const std::vector<HeldKeys> &previousHolds,
-                             const std::vector<KeyRow> &sentRows)
+                             const std::vector<KeyRow> &sentRows,
+                             const std::function<TimePoint(KeyRange)> &unansweredEnd)
 {
     for (const auto &released : heartbeat.released) {
         const auto fencingToken = fencingTokenOf(released.range, previousHolds, sentRows);
         for (const auto &it : withoutHeldKeys(released.range, fencingToken, heartbeat.holds)) {
-            add(incarnation, it, fencingToken, released.handover, heartbeat.sequence);
+            add(incarnation, { it, fencingToken }, released.handover, unansweredEnd ? unansweredEnd(it) : TimePoint());
         }
     }
 }
 
-void PendingReleases::add(
-    const std::string &incarnation, KeyRange range, std::uint64_t fencingToken, const std::string &handover, std::uint64_t sequence)
+void PendingReleases::add(const std::string &incarnation, const HeldKeys &keys, const std::string &handover)
+{
+    add(incarnation, keys, handover, TimePoint());
+}
+
+void PendingReleases::add(const std::string &incarnation, const HeldKeys &released, const std::string &handover, TimePoint notBefore)
 {
     wire::FreedKeys keys;
     keys.set_incarnation(incarnation);
-    keys.set_from(range.from);
-    keys.set_to(range.to);
-    keys.set_fence(fencingToken);
+    keys.set_from(released.range.from);
+    keys.set_to(released.range.to);
+    keys.set_fence(released.fencingToken);
     keys.set_handover(handover);
     m_logger.write(GatewayEvents::kKeysReleased,
                    { field("incarnation", incarnation),
-                     field("from", range.from),
-                     field("to", range.to),
-                     field("fence", fencingToken),
-                     field("sequence", sequence) });
-    m_entries.push_back({ std::move(keys), 0 });
+                     field("from", released.range.from),
+                     field("to", released.range.to),
+                     field("fence", released.fencingToken),
+                     field("handover", !handover.empty()) });
+    m_entries.push_back({ std::move(keys), notBefore, 0 });
 }
 
 void PendingReleases::clear()
@@ -83,9 +88,12 @@
     m_entries.clear();
 }
 
-void PendingReleases::addTo(wire::Announce &announce)
+void PendingReleases::addTo(wire::Announce &announce, TimePoint now)
 {
     for (auto &it : m_entries) {
+        if (now < it.notBefore) {
+            continue;
+        }
         if (it.announcement == 0) {
             it.announcement = announce.sequence();
         }
--- a/src/manifest/manifest.h
+++ b/src/manifest/manifest.h
@@ -39,6 +39,12 @@
     std::vector<RouteTarget> targets; ///< At least one; several form a weighted split.
 };
 
+/// How keys are granted to the backend servers of a service.
+enum class GrantWay {
+    HeartbeatAnswer, ///< In the answer to each heartbeat.
+    Call, ///< By calls to the backend server.
+};
+
 /// Group of equivalent backend servers.
 struct ServiceSpec
 {
@@ -48,6 +54,7 @@
     Duration coldPeriod{}; ///< Time after its start during which a backend server is cold.
     double coldRequestsPerSecond = 0; ///< Maximum request rate of a cold backend server; zero means unlimited.
     bool keyed = false; ///< Each request is executed only by the holder of its key.
+    GrantWay grantWay = GrantWay::HeartbeatAnswer; ///< Of a keyed service.
     Duration warmPeriod{}; ///< Time during which requests are slow for keys acquired without a handover.
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -94,7 +94,9 @@
     options.retryShare = m_settings.retryShare;
     options.heartbeatInterval = m_settings.heartbeatInterval;
     options.shutdownLimit = m_settings.shutdownLimit - kShutdownReserve;
-    const GatewayParts parts{ *m_loop, *m_random, m_logger, m_metrics, m_interface.headers(), m_interface.manifestCodec() };
+    const GatewayParts parts{
+        *m_loop, *m_random, m_logger, m_metrics, m_interface.headers(), m_interface.manifestCodec(), m_interface.grantCodec()
+    };
     BOOST_LEAF_ASSIGN(m_gateway, Gateway::create(parts, std::move(options)));
     BOOST_LEAF_AUTO(ready, serve(m_settings.ready, [this](const auto &it) { m_interface.handleReady(*m_gateway, it); }));
     BOOST_LEAF_AUTO(control, serve(m_settings.control, [this](const auto &it) { m_interface.handleInstance(*m_gateway, it); }));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -22,6 +22,7 @@
 
     virtual const HeaderNames &headers() const = 0;
     virtual const ManifestCodec &manifestCodec() const = 0;
+    virtual const GrantCodec &grantCodec() const = 0;
     /// Handles a readiness check.
     virtual void handleReady(Gateway &gateway, const Exchange &exchange) const = 0;
     /// Handles a call of the backend server on the gateway's VM.
--- a/test/gateway/test_fleet_client.cpp
+++ b/test/gateway/test_fleet_client.cpp
@@ -1,5 +1,7 @@
 #include "gateway/fleet_client.h"
 
+#include "gateway/fake_grant_port.h"
+
 #include "link/free_port.h"
 #include "link/listener.h"
 
@@ -41,7 +43,7 @@
               [this](const std::string &peer, const wire::PeerMessage &message) { m_client.receive(peer, message.update()); },
               [this](const std::string &peer, bool, const std::string &) { m_client.onPeerClosed(peer); })
         , m_view(m_clock, m_logger, m_codec)
-        , m_instance(*m_loop, m_logger, "127.0.0.2:1", 1500ms)
+        , m_instance(*m_loop, m_logger, m_grantPort, "127.0.0.2:1", 1500ms)
         , m_client(*m_loop, m_links, m_logger, m_view, m_instance, kGatewayIp, "a", { kControllerIp })
         , m_listener(Listener::listen(*m_loop, { kControllerIp, m_port }, [this](int descriptor, const std::string &) {
                          ++m_connections;
@@ -85,6 +87,7 @@
     std::uint16_t m_port;
     PeerLinks m_links;
     FleetView m_view;
+    FakeGrantPort m_grantPort;
     LocalInstance m_instance;
     FleetClient m_client;
     int m_connections = 0;
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -2,6 +2,8 @@
 // backend server.
 #include "gateway/local_instance.h"
 
+#include "gateway/fake_grant_port.h"
+
 #include <gtest/gtest.h>
 
 using namespace Toucandeck;
@@ -16,7 +18,7 @@
 protected:
     LocalInstanceTest()
         : m_loop(EventLoop::create(m_clock).value())
-        , m_instance(*m_loop, m_logger, "10.0.0.1:80", milliseconds(870))
+        , m_instance(*m_loop, m_logger, m_grantPort, "10.0.0.1:80", milliseconds(870))
     {
         InstancePolicy policy;
         policy.hasManifest = true;
@@ -44,9 +46,11 @@
         return m_answer;
     }
 
-    void lease(std::uint32_t from, std::uint32_t to, std::uint64_t fencingToken, milliseconds duration = seconds(5))
+    void
+    lease(std::uint32_t from, std::uint32_t to, std::uint64_t fencingToken, milliseconds duration = seconds(5), std::uint64_t sequence = 0)
     {
         wire::LeaseGrant grant;
+        grant.set_sequence(sequence);
         grant.set_incarnation(m_instance.report().incarnation());
         grant.set_duration_ms(static_cast<std::uint32_t>(duration.count()));
         auto *row = grant.add_rows();
@@ -68,6 +72,7 @@
     ManualClock m_clock;
     RecordingLogger m_logger;
     std::unique_ptr<EventLoop> m_loop;
+    FakeGrantPort m_grantPort;
     LocalInstance m_instance;
     std::optional<std::optional<HeartbeatAnswer>> m_answer;
 };
@@ -277,7 +282,7 @@
 // An answer sent after the next heartbeat was lost, so holds expired while the gateway relied on them (soak, seed 10).
 TEST_F(LocalInstanceTest, AnswersAHeartbeatBeforeTheNextOneIsDue)
 {
-    LocalInstance instance(*m_loop, m_logger, "10.0.0.1:80", milliseconds(50));
+    LocalInstance instance(*m_loop, m_logger, m_grantPort, "10.0.0.1:80", milliseconds(50));
     InstancePolicy policy;
     policy.hasManifest = true;
     policy.keyed = true;
@@ -328,3 +333,83 @@
     EXPECT_EQ(announce.freed(0).from(), 80U);
     EXPECT_EQ(announce.freed(0).to(), 99U);
 }
+
+TEST_F(LocalInstanceTest, GrantsKeysByCallsIfTheServiceAsksForThem)
+{
+    InstancePolicy policy;
+    policy.hasManifest = true;
+    policy.keyed = true;
+    policy.grantWay = GrantWay::Call;
+    m_instance.setPolicy(policy);
+    const auto answer = send(beat(1, 1));
+    ASSERT_TRUE(answer); // At once: it carries no keys.
+    EXPECT_FALSE(*answer);
+    EXPECT_EQ(m_grantPort.heartbeats, 1);
+    lease(0, 99, 7);
+    ASSERT_EQ(m_grantPort.grants.size(), 1U);
+    EXPECT_EQ(refusalOf(50), wire::NOT_HOLDER);
+    m_grantPort.takeGrant().done(GrantOutcome::Accepted);
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+    auto draining = beat(1, 2);
+    draining.draining = true;
+    send(draining);
+    ASSERT_EQ(m_grantPort.releases.size(), 1U); // A backend server that leaves hands its keys over.
+    m_clock.advance(milliseconds(6000)); // Grants of an earlier process of the gateway have ended.
+    m_grantPort.takeRelease().done(GrantOutcome::Accepted, "token");
+    wire::Announce announce;
+    announce.set_sequence(1);
+    m_instance.addReleasedKeys(announce);
+    ASSERT_EQ(announce.freed_size(), 1);
+    EXPECT_EQ(announce.freed(0).handover(), "token");
+}
+
+// Its predecessor's keys are gone with it; a call that was meant for the predecessor must not grant them to it.
+TEST_F(LocalInstanceTest, ANewProcessUnderTheSameIdHoldsNoKeysOfItsPredecessor)
+{
+    InstancePolicy policy;
+    policy.hasManifest = true;
+    policy.keyed = true;
+    policy.grantWay = GrantWay::Call;
+    m_instance.setPolicy(policy);
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    m_grantPort.takeGrant().done(GrantOutcome::Accepted);
+    const auto ended = m_grantPort.endedProcesses;
+    send(beat(2, 1));
+    EXPECT_EQ(m_grantPort.endedProcesses, ended + 1);
+    EXPECT_EQ(refusalOf(50), wire::NOT_HOLDER);
+    EXPECT_TRUE(m_grantPort.grants.empty());
+}
+
+// A manifest changes how keys are granted while the backend server holds some.
+TEST_F(LocalInstanceTest, KeysStayHeldWhileTheWayOfGrantingChanges)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7);
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+    InstancePolicy policy;
+    policy.hasManifest = true;
+    policy.keyed = true;
+    policy.grantWay = GrantWay::Call;
+    m_instance.setPolicy(policy);
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+    m_instance.updateCallGrants();
+    lease(0, 49, 7);
+    ASSERT_EQ(m_grantPort.releases.size(), 1U);
+    EXPECT_EQ(m_grantPort.releases.front().call.range, (KeyRange{ 50, 99 }));
+    policy.grantWay = GrantWay::HeartbeatAnswer;
+    m_instance.setPolicy(policy);
+    const auto answer = send(beat(1, 2));
+    ASSERT_TRUE(answer && *answer);
+    EXPECT_EQ((*answer)->rows[0].range, (KeyRange{ 0, 49 }));
+}
+
+// The keys were released and the release recorded; a lease from before brought them back (prove_grants, seed 544).
+TEST_F(LocalInstanceTest, IgnoresALeaseThatIsOlderThanTheLatest)
+{
+    send(beat(1, 1));
+    lease(0, 99, 7, seconds(5), 2);
+    lease(0, 199, 7, seconds(5), 1);
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+    EXPECT_EQ(refusalOf(150), wire::NOT_HOLDER);
+}
--- a/test/gateway/test_manifest_transfer.cpp
+++ b/test/gateway/test_manifest_transfer.cpp
@@ -1,5 +1,6 @@
 // Guards against a change of many routes that takes longer on the links than the time in which a manifest must be in force at each gateway.
 #include "fleet/controller.h"
+#include "gateway/fake_grant_port.h"
 #include "gateway/fleet_client.h"
 #include "link/listener.h"
 
@@ -57,7 +58,7 @@
               [this](const std::string &peer, const wire::PeerMessage &message) { m_client.receive(peer, message.update()); },
               [this](const std::string &peer, bool, const std::string &) { m_client.onPeerClosed(peer); })
         , m_view(m_clock, m_logger, m_codec)
-        , m_instance(*m_loop, m_logger, "127.0.0.2:1", 1500ms)
+        , m_instance(*m_loop, m_logger, m_grantPort, "127.0.0.2:1", 1500ms)
         , m_client(*m_loop, m_links, m_logger, m_view, m_instance, nodeIp(3), "a", { nodeIp(2) })
     {
     }
@@ -150,6 +151,7 @@
     std::unique_ptr<Listener> m_relay;
     PeerLinks m_links;
     FleetView m_view;
+    FakeGrantPort m_grantPort;
     LocalInstance m_instance;
     FleetClient m_client;
 };
--- a/test/gateway/test_peer_calls.cpp
+++ b/test/gateway/test_peer_calls.cpp
@@ -41,6 +41,25 @@
     }
 };
 
+class NoGrantCodec : public GrantCodec
+{
+public:
+    HttpRequest grantRequest(const GrantCall & /*call*/) const override
+    {
+        return {};
+    }
+
+    HttpRequest releaseRequest(const ReleaseCall & /*call*/) const override
+    {
+        return {};
+    }
+
+    std::string handover(const HttpResponse & /*response*/) const override
+    {
+        return {};
+    }
+};
+
 /// The calls of one gateway to others.
 class PeerCallsTest : public testing::Test
 {
@@ -100,13 +119,14 @@
         options.backend = { kGatewayIp, 1 };
         options.outbound = { kGatewayIp, freePort(kGatewayIp) };
         options.peerPort = m_port;
-        m_gateway = Gateway::create({ *m_loop, m_random, m_logger, m_metrics, m_headers, m_codec }, options).value();
+        m_gateway = Gateway::create({ *m_loop, m_random, m_logger, m_metrics, m_headers, m_codec, m_grantCodec }, options).value();
     }
 
     SeededRandom m_random;
     Metrics m_metrics;
     HeaderNames m_headers;
     NoCodec m_codec;
+    NoGrantCodec m_grantCodec;
     std::unique_ptr<Gateway> m_gateway;
 };
 
--- a/test/gateway/test_pending_releases.cpp
+++ b/test/gateway/test_pending_releases.cpp
@@ -31,7 +31,7 @@
     {
         wire::Announce it;
         it.set_sequence(sequence);
-        releases.addTo(it);
+        releases.addTo(it, TimePoint());
         return it;
     }
 
--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -1,4 +1,5 @@
 // Guards against misread wire fields, invalid requests that are accepted, and malformed input that crashes the decoders.
+#include "platform/grant_json.h"
 #include "platform/heartbeat_json.h"
 #include "platform/manifest_json.h"
 
@@ -86,6 +87,32 @@
     EXPECT_EQ(manifest.limits.idleTimeout, std::chrono::seconds(15));
 }
 
+TEST(ManifestJson, ReadsHowKeysAreGranted)
+{
+    const auto text = replaced(kManifest, R"("grants":"heartbeat")", R"("grants":"request")");
+    const auto manifest = ManifestJson().decode(ManifestJson::readPut(text).value().upsert()).value();
+    EXPECT_EQ(manifest.services.at("s1").grantWay, GrantWay::Call);
+    EXPECT_EQ(manifest.services.at("s2").grantWay, GrantWay::HeartbeatAnswer);
+    EXPECT_FALSE(readsManifest(replaced(kManifest, R"("grants":"heartbeat")", R"("grants":"other")")));
+}
+
+TEST(GrantJson, WritesCallsAboutKeys)
+{
+    const GrantJson codec;
+    const auto grant = codec.grantRequest({ { 4096, 8191 }, 12, std::chrono::seconds(4), "5c0e" });
+    EXPECT_EQ(grant.method, "POST");
+    EXPECT_EQ(grant.target, "/toucandeck/grant");
+    EXPECT_EQ(nlohmann::json::parse(grant.body),
+              nlohmann::json::parse(R"({"from":4096,"targetVersion":8191,"fence":12,"hold_time":"4000ms","handover":"5c0e"})"));
+    const auto release = codec.releaseRequest({ { 4096, 8191 }, 12 });
+    EXPECT_EQ(release.target, "/toucandeck/release");
+    EXPECT_EQ(nlohmann::json::parse(release.body), nlohmann::json::parse(R"({"from":4096,"targetVersion":8191,"fence":12})"));
+    HttpResponse response;
+    EXPECT_EQ(codec.handover(response), "");
+    response.headers.push_back({ "X-Toucandeck-Handover", "7a21" });
+    EXPECT_EQ(codec.handover(response), "7a21");
+}
+
 TEST(ManifestJson, WritesWhatWasSent)
 {
     const auto change = ManifestJson::readPut(kManifest).value();
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -88,7 +88,9 @@
         options.outbound = { ip, kOutboundPort };
         options.peerPort = kPeerPort;
         options.seeds = seeds;
-        const GatewayParts parts{ *m_loop, m_random, m_logger, m_metrics, m_interface.headers(), m_interface.manifestCodec() };
+        const GatewayParts parts{
+            *m_loop, m_random, m_logger, m_metrics, m_interface.headers(), m_interface.manifestCodec(), m_interface.grantCodec()
+        };
         m_gateways.push_back(Gateway::create(parts, options).value());
         auto *it = m_gateways.back().get();
         serve({ ip, kInstancePort }, [this, it](const auto &exchange) { m_interface.handleInstance(*it, exchange); });
