Send nothing on a connection before it is known to be established

A request was handed to libevent together with the connection for it. A process that was starved for longer than the time limit of the connection found the established connection and the expired timer in one iteration: libevent wrote the request, the timer reported it as not run, and the report of the established connection came last. The request ran, and was sent to another backend server or refused. The same holds for connections between gateways.

--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -107,10 +107,20 @@
     bufferevent_setcb(m_stream, &BackendConnection::onRead, nullptr, &BackendConnection::onEvent, this);
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
     const auto sa = address.toSockaddr();
-    m_connectTimer = m_loop.after(kConnectTimeout, [this] { fail(BackendError::ConnectFailed); });
+    m_connectTimer = m_loop.after(kConnectTimeout, [this] { onConnectTimeout(); });
     bufferevent_socket_connect(m_stream, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa));
 }
 
+void BackendConnection::onConnectTimeout()
+{
+    // A starved process handles the timeout and the established connection in the same iteration, the timeout first.
+    m_loop.runSoon([this, alive = m_alive] {
+        if (*alive && !m_established) {
+            fail(BackendError::ConnectFailed);
+        }
+    });
+}
+
 void BackendConnection::send(const HttpRequest &request, std::string requestId, ResponseHandler handler)
 {
     m_responseHandler = std::move(handler);
@@ -143,8 +153,23 @@
     }
     const bool bodyless = request.body.empty() && (request.method == "GET" || request.method == "HEAD");
     head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", request.body.size());
-    bufferevent_write(m_stream, head.data(), head.size());
-    bufferevent_write(m_stream, request.body.data(), request.body.size());
+    head += request.body;
+    if (m_established) {
+        bufferevent_write(m_stream, head.data(), head.size());
+    } else {
+        m_unsentRequest = std::move(head);
+    }
+}
+
+void BackendConnection::onEstablished()
+{
+    m_established = true;
+    m_connectTimer.cancel();
+    const auto unsent = std::exchange(m_unsentRequest, {});
+    bufferevent_write(m_stream, unsent.data(), unsent.size());
+    if (m_establishedHandler) {
+        std::exchange(m_establishedHandler, nullptr)(true, BackendError::None);
+    }
 }
 
 void BackendConnection::excludeRequestId(const std::string &requestId)
@@ -263,11 +288,7 @@
     auto &it = *static_cast<BackendConnection *>(self);
     const int ec = EVUTIL_SOCKET_ERROR();
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        it.m_established = true;
-        it.m_connectTimer.cancel();
-        if (it.m_establishedHandler) {
-            std::exchange(it.m_establishedHandler, nullptr)(true, BackendError::None);
-        }
+        it.onEstablished();
         return;
     }
     if (!it.m_established) {
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -93,7 +93,11 @@
 
 private:
     void connect(const SocketAddress &address);
+    /// Writes the request once the connection is established: a request that was handed to the kernel before could run although the
+    /// connection counts as failed.
     void write(const HttpRequest &request);
+    void onConnectTimeout();
+    void onEstablished();
     void readResponse();
     void finish(internal::ParsedMessage message);
     bool isLate(const HttpResponse &response) const;
@@ -113,6 +117,7 @@
     bufferevent *m_stream = nullptr;
     internal::MessageParser m_parser;
     bool m_established = false;
+    std::string m_unsentRequest; ///< Waits for the connection to be established.
     bool m_keepAlive = true;
     std::string m_requestId;
     std::size_t m_receivedResponses = 0; ///< Over all requests; interim responses do not count.
--- a/src/link/message_channel.cpp
+++ b/src/link/message_channel.cpp
@@ -91,6 +91,7 @@
     : m_loop(loop)
     , m_peer(std::move(peer))
     , m_handlers(std::move(handlers))
+    , m_unsent(evbuffer_new(), &evbuffer_free)
     , m_lastReceiveTime(loop.clock().now())
     , m_lastPingTime(m_lastReceiveTime)
 {
@@ -115,7 +116,7 @@
     }
     const auto n = message.ByteSizeLong();
     const auto prefix = lengthPrefix(static_cast<std::uint32_t>(n));
-    auto *out = bufferevent_get_output(m_stream);
+    auto *out = m_established ? bufferevent_get_output(m_stream) : m_unsent.get();
     evbuffer_iovec space{};
     if (evbuffer_reserve_space(out, static_cast<ev_ssize_t>(n + kLengthBytes), &space, 1) != 1) {
         closeWithReason("out of memory for a message");
@@ -251,11 +252,17 @@
     }
 }
 
+void MessageChannel::onEstablished()
+{
+    m_established = true;
+    resetLiveness();
+    bufferevent_write_buffer(m_stream, m_unsent.get());
+}
+
 void MessageChannel::onEvent(bufferevent * /*stream*/, short what, void *self)
 {
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        static_cast<MessageChannel *>(self)->m_established = true;
-        static_cast<MessageChannel *>(self)->resetLiveness();
+        static_cast<MessageChannel *>(self)->onEstablished();
         return;
     }
     const auto channel = static_cast<MessageChannel *>(self)->shared_from_this();
--- a/src/link/message_channel.h
+++ b/src/link/message_channel.h
@@ -11,6 +11,7 @@
 #include <string>
 
 struct bufferevent;
+struct evbuffer;
 
 namespace Toucandeck
 {
@@ -79,6 +80,7 @@
     /// Reports that no connection attempt was possible. Handlers::onClosed is called after connect() has returned.
     void reportConnectFailure(const std::string &reason);
     void attach(int descriptor);
+    void onEstablished();
     void readMessages();
     bool readMessage();
     void dispatch(const wire::PeerMessage &message);
@@ -93,6 +95,9 @@
     Handlers m_handlers;
     bufferevent *m_stream = nullptr;
     bool m_established = false;
+    /// Messages that wait for the connection to be established: one that was handed to the kernel before could be received although the
+    /// connection counts as failed.
+    std::unique_ptr<evbuffer, void (*)(evbuffer *)> m_unsent;
     TimePoint m_lastReceiveTime;
     TimePoint m_lastPingTime;
 };
--- a/test/http/test_backend_connection.cpp
+++ b/test/http/test_backend_connection.cpp
@@ -2,6 +2,8 @@
 // although they may have been sent.
 #include "backend_fixture.h"
 
+#include <thread>
+
 using namespace Toucandeck;
 using std::chrono::seconds;
 
@@ -134,3 +136,18 @@
     answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nKeep-Alive: timeout=7\r\nContent-Length: 1\r\n\r\na");
     EXPECT_EQ(m_connection->idleTimeout(), seconds(7));
 }
+
+// A starved process handles the established connection and its timeout in one go. The request had been written by then, and ran, but was
+// reported as not sent and was sent to another backend server (TWICE and REFUSED on cluefire-live-large, scale-1).
+TEST_F(BackendConnectionTest, ARequestThatWasWrittenDuringAStallIsNotReportedAsUnsent)
+{
+    HttpRequest request;
+    request.headers.push_back({ "X-Id", "one" });
+    m_connection->send(request, "one", [this](BackendResult result) { m_result = std::move(result); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(600)); // Longer than the time to establish a connection.
+    m_loop->runUntil([this] { return hasReceived("one"); }, seconds(1));
+    ASSERT_TRUE(hasReceived("one"));
+    EXPECT_FALSE(m_result && m_result->error == BackendError::ConnectFailed);
+    answer("HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 1\r\n\r\na");
+    EXPECT_EQ(m_result->error, BackendError::None);
+}
--- a/test/link/test_message_channel.cpp
+++ b/test/link/test_message_channel.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace Toucandeck;
@@ -181,3 +182,25 @@
     EXPECT_TRUE(m_loop->runUntil([&reasons] { return !reasons.empty(); }, seconds(10)));
     ::close(descriptor);
 }
+
+// The connection was established while the process was starved; the check of its time limit came first, when the call had been written.
+TEST_F(LinkTest, ACallThatWasWrittenIsNotReportedAsUnsentByTheTimeLimitOfItsConnection)
+{
+    int peer = -1;
+    listen([&peer](int descriptor, const std::string &) { peer = descriptor; });
+    std::optional<bool> closedWasEstablished;
+    MessageChannel::Handlers handlers;
+    handlers.onMessage = [](const auto &, const wire::PeerMessage &) {};
+    handlers.onClosed = [&](const auto &channel, const std::string &) { closedWasEstablished = channel->wasEstablished(); };
+    const auto channel = MessageChannel::connect(*m_loop, m_address, {}, std::move(handlers));
+    wire::PeerMessage message;
+    message.mutable_call()->set_call(1);
+    channel->send(message);
+    const auto check = m_loop->after(milliseconds(1), [&] { channel->checkLiveness({ milliseconds(1), seconds(1), seconds(1) }); });
+    std::this_thread::sleep_for(milliseconds(20));
+    ASSERT_TRUE(m_loop->runUntil([&] { return closedWasEstablished && peer >= 0; }, seconds(1)));
+    char first = 0;
+    const bool received = ::recv(peer, &first, 1, MSG_DONTWAIT) == 1;
+    EXPECT_TRUE(*closedWasEstablished || !received);
+    ::close(peer);
+}
