Take a process of another service at its address as the end of a holder

An announcement ended earlier incarnations of its own service only.

Change: an incarnation that is announced beside a gateway ends all earlier ones there, whatever their service.

--- a/prove/grants/grant_world.cpp
+++ b/prove/grants/grant_world.cpp
@@ -70,7 +70,7 @@
     {
     }
 
-    void onHeartbeat() override
+    void onHeartbeat(TimePoint /*arrival*/) override
     {
         // As GrantCaller: a connection that was lost is used again after one more heartbeat.
         if (m_life == 0) {
@@ -293,7 +293,7 @@
     if (instance.incarnation().empty()) {
         return;
     }
-    m_coordinator.onIncarnationAnnounced(kService, node.name, instance.incarnation());
+    m_coordinator.onIncarnationAnnounced(node.name, instance.incarnation());
     auto lease = m_coordinator.grantLease(kService, instance.incarnation());
     const auto sequence = announce.sequence();
     lease.set_sequence(sequence);
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -121,7 +121,7 @@
         m_coordinator.onReleased(announce.instance().service(), it);
     }
     if (announce.instance().state() != wire::ABSENT) {
-        m_coordinator.onIncarnationAnnounced(announce.instance().service(), announce.router(), announce.instance().incarnation());
+        m_coordinator.onIncarnationAnnounced(announce.router(), announce.instance().incarnation());
     }
     if (!announce.instance().ended().empty()) {
         m_coordinator.onTerminated(announce.instance().ended());
--- a/src/fleet/key_coordinator.cpp
+++ b/src/fleet/key_coordinator.cpp
@@ -104,15 +104,13 @@
     m_terminatedIncarnations.emplace(incarnation, m_clock.now());
 }
 
-void KeyCoordinator::onIncarnationAnnounced(const std::string &service, const std::string &router, const std::string &incarnation)
+void KeyCoordinator::onIncarnationAnnounced(const std::string &router, const std::string &incarnation)
 {
-    const auto found = m_state.tables().find(service);
-    if (found == m_state.tables().end()) {
-        return;
-    }
-    for (const auto &row : found->second.keys.rows()) {
-        if (row.router == router && isLaterIncarnation(incarnation, row.holder)) {
-            onTerminated(row.holder);
+    for (const auto &[service, table] : m_state.tables()) {
+        for (const auto &row : table.keys.rows()) {
+            if (row.router == router && isLaterIncarnation(incarnation, row.holder)) {
+                onTerminated(row.holder);
+            }
         }
     }
 }
--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -65,8 +65,9 @@
     /// Call when the process of a holder is known to have terminated.
     void onTerminated(const std::string &incarnation);
 
-    /// Call when an incarnation announces itself beside a router. Earlier incarnations there are then known to have terminated.
-    void onIncarnationAnnounced(const std::string &service, const std::string &router, const std::string &incarnation);
+    /// Call when an incarnation announces itself beside a router. Earlier incarnations there, of any service, are then known to
+    /// have terminated.
+    void onIncarnationAnnounced(const std::string &router, const std::string &incarnation);
 
     /// Decides about keys and proposes changed key tables.
     /// @param holders Currently announced holders of all keyed services.
--- a/test/fleet/test_key_coordinator.cpp
+++ b/test/fleet/test_key_coordinator.cpp
@@ -158,8 +158,8 @@
     it.remove("a@1");
     it.add("a@2");
     it.holder("a@2").router = "ip-a@1";
-    it.m_coordinator.onIncarnationAnnounced(kService, "ip-a@1", "a@2");
-    it.m_coordinator.onIncarnationAnnounced(kService, "ip-b@1", "b@0"); // Delayed and earlier: terminates nothing.
+    it.m_coordinator.onIncarnationAnnounced("ip-a@1", "a@2");
+    it.m_coordinator.onIncarnationAnnounced("ip-b@1", "b@0"); // Delayed and earlier: terminates nothing.
     it.tick();
     EXPECT_EQ(it.at(0).holder, "a@2");
     EXPECT_EQ(it.at(kKeyCount - 1).holder, "b@1");
@@ -376,3 +376,19 @@
     EXPECT_EQ(it.at(kKeyCount - 1).holder, "a");
     EXPECT_TRUE(it.granted("b").empty());
 }
+
+// Its keys were unserved until the lease had expired (replace_with_reuse on sgct-patrol, trouble-2).
+TEST(KeyCoordinator, AProcessOfAnotherServiceAtTheAddressShowsThatTheHolderHasTerminated)
+{
+    Fixture it;
+    it.add("a@1");
+    it.add("b@1");
+    it.tick();
+    ASSERT_FALSE(it.granted("b@1").empty());
+    it.remove("b@1");
+    it.tick();
+    EXPECT_EQ(it.at(kKeyCount - 1).holder, "b@1");
+    it.m_coordinator.onIncarnationAnnounced("ip-b@1", "other@2");
+    it.tick();
+    EXPECT_EQ(it.at(kKeyCount - 1).holder, "a@1");
+}
