Start the calls that grant keys when the manifest comes after the heartbeat

The first heartbeat came before the manifest, so its gateway did not yet know that the keys are granted by calls, opened no connection, and had to wait for the next heartbeat.

Change: the time of the latest heartbeat is handed to the caller when the manifest asks for calls. A first connection counts as proven up to 0.3 s after the heartbeat (0.15 s before): a manifest takes about 0.1 s to arrive, and no process is replaced in that time.

Result: LocalInstanceTest.AManifestThatComesAfterTheFirstHeartbeatStartsTheCallsAtOnce fails before.

--- a/src/gateway/grant_caller.cpp
+++ b/src/gateway/grant_caller.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds kGrantTimeout{ 400 }; ///< The backend server answers at once, on the same VM.
 constexpr milliseconds kReleaseTimeout{ 4000 }; ///< The backend server answers when its work on the keys has ended.
 /// A connection that is established this soon after a heartbeat ends at the process that sent it: no other one starts as fast.
-constexpr milliseconds kHeartbeatProof{ 150 };
+constexpr milliseconds kHeartbeatProof{ 300 };
 constexpr std::chrono::seconds kMaxBusyTime{ 5 }; ///< A connection without an answer is closed after this time.
 constexpr std::size_t kMaxLinks = 16; ///< Connections to the backend server, which limits all its connections together.
 
@@ -43,12 +43,13 @@
     m_readyHandler = std::move(handler);
 }
 
-void GrantCaller::onHeartbeat()
+void GrantCaller::onHeartbeat(TimePoint arrival)
 {
-    m_lastHeartbeat = m_loop.clock().now();
+    m_lastHeartbeat = arrival;
     closeUnused();
     for (auto &it : m_links) {
-        it.endsAtProcess = it.endsAtProcess || (it.isOpen && it.connection->isEstablished());
+        const bool wasOpen = it.isOpen && it.connection->isEstablished() && it.establishedAt <= arrival;
+        it.endsAtProcess = it.endsAtProcess || wasOpen;
     }
     open();
 }
@@ -82,6 +83,7 @@
     }
     const auto isProof = [](const Link &it) { return it.endsAtProcess && it.isOpen && (it.isBusy || it.connection->isReusable()); };
     const bool heartbeatJustCame = m_lastHeartbeat != TimePoint() && m_loop.clock().now() - m_lastHeartbeat <= kHeartbeatProof;
+    link.establishedAt = m_loop.clock().now();
     // If an earlier connection was lost, the process may have ended since its last heartbeat.
     const bool isFirst = !std::exchange(m_hasReachedProcess, true);
     link.endsAtProcess = (isFirst && heartbeatJustCame) || std::any_of(m_links.begin(), m_links.end(), isProof);
--- a/src/gateway/grant_caller.h
+++ b/src/gateway/grant_caller.h
@@ -29,7 +29,7 @@
     /// Called when a call can be sent after one could not.
     void setReadyHandler(std::function<void()> handler);
 
-    void onHeartbeat() override;
+    void onHeartbeat(TimePoint arrival) override;
     void onProcessEnded() override;
     void grant(const GrantCall &call, GrantDone done) override;
     void release(const ReleaseCall &call, ReleaseDone done) override;
@@ -46,6 +46,7 @@
         bool endsAtProcess = false; ///< It is known to end at the process that sends the heartbeats.
         bool isOpen = true; ///< Neither side has closed it.
         bool isBusy = false;
+        TimePoint establishedAt;
         TimePoint busySince;
         EventLoop::Watch timeout;
         Answer answer; ///< Of the call in progress, until its timeout.
--- a/src/gateway/grant_port.h
+++ b/src/gateway/grant_port.h
@@ -48,8 +48,8 @@
 
     virtual ~GrantPort() = default;
 
-    /// Call it when a heartbeat of the present process of the backend server has arrived.
-    virtual void onHeartbeat() = 0;
+    /// Call it when a heartbeat of the present process of the backend server has arrived, or later with the time of its arrival.
+    virtual void onHeartbeat(TimePoint arrival) = 0;
     /// Call it when the process has terminated, also if another one has got its address.
     virtual void onProcessEnded() = 0;
 
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -101,7 +101,7 @@
         m_startHandler();
     }
     if (grantsByCall()) {
-        m_grantPort.onHeartbeat();
+        m_grantPort.onHeartbeat(m_current->lastHeartbeat);
         updateCallGrants();
     }
     if (!mayDelayAnswer(it)) {
@@ -225,6 +225,10 @@
         m_callGrants.recordHeld(m_sentRows, m_sentRowsExpiry);
         m_callGrantsTimer = m_loop.every(kCallGrantsInterval, [this] { updateCallGrants(); });
         answerPending();
+        if (m_current) {
+            // The manifest often comes after the first heartbeat that a gateway receives.
+            m_grantPort.onHeartbeat(m_current->lastHeartbeat);
+        }
     }
 }
 
--- a/test/gateway/fake_grant_port.h
+++ b/test/gateway/fake_grant_port.h
@@ -23,7 +23,7 @@
         ReleaseDone done;
     };
 
-    void onHeartbeat() override
+    void onHeartbeat(TimePoint /*arrival*/) override
     {
         ++heartbeats;
     }
--- a/test/gateway/test_grant_caller.cpp
+++ b/test/gateway/test_grant_caller.cpp
@@ -61,7 +61,7 @@
 
     void connect()
     {
-        m_caller.onHeartbeat();
+        m_caller.onHeartbeat(m_clock.now());
         bool ready = false;
         m_caller.setReadyHandler([&ready] { ready = true; });
         EXPECT_TRUE(runUntil([&] { return ready && !m_accepted.empty(); }));
@@ -208,7 +208,7 @@
     run(milliseconds(50));
     grant();
     EXPECT_EQ(outcome(), GrantOutcome::NotSent);
-    m_caller.onHeartbeat();
+    m_caller.onHeartbeat(m_clock.now());
     grant();
     m_accepted[1].write(response(200, idOn(1, "/grant")));
     EXPECT_EQ(outcome(), GrantOutcome::Accepted);
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -413,3 +413,19 @@
     EXPECT_EQ(refusalOf(50), wire::NONE);
     EXPECT_EQ(refusalOf(150), wire::NOT_HOLDER);
 }
+
+// After a restart of the gateway its keys stayed unserved until the second heartbeat (sgct-patrol, trouble-2).
+TEST_F(LocalInstanceTest, AManifestThatComesAfterTheFirstHeartbeatStartsTheCallsAtOnce)
+{
+    m_instance.setPolicy({});
+    send(beat(1, 1));
+    EXPECT_EQ(m_grantPort.heartbeats, 0);
+    InstancePolicy policy;
+    policy.hasManifest = true;
+    policy.keyed = true;
+    policy.grantWay = GrantWay::Call;
+    m_instance.setPolicy(policy);
+    EXPECT_EQ(m_grantPort.heartbeats, 1);
+    lease(0, 99, 7);
+    EXPECT_EQ(m_grantPort.grants.size(), 1U);
+}
