Keep a backend server that has left out of use after a restart of its gateway

A gateway that restarts has forgotten that its backend server deregistered, and a heartbeat from before, which may come seconds late, made it ready again; the controllers took that over, and other gateways sent requests to it.

Change: the controllers keep a process that leaves as leaving (recordedInstance), and the gateway takes that from their record.

Not covered: the leading controller is lost together with the gateway, since the record is not replicated.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet_controller.h"
 
 #include "fleet/events.h"
+#include "fleet/recorded_instance.h"
 
 namespace Toucandeck
 {
@@ -162,8 +163,7 @@
     wire::RouterRecord record;
     record.set_router(announce.router());
     record.set_failure_domain(announce.failure_domain());
-    *record.mutable_instance() = announce.instance();
-    record.mutable_instance()->clear_ended();
+    *record.mutable_instance() = recordedInstance(entry.record.instance(), announce.instance());
     record.set_leaving(announce.leaving());
     if (entry.revision == 0 || !sameRecord(entry.record, record)) {
         entry.revision = ++m_listRevision;
--- /dev/null
+++ b/src/fleet/recorded_instance.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <peer.pb.h>
+
+namespace Toucandeck
+{
+
+namespace wire = ::toucandeck::wire;
+
+/// What is recorded of a backend server when its gateway announces it.
+///
+/// A process that leaves never serves again. A gateway that was restarted does not know that it leaves, and takes a late heartbeat from
+/// before for its present state.
+/// @param recorded state before the announcement.
+wire::InstanceReport recordedInstance(const wire::InstanceReport &recorded, const wire::InstanceReport &announced);
+
+} // namespace Toucandeck
--- a/src/gateway/fleet_client.cpp
+++ b/src/gateway/fleet_client.cpp
@@ -174,6 +174,11 @@
         m_links.closeConnection(m_controller); // On a new connection the controller sends its complete state.
         scheduleAnnouncement();
     }
+    for (const auto &it : update.routers()) {
+        if (it.router() == m_ip) {
+            m_instance.applyRecord(it.instance());
+        }
+    }
     if (update.acknowledged() != 0) {
         m_instance.onAnnouncementAcknowledged(update.acknowledged());
     }
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -170,7 +170,21 @@
 
 void LocalInstance::deregister(const std::string &instance)
 {
-    if (!m_current || m_current->instance != instance || m_current->deregistered) {
+    if (m_current && m_current->instance == instance) {
+        startLeaving();
+    }
+}
+
+void LocalInstance::applyRecord(const wire::InstanceReport &record)
+{
+    if (m_current && m_current->name == record.incarnation() && record.state() == wire::DRAINING && !m_current->draining) {
+        startLeaving();
+    }
+}
+
+void LocalInstance::startLeaving()
+{
+    if (m_current->deregistered) {
         return;
     }
     m_current->deregistered = true;
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -61,6 +61,8 @@
 
     /// Applies a lease that answers an announcement sent at @p sentAt, from which its duration counts.
     void applyLease(const wire::LeaseGrant &lease, TimePoint sentAt);
+    /// Handles the controllers' record of the backend server, which may know from an earlier process of this gateway that it leaves.
+    void applyRecord(const wire::InstanceReport &record);
     /// Handles the controllers' confirmation that they recorded the released keys of all announcements up to this one.
     void onAnnouncementAcknowledged(std::uint64_t sequence);
 
@@ -106,6 +108,7 @@
         TimePoint lastHeartbeat;
     };
 
+    void startLeaving();
     bool isStale(const Heartbeat &it) const;
     /// True if the heartbeat would replace the service of the backend server with an unknown one.
     bool namesUnknownService(const Heartbeat &it) const;
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -429,3 +429,19 @@
     lease(0, 99, 7);
     EXPECT_EQ(m_grantPort.grants.size(), 1U);
 }
+
+// The backend server had deregistered. After a restart of the gateway, a late heartbeat from before made it ready again.
+TEST_F(LocalInstanceTest, ABackendServerThatLeavesIsNotUsedAgainAfterARestartOfTheGateway)
+{
+    send(beat(1, 1));
+    EXPECT_EQ(m_instance.report().state(), wire::READY);
+    auto record = m_instance.report();
+    record.set_state(wire::DRAINING); // Known from the earlier process of the gateway.
+    m_instance.applyRecord(record);
+    EXPECT_EQ(m_instance.report().state(), wire::DRAINING);
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+    send(beat(1, 2));
+    EXPECT_EQ(m_instance.report().state(), wire::DRAINING);
+    send(beat(2, 1)); // Another process.
+    EXPECT_EQ(m_instance.report().state(), wire::READY);
+}
