Answer requests that outlast the graceful shutdown of toucandeckd

When limits.shutdown was over, the process ended with the requests of callers that still ran, and their connections were closed without an answer.

Change: half a second before, each is answered, with 504 and may-have-run, or 503 and not-run if it was sent nowhere.

Result: PathTest.ARequestThatOutlastsTheGracefulShutdownIsAnswered failed before ("connection closed before the answer was complete").

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Requests that still run this long before a graceful shutdown is forced to end are answered, so that no caller is cut off.
+constexpr std::chrono::milliseconds kFinalAnswersTime{ 500 };
+
 HttpResponse plainTextResponse(int status, std::string text)
 {
     return { status, { { "Content-Type", "text/plain; charset=utf-8" }, { "Toucandeck-Verdict", "not-run" } }, std::move(text) };
@@ -226,7 +229,13 @@
         return;
     }
     m_logger.write(Events::kDaemonStopping, { field("http_in_flight", m_server->inFlight()) });
-    m_shutdownTimer = m_loop->after(m_settings.limits.shutdown, [this] {
+    const auto limit = m_settings.limits.shutdown;
+    m_finalAnswersTimer = m_loop->after(limit - std::min<Duration>(kFinalAnswersTime, limit / 2), [this] {
+        if (m_router != nullptr) {
+            m_router->answerPending();
+        }
+    });
+    m_shutdownTimer = m_loop->after(limit, [this] {
         m_logger.write(Events::kShutdownForced, { field("http_in_flight", m_server->inFlight()) });
         exitWith(ExitCode::ShutdownForced);
     });
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -68,6 +68,7 @@
     bool m_isShuttingDown = false;
     ExitCode m_exitCode = ExitCode::Ok;
     std::vector<EventLoop::Watch> m_signals;
+    EventLoop::Watch m_finalAnswersTimer;
     EventLoop::Watch m_shutdownTimer;
 };
 
--- a/src/daemon/request_router.h
+++ b/src/daemon/request_router.h
@@ -33,6 +33,8 @@
     /// Call when the view may have changed: retries the requests that wait for an owner or an instance, and fails the attempts at
     /// routers whose session has ended.
     void onViewChanged();
+    /// Answers all pending requests, because the process ends. Each answer tells whether the request may have run.
+    void answerPending();
     bool isIdle() const;
     std::size_t inFlight() const;
 
--- a/src/daemon/request_router_completion.cpp
+++ b/src/daemon/request_router_completion.cpp
@@ -139,6 +139,14 @@
     }
 }
 
+void RequestRouter::answerPending()
+{
+    const auto copy = m_calls;
+    for (const auto &it : copy) {
+        onDeadlinePassed(it);
+    }
+}
+
 void RequestRouter::answer(const CallPtr &call, const wire::ForwardReply &reply)
 {
     if (!m_calls.contains(call)) {
--- a/src/daemon/router_role.cpp
+++ b/src/daemon/router_role.cpp
@@ -262,6 +262,13 @@
     m_core->agent.close();
 }
 
+void RouterRole::answerPending()
+{
+    if (m_core) {
+        m_core->router.answerPending();
+    }
+}
+
 bool RouterRole::isReady()
 {
     return m_core && !m_onLeaveDone && m_core->agent.leaseEnd() && m_core->agent.view().version() != LogIndex{};
--- a/src/daemon/router_role.h
+++ b/src/daemon/router_role.h
@@ -36,6 +36,8 @@
     /// First part of a graceful shutdown: releases all partitions and hot keys, waits for the requests in flight at the backend server,
     /// then calls @p done. Callers' requests are still accepted and forwarded.
     void leave(std::function<void()> done);
+    /// Answers all pending requests of callers, because the process ends.
+    void answerPending();
 
     /// True if this router has a lease and a view and is not leaving.
     bool isReady();
--- a/test/processes/test_path.cpp
+++ b/test/processes/test_path.cpp
@@ -234,3 +234,42 @@
     EXPECT_EQ(report.unknown, 0U) << formatReport(report);
     EXPECT_TRUE(sharedCluster->restart("router-" + stopped));
 }
+
+// The process ended with the request still running, and closed the connection without an answer.
+TEST_F(PathTest, ARequestThatOutlastsTheGracefulShutdownIsAnswered)
+{
+    const std::string instance = "judge-svc-1";
+    const std::string router = "router-" + instance;
+    const auto file = sharedFolder + "/" + router + ".json";
+    const auto settingsText = [&file] {
+        std::ifstream in(file);
+        return std::string(std::istreambuf_iterator<char>(in), {});
+    };
+    const auto before = settingsText();
+    auto settings = json::parse(before);
+    settings["limits"]["shutdown_ms"] = 2000;
+    std::ofstream(file) << settings.dump();
+    auto *process = sharedCluster->process(router);
+    process->signal(SIGHUP);
+    const auto isReloaded = [&] {
+        std::ifstream in(sharedFolder + "/" + router + ".log");
+        return std::string(std::istreambuf_iterator<char>(in), {}).find("settings_reloaded") != std::string::npos;
+    };
+    ASSERT_TRUE(sharedLoop->runUntil(isReloaded, kHangLimit));
+    for (const auto &it : { "judge-svc-1", "judge-svc-2" }) {
+        sharedCluster->process(it)->signal(SIGSTOP); // Whichever runs the request does not answer.
+    }
+    auto request = submission("outlasts-the-shutdown");
+    request.headers.push_back({ "Toucandeck-Deadline-Ms", "20000" });
+    const auto stop = sharedLoop->after(300ms, [process] { process->signal(SIGTERM); });
+    const auto result = sharedCluster->call(sharedCluster->routerAddress(instance), request, kCallTimeout);
+    for (const auto &it : { "judge-svc-1", "judge-svc-2" }) {
+        sharedCluster->process(it)->signal(SIGCONT);
+    }
+    EXPECT_TRUE(result.response) << result.error;
+    const auto response = result.response.value_or(HttpResponse{});
+    EXPECT_TRUE(response.header("Toucandeck-Verdict") == "may-have-run" || response.header("Toucandeck-Verdict") == "not-run");
+    EXPECT_TRUE(sharedLoop->runUntil([&] { return !process->isRunning(); }, kHangLimit));
+    std::ofstream(file) << before;
+    EXPECT_TRUE(sharedCluster->restart(router));
+}
