Refuse calls for a cold backend server while no manifest is known

A gateway that was restarted gets the heartbeat of its cold backend server at once, but the manifest, which has the rate that it bears, only when a controller leads again. Until then the rate was zero, which means unlimited, and other gateways sent it calls.

Change: without a manifest, calls for a cold backend server are refused as not run.

Result: LocalInstanceTest.AColdBackendServerGetsNothingBeforeTheManifestIsKnown fails before.

--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -266,6 +266,9 @@
     if (m_policy.evacuated) {
         return wire::EVACUATED;
     }
+    if (!m_policy.hasManifest && isCold()) {
+        return wire::COLD; // Without a manifest, the rate that a cold backend server of this service bears is not known.
+    }
     if (m_policy.keyed && (!call.key || !holdsKey(*call.key))) {
         return wire::NOT_HOLDER;
     }
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -445,3 +445,22 @@
     send(beat(2, 1)); // Another process.
     EXPECT_EQ(m_instance.report().state(), wire::READY);
 }
+
+// After a loss of power, other gateways sent calls to gateways that had no manifest yet. Their cold backend servers got any number of requests
+// in a second (FAILBACK on cluefire-live-large, trouble-2).
+TEST_F(LocalInstanceTest, AColdBackendServerGetsNothingBeforeTheManifestIsKnown)
+{
+    m_instance.setPolicy({});
+    auto cold = beat(1, 1);
+    cold.coldRemaining = seconds(3);
+    send(cold);
+    EXPECT_EQ(refusalOf(50), wire::COLD);
+    InstancePolicy policy;
+    policy.hasManifest = true;
+    policy.coldRequestsPerSecond = 7;
+    m_instance.setPolicy(policy);
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+    m_instance.setPolicy({});
+    m_clock.advance(seconds(4)); // It is warm.
+    EXPECT_EQ(refusalOf(50), wire::NONE);
+}
