Deliver no response that does not name its request on a reused connection

A second copy of an answer that came without an id, while the next request was in progress on the connection, was delivered to the client of that request. Only refusals without an id were rejected.

Change: a response without an id counts only as the first one on its connection, whatever its status, and such a connection carries no other request.

Result: BackendRunnerTest.ASuccessWithoutIdOnAKeptConnectionIsNotDelivered and AConnectionWithAResponseWithoutIdCarriesNoOtherRequest failed before.

--- a/src/gateway/backend_runner.cpp
+++ b/src/gateway/backend_runner.cpp
@@ -113,8 +113,9 @@
     m_busyConnections.erase(found);
     const bool refused = result.error == BackendError::Refused;
     logDropped(call, result);
+    const bool namesRequest = result.response.header(m_headers.requestId).has_value();
     auto interpreted = interpret(call, std::move(result));
-    release(std::move(connection), call, interpreted);
+    release(std::move(connection), call, interpreted, namesRequest);
     const auto callback = done;
     callback(std::move(interpreted));
     if (refused && m_connectionRefusedHandler) {
@@ -122,12 +123,13 @@
     }
 }
 
-void BackendRunner::release(Connection connection, const Call &call, const CallResult &result)
+void BackendRunner::release(Connection connection, const Call &call, const CallResult &result, bool namesRequest)
 {
     if (result.reason == wire::REFUSED_BY_INSTANCE) {
         connection->excludeRequestId(call.requestId);
     }
-    if (connection->isReusable() && result.outcome != wire::MAY_HAVE_RUN) {
+    // Without an id, the next response on the connection could not be told from a late copy of this one.
+    if (connection->isReusable() && namesRequest && result.outcome != wire::MAY_HAVE_RUN) {
         m_idleConnections.push_front(std::move(connection));
     } else {
         // Destroyed later, since the connection's own code is calling this function.
@@ -204,6 +206,9 @@
     if (echoed && *echoed != call.requestId) {
         return rejectAnswer(call, response, "other_request");
     }
+    if (!result.identified) {
+        return rejectAnswer(call, response, "unknown_request");
+    }
     if (isSuccess(response.status) && !response.header(m_headers.answerSeal)) {
         return rejectAnswer(call, response, "no_seal");
     }
--- a/src/gateway/backend_runner.h
+++ b/src/gateway/backend_runner.h
@@ -49,7 +49,8 @@
     CallResult rejectAnswer(const Call &call, const HttpResponse &response, const char *cause) const;
     void logDropped(const Call &call, const BackendResult &result) const;
     /// Keeps the connection for later calls if it can carry them; closes it otherwise.
-    void release(Connection connection, const Call &call, const CallResult &result);
+    /// @param namesRequest the response had the id of its request.
+    void release(Connection connection, const Call &call, const CallResult &result, bool namesRequest);
     void finish(std::uint64_t id, const Call &call, BackendResult result, const CallDone &done);
 
     EventLoop &m_loop;
--- a/test/gateway/test_backend_runner.cpp
+++ b/test/gateway/test_backend_runner.cpp
@@ -273,3 +273,25 @@
     EXPECT_LE(open, 5); // Four large responses and the ordinary one.
     EXPECT_EQ(logged("response_rejected", "cause"), "responses_too_large");
 }
+
+// A copy of the answer to the first request came once more, without its id, and was delivered to the client of the second one.
+TEST_F(BackendRunnerTest, ASuccessWithoutIdOnAKeptConnectionIsNotDelivered)
+{
+    const auto first = run("one");
+    answer(first, success("one"));
+    ASSERT_EQ(run("two"), first);
+    const auto result = answer(first, success(""));
+    EXPECT_EQ(result.outcome, wire::MAY_HAVE_RUN);
+    EXPECT_EQ(result.reason, wire::BAD_ANSWER);
+    EXPECT_EQ(logged("response_rejected", "cause"), "unknown_request");
+}
+
+// Its next response could not be told from a late copy of this one.
+TEST_F(BackendRunnerTest, AConnectionWithAResponseWithoutIdCarriesNoOtherRequest)
+{
+    const auto first = run("one");
+    EXPECT_EQ(answer(first, success("")).outcome, wire::ANSWERED);
+    const auto second = run("two");
+    EXPECT_NE(second, first);
+    EXPECT_EQ(answer(second, success("")).outcome, wire::ANSWERED);
+}
