--- a/src/fleet/key_rows.cpp
+++ b/src/fleet/key_rows.cpp
@@ -27,6 +27,16 @@
     return remaining;
 }
 
+std::vector<KeyRange> difference(const std::vector<KeyRange> &ranges, KeyRange removed)
+{
+    std::vector<KeyRange> remaining;
+    for (const auto &it : ranges) {
+        const auto parts = difference(it, removed);
+        remaining.insert(remaining.end(), parts.begin(), parts.end());
+    }
+    return remaining;
+}
+
 bool KeyRow::hasSameGrant(const KeyRow &other) const
 {
     return holder == other.holder && router == other.router && fencingToken == other.fencingToken && handover == other.handover;
--- a/src/fleet/key_rows.h
+++ b/src/fleet/key_rows.h
@@ -45,6 +45,9 @@
 /// Keys of @p range that are not in @p removed: zero, one or two ranges.
 std::vector<KeyRange> difference(KeyRange range, KeyRange removed);
 
+/// Keys of the ranges that are not in @p removed.
+std::vector<KeyRange> difference(const std::vector<KeyRange> &ranges, KeyRange removed);
+
 /// Keys of a service and their holder.
 struct KeyRow
 {
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -267,7 +267,7 @@
         return wire::EVACUATED;
     }
     if (!m_policy.hasManifest && isCold()) {
-        return wire::COLD; // Without a manifest, the rate that a cold backend server of this service bears is not known.
+        return wire::COLD; // Without a manifest, the rate that a cold backend server of this service can take is not known.
     }
     if (m_policy.keyed && (!call.key || !holdsKey(*call.key))) {
         return wire::NOT_HOLDER;
--- a/src/gateway/local_instance_keys.cpp
+++ b/src/gateway/local_instance_keys.cpp
@@ -1,7 +1,7 @@
 #include "gateway/local_instance.h"
 
 #include "gateway/events.h"
-#include "gateway/hold_time.h"
+#include "gateway/grant_duration.h"
 
 #include <algorithm>
 
--- a/src/gateway/pending_releases.cpp
+++ b/src/gateway/pending_releases.cpp
@@ -30,12 +30,7 @@
 {
     std::vector<KeyRange> remaining{ range };
     for (const auto &held : holds) {
-        std::vector<KeyRange> next;
-        for (const auto &it : remaining) {
-            const auto parts = held.fencingToken == fencingToken ? difference(it, held.range) : std::vector<KeyRange>{ it };
-            next.insert(next.end(), parts.begin(), parts.end());
-        }
-        remaining = std::move(next);
+        remaining = held.fencingToken == fencingToken ? difference(remaining, held.range) : remaining;
     }
     return remaining;
 }
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -446,8 +446,8 @@
     EXPECT_EQ(m_instance.report().state(), wire::READY);
 }
 
-// After a loss of power, other gateways sent calls to gateways that had no manifest yet. Their cold backend servers got any number of requests
-// in a second (FAILBACK on cluefire-live-large, trouble-2).
+// After a loss of power, other gateways sent calls to gateways that had no manifest yet. Their cold backend servers got any number of
+// requests in a second (FAILBACK on cluefire-live-large, trouble-2).
 TEST_F(LocalInstanceTest, AColdBackendServerGetsNothingBeforeTheManifestIsKnown)
 {
     m_instance.setPolicy({});
