--- a/src/gateway/grant_caller.cpp
+++ b/src/gateway/grant_caller.cpp
@@ -145,11 +145,11 @@
     auto out = request;
     setHeader(out.headers, m_idHeader, id);
     setHeader(out.headers, "Host", m_address.toString());
-    link.connection->send(out, id, [this, &link](BackendResult result) { finish(link, std::move(result)); });
+    link.connection->send(out, id, [this, &link](const BackendResult &result) { finish(link, result); });
     open(); // The answer to this call may take long; the next one must not wait for it.
 }
 
-void GrantCaller::finish(Link &link, BackendResult result)
+void GrantCaller::finish(Link &link, const BackendResult &result)
 {
     link.isBusy = false;
     link.timeout.cancel();
--- a/src/gateway/grant_caller.h
+++ b/src/gateway/grant_caller.h
@@ -58,7 +58,7 @@
     /// Opens another connection unless one is free or about to be.
     void open();
     void onEstablished(Link &link, bool established);
-    void finish(Link &link, BackendResult result);
+    void finish(Link &link, const BackendResult &result);
     static GrantOutcome outcomeOf(const BackendResult &result);
     void closeUnused();
 
--- a/src/gateway/pending_releases.h
+++ b/src/gateway/pending_releases.h
@@ -48,7 +48,7 @@
         std::uint64_t announcement = 0; ///< Sequence number of the first announcement that contains it; zero if none does.
     };
 
-    void add(const std::string &incarnation, const HeldKeys &keys, const std::string &handover, TimePoint notBefore);
+    void add(const std::string &incarnation, const HeldKeys &released, const std::string &handover, TimePoint notBefore);
 
     Logger &m_logger;
     std::vector<Entry> m_entries;
