Grant leases without copying the key table

Since the lease leaves out rows of a pending proposal, each lease assigned every row of it to a copy of the table, which merges all rows each time: quadratic in the rows, hundreds of times a second at 295 gateways, at the controller that also sends the manifests.

Change: only the rows of the holder are looked at, and in the proposal only rows that overlap them. The table is not copied any more.

--- a/src/fleet/key_coordinator.cpp
+++ b/src/fleet/key_coordinator.cpp
@@ -63,28 +63,35 @@
 
 std::vector<KeyRow> KeyCoordinator::rowsToKeep(const KeyRows &rows, const ServiceState &state, const std::string &incarnation)
 {
-    KeyRows kept = rows;
+    std::vector<KeyRow> kept;
     for (const auto &row : rows.rowsHeldBy(incarnation)) {
-        for (const auto &it : state.pendingReleases) {
-            if (matches(it, it.from, row)) {
-                kept.assign({ intersection(it.range, row.range), {}, {}, 0, {} });
-            }
-        }
-        for (const auto &it : state.releasedRanges) {
-            if (matches(it, it.incarnation, row)) {
-                kept.assign({ intersection(it.range, row.range), {}, {}, 0, {} });
-            }
+        for (const auto &range : rangesToKeep(row, state)) {
+            kept.push_back(row);
+            kept.back().range = range;
         }
     }
-    if (state.pendingProposal) {
-        // A holder that was lost may return after its keys were proposed for another one, and before that is committed.
-        for (const auto &it : state.pendingProposal->rows()) {
-            if (it.holder != incarnation) {
-                kept.assign({ it.range, {}, {}, 0, {} });
-            }
+    return kept;
+}
+
+std::vector<KeyRange> KeyCoordinator::rangesToKeep(const KeyRow &row, const ServiceState &state)
+{
+    std::vector<KeyRange> ranges{ row.range };
+    for (const auto &it : state.pendingReleases) {
+        ranges = matches(it, it.from, row) ? difference(ranges, it.range) : ranges;
+    }
+    for (const auto &it : state.releasedRanges) {
+        ranges = matches(it, it.incarnation, row) ? difference(ranges, it.range) : ranges;
+    }
+    if (!state.pendingProposal) {
+        return ranges;
+    }
+    // A holder that was lost may return after its keys were proposed for another one, and before that is committed.
+    for (const auto &it : state.pendingProposal->rows()) {
+        if (it.range.overlaps(row.range) && it.holder != row.holder) {
+            ranges = difference(ranges, it.range);
         }
     }
-    return kept.rowsHeldBy(incarnation);
+    return ranges;
 }
 
 void KeyCoordinator::onReleased(const std::string &service, const wire::FreedKeys &keys)
--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -137,6 +137,9 @@
 
     /// Rows that the incarnation may keep: neither released, nor to be released, nor assigned to another one by a pending proposal.
     static std::vector<KeyRow> rowsToKeep(const KeyRows &rows, const ServiceState &state, const std::string &incarnation);
+    /// The part of a row that its holder may keep. Leases are granted hundreds of times a second, so this costs time only in the rows that
+    /// overlap.
+    static std::vector<KeyRange> rangesToKeep(const KeyRow &row, const ServiceState &state);
     static std::optional<std::size_t> findHolder(const Holders &holders, const std::string &incarnation);
     /// Time by which each lease of the incarnation has expired by any permitted clock, including leases of the previous leader.
     TimePoint latestLeaseExpiry(const std::string &incarnation) const;
