--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -38,14 +38,13 @@
         int n = 0;
         for (const auto &gateway : deployment.gateways()) {
             const auto id = name + "-" + std::to_string(++n) + "-" + std::to_string(i);
-            const auto answer = exchange(gateway.outbound,
-                                         formatRequest("GET",
-                                                       "/x/" + id,
-                                                       { { "Host", "shop.example" },
-                                                         { "X-Toucandeck-Request-Id", id },
-                                                         { "X-Toucandeck-Deadline-Ms", "2000" } },
-                                                       {}),
-                                         milliseconds(2500));
+            const auto answer = exchange(
+                gateway.outbound,
+                formatRequest("GET",
+                              "/x/" + id,
+                              { { "Host", "shop.example" }, { "X-Toucandeck-Request-Id", id }, { "X-Toucandeck-Deadline-Ms", "2000" } },
+                              {}),
+                milliseconds(2500));
             if (!answer || answer->status() != 200) {
                 record.write("client: " + id + " is answered " + std::to_string(answer ? answer->status() : 0));
                 return -1;
