Show that an acknowledged order is gone after the tolerated losses (LOST)

Claim: of two silent voters the repair of the membership removes the one that is frozen and keeps the one that is gone for good; after two more lost disks no quorum can form.

--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -659,9 +659,10 @@
         choosePorts();
         for (int i = 0; i < controllers; ++i) {
             m_controllerIps.push_back(ip(1 + i));
+            m_controllerZones.push_back(zone(i));
         }
         for (int i = 0; i < controllers; ++i) {
-            startController(i);
+            startController(i, true);
         }
     }
 
@@ -699,6 +700,38 @@
         return static_cast<int>(m_controllerIps.size());
     }
 
+    const std::string &controllerZone(int i) const
+    {
+        return m_controllerZones[static_cast<std::size_t>(i)];
+    }
+
+    /// Starts a further controller with an empty disk; returns its number.
+    int addController(const std::string &zone)
+    {
+        const int i = controllers();
+        m_controllerIps.push_back(ip(1 + i));
+        m_controllerZones.push_back(zone);
+        startController(i, false);
+        return i;
+    }
+
+    void killController(int i)
+    {
+        auto &it = process(controllerName(i));
+        it.signal(SIGKILL);
+        it.wait();
+    }
+
+    void loseDisk(int i)
+    {
+        std::filesystem::remove_all(m_folder + "/disk-" + std::to_string(i));
+    }
+
+    void restartController(int i)
+    {
+        startController(i, false);
+    }
+
     Gateway &addGateway(const std::string &service)
     {
         const int i = static_cast<int>(m_gateways.size());
@@ -849,14 +882,15 @@
         return out.str();
     }
 
-    void startController(int i)
+    void startController(int i, bool firstStart)
     {
         const auto name = controllerName(i);
         const auto disk = m_folder + "/disk-" + std::to_string(i);
         std::filesystem::create_directories(disk);
         std::ostringstream out;
-        out << common(name, m_controllerIps[static_cast<std::size_t>(i)], zone(i), "controller") << R"(,"dataFolder":")" << disk
-            << R"(","firstStart":true,"toleratedLosses":)" << m_tolerated << R"(,"longestHold":"10000ms"})";
+        out << common(name, m_controllerIps[static_cast<std::size_t>(i)], m_controllerZones[static_cast<std::size_t>(i)], "controller")
+            << R"(,"dataFolder":")" << disk << R"(","firstStart":)" << (firstStart ? "true" : "false") << R"(,"toleratedLosses":)"
+            << m_tolerated << R"(,"longestHold":"10000ms"})";
         startProcess(name, out.str());
     }
 
@@ -873,6 +907,7 @@
     std::string m_folder;
     int m_port = 0;
     std::vector<std::string> m_controllerIps;
+    std::vector<std::string> m_controllerZones;
     std::list<Gateway> m_gateways;
     std::map<std::string, std::unique_ptr<Process>> m_processes;
 };
