Send the whole manifest to gateways if the leader missed a version (CONFIG)

Cause: ManifestHistory finds what changed by comparing each manifest with the previous one that it was given, and a controller gives it manifests only while it leads. One that leads again compared with its manifest from its earlier time as leader. An item that was changed and changed back in between did not count as changed.

Change: FleetState names the version on which the manifest builds. A manifest continues the history only if that is the newest version which the history has; otherwise the history starts anew and gateways with earlier versions are sent the whole manifest.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -213,7 +213,7 @@
         return;
     }
     m_readVersion = document.version();
-    m_manifestUpdates.setManifest(document);
+    m_manifestUpdates.setManifest(document, m_group.state().manifestBase());
     m_keyedServices.update(document);
 }
 
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -54,6 +54,7 @@
         return CommandOutcome::Conflict;
     }
     m_manifest = manifestAfter(change);
+    m_manifestBase = change.base_version();
     recordOrder(change.order(), version);
     return CommandOutcome::Applied;
 }
@@ -168,6 +169,7 @@
     }
     m_tables = std::move(tables);
     m_manifest = in.manifest();
+    m_manifestBase = 0;
     m_orders.clear();
     m_ordersByAge.clear();
     for (const auto &it : in.orders()) {
@@ -183,6 +185,11 @@
     return m_manifest;
 }
 
+std::uint64_t FleetState::manifestBase() const
+{
+    return m_manifestBase;
+}
+
 bool FleetState::isAccepted(const std::string &order) const
 {
     return m_orders.count(order) != 0;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -39,6 +39,8 @@
     Result<void> restore(std::string_view data) override;
 
     const wire::ManifestDocument &manifest() const;
+    /// Version on which the manifest builds; zero for the first one and if it comes from a snapshot.
+    std::uint64_t manifestBase() const;
     /// Manifest that results from the change, which must be based on the current version.
     wire::ManifestDocument manifestAfter(const wire::ChangeManifest &change) const;
     /// True if the order was accepted before.
@@ -57,6 +59,7 @@
 
     Listener m_listener;
     wire::ManifestDocument m_manifest;
+    std::uint64_t m_manifestBase = 0;
     std::map<std::string, std::uint64_t> m_orders; ///< Manifest version by digest of the order.
     std::deque<std::string> m_ordersByAge; ///< Digests of the orders, oldest first.
     std::set<std::string> m_evacuated;
--- a/src/fleet/manifest_history.h
+++ b/src/fleet/manifest_history.h
@@ -16,8 +16,10 @@
 class ManifestHistory
 {
 public:
-    /// Records the manifest in force. Changes are known since the first recorded manifest.
-    void update(const wire::ManifestDocument &document);
+    /// Records the manifest in force. Changes are known since the first recorded manifest, or since the latest one that does not directly
+    /// follow its predecessor here: an item may have been changed and changed back by the versions in between.
+    /// @param baseVersion version on which the manifest builds; zero if it is not known.
+    void update(const wire::ManifestDocument &document, std::uint64_t baseVersion);
 
     /// The manifest in force.
     const wire::ManifestDocument &document() const;
@@ -29,10 +31,11 @@
     using Items = google::protobuf::Map<std::string, std::string>;
     using Versions = std::map<std::string, std::uint64_t>;
 
+    void restartAt(std::uint64_t version);
     static void recordChanges(const Items &before, const Items &after, std::uint64_t version, Versions &changed, Versions &removed);
 
     wire::ManifestDocument m_document;
-    std::uint64_t m_historyStart = 0; ///< Changes after this version are known; zero before the first manifest.
+    std::uint64_t m_historyStart = 0; ///< Changes after this version are known.
     Versions m_routeVersions; ///< Manifest version of the latest change, by route.
     Versions m_serviceVersions;
     Versions m_removedRouteVersions; ///< Manifest version of the removal, by route.
--- a/src/fleet/manifest_updates.cpp
+++ b/src/fleet/manifest_updates.cpp
@@ -27,9 +27,9 @@
 
 } // namespace
 
-void ManifestUpdates::setManifest(const wire::ManifestDocument &document)
+void ManifestUpdates::setManifest(const wire::ManifestDocument &document, std::uint64_t baseVersion)
 {
-    m_history.update(document);
+    m_history.update(document, baseVersion);
     m_compressed.clear();
 }
 
--- a/src/fleet/manifest_updates.h
+++ b/src/fleet/manifest_updates.h
@@ -13,8 +13,8 @@
 class ManifestUpdates
 {
 public:
-    /// Sets the manifest in force.
-    void setManifest(const wire::ManifestDocument &document);
+    /// Sets the manifest in force; see ManifestHistory::update().
+    void setManifest(const wire::ManifestDocument &document, std::uint64_t baseVersion);
 
     /// Adds what a router with @p version lacks: the changes since then or, if they are not known, the whole manifest.
     void addTo(wire::FleetUpdate &update, std::uint64_t version) const;
--- a/test/fleet/test_fleet_state.cpp
+++ b/test/fleet/test_fleet_state.cpp
@@ -86,6 +86,21 @@
     EXPECT_EQ(restored.manifest().version(), 7U);
 }
 
+// A snapshot skips versions, so that what changed since the manifest before it is unknown.
+TEST_F(FleetStateTest, NamesTheBaseOfAManifestUnlessItComesFromASnapshot)
+{
+    put("a", 0, 3);
+    put("b", 3, 7);
+    put("c", 3, 8);
+    EXPECT_EQ(m_state.manifestBase(), 3U);
+    FleetState restored;
+    put("d", 7, 9);
+    ASSERT_TRUE(restored.restore(m_state.snapshot()));
+    EXPECT_EQ(restored.manifestBase(), 0U);
+    ASSERT_TRUE(m_state.restore(m_state.snapshot()));
+    EXPECT_EQ(m_state.manifestBase(), 0U);
+}
+
 TEST_F(FleetStateTest, RefusesAVersionThatDoesNotGrow)
 {
     put("a", 0, 3);
