Never use a backend server again that has left (DRAIN)

Callers saw: after a backend server had deregistered and its gateway was restarted, a late heartbeat put it back into use.

Cause: that a process leaves was known to its gateway's process and, as a state, to the leading controller. The first announcement of the restarted gateway, which knows of no backend server yet, replaced that state. The same on related paths: a new leader knew nothing; refused connections made the gateway itself forget; the number of presumed terminations, part of the name, counts anew after a restart.

Change: the latest incarnation that leaves is a field of its own in announcements and records, compared by process, and is proposed to the replicated log, so that neither the restart of the gateway nor the loss of the leader forgets it.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -20,7 +20,8 @@
 {
     return a.failure_domain() == b.failure_domain() && a.leaving() == b.leaving()
         && a.instance().incarnation() == b.instance().incarnation() && a.instance().state() == b.instance().state()
-        && a.instance().service() == b.instance().service() && a.instance().slots() == b.instance().slots();
+        && a.instance().service() == b.instance().service() && a.instance().slots() == b.instance().slots()
+        && a.instance().leaving() == b.instance().leaving();
 }
 
 /// Capacity of a backend server in requests per second, from its slots and mean service time. While the service time is unknown, a
@@ -160,6 +161,9 @@
 void FleetController::recordRouter(const wire::Announce &announce)
 {
     auto &entry = m_routers[announce.router()];
+    if (entry.revision == 0) {
+        entry.record.mutable_instance()->set_leaving(m_group.state().leavingBeside(announce.router()));
+    }
     wire::RouterRecord record;
     record.set_router(announce.router());
     record.set_failure_domain(announce.failure_domain());
@@ -173,6 +177,8 @@
                          field("service", announce.instance().service()),
                          field("incarnation", announce.instance().incarnation()),
                          field("state", wire::InstanceState_Name(announce.instance().state())),
+                         field("recorded_state", wire::InstanceState_Name(record.instance().state())),
+                         field("leaving_incarnation", record.instance().leaving()),
                          field("leaving", announce.leaving()),
                          field("sequence", announce.sequence()) });
     }
@@ -180,6 +186,25 @@
     entry.demand = announce.demand();
     entry.lastAnnounce = m_loop.clock().now();
     entry.isSilent = false;
+    proposeLeaving(announce.router(), entry);
+}
+
+void FleetController::proposeLeaving(const std::string &router, RouterEntry &entry)
+{
+    const auto leaving = entry.record.instance().leaving();
+    if (leaving.empty() || leaving == m_group.state().leavingBeside(router) || leaving == entry.proposedLeaving) {
+        return;
+    }
+    entry.proposedLeaving = leaving;
+    wire::FleetCommand command;
+    command.mutable_set_leaving()->set_router(router);
+    command.mutable_set_leaving()->set_incarnation(leaving);
+    m_group.propose(command, [this, router, leaving](std::optional<CommandOutcome> outcome) {
+        const auto it = m_routers.find(router);
+        if (!outcome && it != m_routers.end() && it->second.proposedLeaving == leaving) {
+            it->second.proposedLeaving.clear(); // The next announcement proposes it again.
+        }
+    });
 }
 
 void FleetController::onClosed(const std::shared_ptr<MessageChannel> &channel)
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -32,6 +32,7 @@
         std::uint64_t revision = 0; ///< List revision of the last change of the record.
         TimePoint lastAnnounce;
         bool isSilent = false;
+        std::string proposedLeaving; ///< Leaving incarnation in the latest command that was proposed and has not failed.
     };
 
     /// State that one router was sent on its current connection.
@@ -52,6 +53,8 @@
 
     void refuse(const std::shared_ptr<MessageChannel> &channel);
     void recordRouter(const wire::Announce &announce);
+    /// Has the leaving backend server of the router recorded by all controllers.
+    void proposeLeaving(const std::string &router, RouterEntry &entry);
     void onApplied(const wire::FleetCommand &command, CommandOutcome outcome);
     void tick();
     void updateLeadership();
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -2,6 +2,8 @@
 
 #include "common/assert.h"
 
+#include <algorithm>
+
 namespace Toucandeck
 {
 
@@ -11,6 +13,9 @@
 /// Accepted orders are recorded so that a retried order is acknowledged again instead of being refused, however late the retry.
 constexpr std::size_t kMaxRecordedOrders = 16384;
 
+/// Leaving backend servers to record. Beyond it the oldest is forgotten, whose process has ended long before.
+constexpr std::size_t kMaxLeavingInstances = 4096;
+
 } // namespace
 
 void FleetState::setListener(Listener listener)
@@ -36,6 +41,9 @@
     case wire::FleetCommand::kSetKeys:
         outcome = applyKeys(index, parsed.set_keys());
         break;
+    case wire::FleetCommand::kSetLeaving:
+        outcome = applyLeaving(index, parsed.set_leaving());
+        break;
     case wire::FleetCommand::BODY_NOT_SET:
         break;
     }
@@ -126,6 +134,22 @@
     return CommandOutcome::Applied;
 }
 
+CommandOutcome FleetState::applyLeaving(LogIndex index, const wire::LeavingInstance &leaving)
+{
+    if (leaving.router().empty() || leaving.incarnation().empty()) {
+        return CommandOutcome::Conflict;
+    }
+    if (leavingBeside(leaving.router()) == leaving.incarnation()) {
+        return CommandOutcome::Repeated;
+    }
+    m_leaving[leaving.router()] = { leaving.incarnation(), index.value };
+    if (m_leaving.size() > kMaxLeavingInstances) {
+        m_leaving.erase(std::min_element(
+            m_leaving.begin(), m_leaving.end(), [](const auto &a, const auto &b) { return a.second.revision < b.second.revision; }));
+    }
+    return CommandOutcome::Applied;
+}
+
 std::string FleetState::snapshot() const
 {
     wire::FleetSnapshot out;
@@ -147,6 +171,12 @@
             *it->add_rows() = toWire(row);
         }
     }
+    for (const auto &[router, leaving] : m_leaving) {
+        auto *it = out.add_leaving();
+        it->set_router(router);
+        it->set_incarnation(leaving.incarnation);
+        it->set_revision(leaving.revision);
+    }
     return out.SerializeAsString();
 }
 
@@ -177,6 +207,10 @@
     }
     m_evacuated = { in.evacuated().begin(), in.evacuated().end() };
     m_evacuationRevision = in.evacuation_revision();
+    m_leaving.clear();
+    for (const auto &it : in.leaving()) {
+        m_leaving[it.router()] = { it.incarnation(), it.revision() };
+    }
     return {};
 }
 
@@ -210,4 +244,11 @@
     return m_tables;
 }
 
+const std::string &FleetState::leavingBeside(const std::string &router) const
+{
+    static const std::string none;
+    const auto it = m_leaving.find(router);
+    return it == m_leaving.end() ? none : it->second.incarnation;
+}
+
 } // namespace Toucandeck
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -25,7 +25,8 @@
     KeyRows keys;
 };
 
-/// Replicated state machine of the controllers: manifest, accepted orders, evacuated failure domains and key tables.
+/// Replicated state machine of the controllers: manifest, accepted orders, evacuated failure domains, key tables, and backend
+/// servers that leave.
 class FleetState : public StateMachine
 {
 public:
@@ -51,10 +52,21 @@
 
     const std::map<std::string, KeyTable> &tables() const;
 
+    /// Latest incarnation that is known to leave beside the router; empty if there is none.
+    const std::string &leavingBeside(const std::string &router) const;
+
 private:
+    /// Incarnation of a backend server that leaves.
+    struct LeavingInstance
+    {
+        std::string incarnation;
+        std::uint64_t revision = 0; ///< Log index of the command.
+    };
+
     CommandOutcome applyChange(const wire::ChangeManifest &change);
     CommandOutcome applyEvacuation(LogIndex index, const wire::SetEvacuation &evacuation);
     CommandOutcome applyKeys(LogIndex index, const wire::KeyTable &table);
+    CommandOutcome applyLeaving(LogIndex index, const wire::LeavingInstance &leaving);
     void recordOrder(const std::string &order, std::uint64_t version);
 
     Listener m_listener;
@@ -65,6 +77,7 @@
     std::set<std::string> m_evacuated;
     std::uint64_t m_evacuationRevision = 0;
     std::map<std::string, KeyTable> m_tables;
+    std::map<std::string, LeavingInstance> m_leaving; ///< By the IP address of the router.
 };
 
 } // namespace Toucandeck
--- a/src/fleet/incarnation.cpp
+++ b/src/fleet/incarnation.cpp
@@ -31,6 +31,13 @@
     return ec == std::errc() && next == end ? std::optional(order) : std::nullopt;
 }
 
+/// The name without the number of presumed terminations.
+std::string_view processOf(std::string_view name)
+{
+    const auto at = name.rfind('@');
+    return at == std::string_view::npos ? name : name.substr(0, name.find('#', at));
+}
+
 } // namespace
 
 std::string incarnationName(std::string_view instance, std::int64_t startMs, int presumedTerminations)
@@ -46,4 +53,9 @@
     return orderA && orderB && *orderA > *orderB;
 }
 
+bool isSameProcess(std::string_view a, std::string_view b)
+{
+    return processOf(a) == processOf(b);
+}
+
 } // namespace Toucandeck
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -124,6 +124,7 @@
     m_current->instance = it.instance;
     m_current->startUnixMs = it.startUnixMs;
     m_current->name = incarnationName(it.instance, it.startUnixMs, m_presumedTerminations);
+    m_current->deregistered = isSameProcess(m_current->name, m_leavingIncarnation);
     m_leasedRows.clear();
     m_leaseExpiry = {};
     m_sentRows.clear();
@@ -153,6 +154,9 @@
     m_current->lastHeartbeat = now;
     m_current->coldUntil = now + it.coldRemaining;
     m_connectionRefusals = 0;
+    if (draining) {
+        m_leavingIncarnation = m_current->name;
+    }
     m_pendingReleases.record(
         m_current->name, it, m_reportedHolds, m_sentRows, [this](KeyRange range) { return m_callGrants.unansweredEnd(range); });
     m_reportedHolds = it.holds;
@@ -177,7 +181,11 @@
 
 void LocalInstance::applyRecord(const wire::InstanceReport &record)
 {
-    if (m_current && m_current->name == record.incarnation() && record.state() == wire::DRAINING && !m_current->draining) {
+    const auto &leaving = record.state() == wire::DRAINING ? record.incarnation() : record.leaving();
+    if (m_leavingIncarnation.empty() || isLaterIncarnation(leaving, m_leavingIncarnation)) {
+        m_leavingIncarnation = leaving;
+    }
+    if (m_current && isSameProcess(m_current->name, leaving) && !m_current->draining) {
         startLeaving();
     }
 }
@@ -189,6 +197,7 @@
     }
     m_current->deregistered = true;
     m_current->draining = true;
+    m_leavingIncarnation = m_current->name;
     m_logger.write(GatewayEvents::kInstanceState, { field("incarnation", m_current->name), field("state", "deregistered") });
     answerPending();
     updateCallGrants();
@@ -342,6 +351,7 @@
 {
     wire::InstanceReport report;
     report.set_ended(m_terminatedIncarnation);
+    report.set_leaving(m_leavingIncarnation);
     report.set_state(wire::ABSENT);
     if (!m_current) {
         return report;
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -61,7 +61,7 @@
 
     /// Applies a lease that answers an announcement sent at @p sentAt, from which its duration counts.
     void applyLease(const wire::LeaseGrant &lease, TimePoint sentAt);
-    /// Handles the controllers' record of the backend server, which may know from an earlier process of this gateway that it leaves.
+    /// Handles the controllers' record of the backend server, which may know from an earlier process of this gateway that one leaves.
     void applyRecord(const wire::InstanceReport &record);
     /// Handles the controllers' confirmation that they recorded the released keys of all announcements up to this one.
     void onAnnouncementAcknowledged(std::uint64_t sequence);
@@ -135,6 +135,7 @@
     std::function<bool(const std::string &service)> m_isServiceKnown;
     std::optional<Incarnation> m_current;
     std::optional<Incarnation> m_previous; ///< Last incarnation that was presumed terminated; its late heartbeats are ignored.
+    std::string m_leavingIncarnation; ///< Latest one that is known to leave; its process is never used again.
     std::string m_terminatedIncarnation; ///< Last incarnation whose process has terminated.
     int m_connectionRefusals = 0; ///< Consecutive.
     TimePoint m_firstRefusal;
--- a/test/fleet/test_fleet_state.cpp
+++ b/test/fleet/test_fleet_state.cpp
@@ -153,6 +153,40 @@
     EXPECT_EQ(restored.evacuated().count("a"), 1U);
 }
 
+// A new leader forgot which backend servers leave if their gateways were restarted.
+TEST_F(FleetStateTest, KeepsWhichBackendServerLeavesOverASnapshot)
+{
+    const auto leave = [this](const std::string &router, const std::string &incarnation) {
+        wire::FleetCommand command;
+        command.mutable_set_leaving()->set_router(router);
+        command.mutable_set_leaving()->set_incarnation(incarnation);
+        return apply(command);
+    };
+    EXPECT_EQ(leave("10.0.0.1", "a@1"), CommandOutcome::Applied);
+    EXPECT_EQ(leave("10.0.0.1", "a@1"), CommandOutcome::Repeated);
+    EXPECT_EQ(leave("10.0.0.1", "a@2"), CommandOutcome::Applied);
+    EXPECT_EQ(leave("", "a@2"), CommandOutcome::Conflict);
+    EXPECT_EQ(leave("10.0.0.2", ""), CommandOutcome::Conflict);
+    FleetState restored;
+    ASSERT_TRUE(restored.restore(m_state.snapshot()));
+    EXPECT_EQ(restored.leavingBeside("10.0.0.1"), "a@2");
+    EXPECT_EQ(restored.leavingBeside("10.0.0.2"), "");
+    EXPECT_EQ(restored.snapshot(), m_state.snapshot());
+}
+
+TEST_F(FleetStateTest, BoundsTheRecordOfBackendServersThatLeave)
+{
+    constexpr int kMany = 5000;
+    wire::FleetCommand command;
+    for (int i = 0; i < kMany; ++i) {
+        command.mutable_set_leaving()->set_router("router-" + std::to_string(i));
+        command.mutable_set_leaving()->set_incarnation("a@1");
+        apply(command);
+    }
+    EXPECT_EQ(m_state.leavingBeside("router-0"), "");
+    EXPECT_EQ(m_state.leavingBeside("router-" + std::to_string(kMany - 1)), "a@1");
+}
+
 TEST_F(FleetStateTest, RefusesASnapshotThatCannotBeRead)
 {
     FleetState restored;
--- a/test/fleet/test_incarnation.cpp
+++ b/test/fleet/test_incarnation.cpp
@@ -13,6 +13,14 @@
     EXPECT_FALSE(isLaterIncarnation(incarnationName("i", 1, 5), incarnationName("i", 2, 0)));
 }
 
+TEST(Incarnation, PresumedTerminationsMakeNoOtherProcess)
+{
+    EXPECT_TRUE(isSameProcess(incarnationName("i#1", 2, 0), incarnationName("i#1", 2, 3)));
+    EXPECT_FALSE(isSameProcess(incarnationName("i", 1, 0), incarnationName("i", 2, 0)));
+    EXPECT_FALSE(isSameProcess(incarnationName("i", 1, 0), incarnationName("j", 1, 0)));
+    EXPECT_FALSE(isSameProcess(incarnationName("i", 1, 0), ""));
+}
+
 TEST(Incarnation, NamesThatCannotBeParsedAreNeverLater)
 {
     for (const auto *it : { "", "i", "i@", "i@x", "i@1#", "i@1x" }) {
--- a/test/fleet/test_recorded_instance.cpp
+++ b/test/fleet/test_recorded_instance.cpp
@@ -25,6 +25,31 @@
     EXPECT_EQ(recordedInstance(draining, report("a@1", wire::ABSENT)).state(), wire::ABSENT);
 }
 
+// A restarted gateway announces itself before it hears of its backend server, which forgot that the process leaves (review/5, DRAIN).
+TEST(RecordedInstance, AProcessThatLeavesIsNotReadyAgainAfterItsGatewayAnnouncedNone)
+{
+    const auto absent = recordedInstance(report("a@1", wire::DRAINING), report("", wire::ABSENT));
+    EXPECT_EQ(absent.state(), wire::ABSENT);
+    EXPECT_EQ(absent.leaving(), "a@1");
+    const auto again = recordedInstance(absent, report("", wire::ABSENT));
+    EXPECT_EQ(recordedInstance(again, report("a@1", wire::READY)).state(), wire::DRAINING);
+}
+
+// The number of presumed terminations counts anew after a restart of the gateway.
+TEST(RecordedInstance, AProcessThatLeavesIsNotReadyAgainUnderAnotherNumberOfPresumedTerminations)
+{
+    EXPECT_EQ(recordedInstance(report("a@1#1", wire::DRAINING), report("a@1", wire::READY)).state(), wire::DRAINING);
+    EXPECT_EQ(recordedInstance(report("a@1", wire::DRAINING), report("a@1#1", wire::READY)).state(), wire::DRAINING);
+}
+
+TEST(RecordedInstance, TheGatewayKnowsTheLatestProcessThatLeaves)
+{
+    auto announced = report("a@3", wire::READY);
+    announced.set_leaving("a@2");
+    EXPECT_EQ(recordedInstance(report("a@1", wire::DRAINING), announced).leaving(), "a@2");
+    EXPECT_EQ(recordedInstance(report("a@1", wire::DRAINING), report("a@3", wire::DRAINING)).leaving(), "a@3");
+}
+
 TEST(RecordedInstance, AnotherProcessAtTheAddressIsReady)
 {
     EXPECT_EQ(recordedInstance(report("a@1", wire::DRAINING), report("a@2", wire::READY)).state(), wire::READY);
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -448,6 +448,47 @@
     EXPECT_EQ(m_instance.report().state(), wire::READY);
 }
 
+// The record of a restarted gateway names no backend server yet, and the late heartbeat comes after it (review/5, DRAIN).
+TEST_F(LocalInstanceTest, ALateHeartbeatOfABackendServerThatLeftDoesNotPutItBackIntoUse)
+{
+    wire::InstanceReport record;
+    record.set_state(wire::ABSENT);
+    record.set_leaving("i@1");
+    m_instance.applyRecord(record);
+    send(beat(1, 1));
+    EXPECT_EQ(m_instance.report().state(), wire::DRAINING);
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+    send(beat(2, 1)); // Another process.
+    EXPECT_EQ(m_instance.report().state(), wire::READY);
+    EXPECT_EQ(m_instance.report().leaving(), "i@1");
+}
+
+// The same without a restart: refused connections made the gateway forget that the process had deregistered.
+TEST_F(LocalInstanceTest, ABackendServerThatLeavesIsNotUsedAgainAfterItWasPresumedTerminated)
+{
+    send(beat(1, 1));
+    m_instance.deregister("i");
+    m_instance.onConnectionRefused();
+    m_clock.advance(milliseconds(100));
+    m_instance.onConnectionRefused();
+    ASSERT_EQ(m_instance.report().state(), wire::ABSENT);
+    EXPECT_EQ(m_instance.report().leaving(), "i@1");
+    send(beat(1, 2));
+    EXPECT_EQ(m_instance.report().state(), wire::DRAINING);
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+}
+
+// A record from before must not displace what the backend server itself reported since.
+TEST_F(LocalInstanceTest, AnOldRecordDoesNotDisplaceThatALaterProcessLeaves)
+{
+    send(beat(2, 1));
+    m_instance.deregister("i");
+    wire::InstanceReport record;
+    record.set_leaving("i@1");
+    m_instance.applyRecord(record);
+    EXPECT_EQ(m_instance.report().leaving(), "i@2");
+}
+
 // After a loss of power, other gateways sent calls to gateways that had no manifest yet. Their cold backend servers got any number of
 // requests in a second (FAILBACK on cluefire-live-large, trouble-2).
 TEST_F(LocalInstanceTest, AColdBackendServerGetsNothingBeforeTheManifestIsKnown)
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -2,6 +2,7 @@
 // manifest, backend servers that register themselves and hold keys, and requests through any gateway. Each node has its own loopback
 // address.
 #include "fleet/controller.h"
+#include "fleet/events.h"
 #include "gateway/events.h"
 #include "gateway/gateway.h"
 #include "platform/one_shot_client.h"
@@ -50,6 +51,7 @@
         }
         for (const auto &it : { nodeIp(11), nodeIp(12) }) {
             startGateway(it, ips);
+            startBackend(it);
         }
     }
 
@@ -94,6 +96,10 @@
         m_gateways.push_back(Gateway::create(parts, options).value());
         auto *it = m_gateways.back().get();
         serve({ ip, kInstancePort }, [this, it](const auto &exchange) { m_interface.handleInstance(*it, exchange); });
+    }
+
+    void startBackend(const std::string &ip)
+    {
         PlatformBackendOptions backend;
         backend.listen = { ip, kBackendPort };
         backend.announced = backend.listen;
@@ -168,6 +174,23 @@
         return {};
     }
 
+    /// Value of a field in the last log line about a gateway that a controller wrote, from the line with index @p first on; empty if
+    /// there is none.
+    std::string lastSeen(const std::string &router, const std::string &name, std::size_t first) const
+    {
+        std::string value;
+        for (auto i = first; i < m_logger.entries().size(); ++i) {
+            const auto &entry = m_logger.entries()[i];
+            const auto isRouter = [&](const auto &it) { return it.name == "router" && it.value == router; };
+            if (entry.number != FleetEvents::kRouterSeen.number || std::none_of(entry.fields.begin(), entry.fields.end(), isRouter)) {
+                continue;
+            }
+            const auto it = std::find_if(entry.fields.begin(), entry.fields.end(), [&](const auto &field) { return field.name == name; });
+            value = it == entry.fields.end() ? std::string() : std::string(it->value);
+        }
+        return value;
+    }
+
     bool allHoldKeys()
     {
         return std::all_of(m_backends.begin(), m_backends.end(), [](const auto &it) { return it->heldRows() > 0; });
@@ -265,6 +288,43 @@
     EXPECT_EQ((*newLeader)->group().state().manifest().version(), 3U);
 }
 
+// The leader alone knew that the backend server of a restarted gateway had left; the next leader put it back into use (DRAIN).
+TEST_F(FleetPathTest, ABackendServerThatLeftIsNotUsedAgainAfterItsGatewayAndTheLeaderWereLost)
+{
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200);
+    const auto complete = [](const auto &it) { return it->group().voterCount() == 3; };
+    ASSERT_TRUE(m_loop->runUntil([&] { return std::all_of(m_controllers.begin(), m_controllers.end(), complete); }, kLimit));
+    const auto ip = nodeIp(11);
+    m_backends.front()->crash();
+    Heartbeat beat;
+    beat.instance = "left";
+    beat.startUnixMs = 4'000'000'000'000; // Later than the process that has just ended.
+    beat.sequence = 1;
+    beat.service = "svc";
+    beat.address = SocketAddress{ ip, kBackendPort }.toString();
+    beat.slots = 9;
+    m_gateways.front()->handleHeartbeat(beat, [](const auto &) {});
+    m_gateways.front()->deregister("left");
+    const auto knows = [&](const auto &it) { return it->group().state().leavingBeside(ip) == "left@4000000000000"; };
+    ASSERT_TRUE(m_loop->runUntil([&] { return std::all_of(m_controllers.begin(), m_controllers.end(), knows); }, kLimit));
+
+    m_servers.erase(m_servers.begin() + 3); // It refers to the gateway.
+    m_gateways.erase(m_gateways.begin());
+    const auto leads = [](const auto &it) { return it->group().isLeaderReady(); };
+    const auto leader = std::find_if(m_controllers.begin(), m_controllers.end(), leads);
+    ASSERT_NE(leader, m_controllers.end());
+    m_servers.erase(m_servers.begin() + (leader - m_controllers.begin()));
+    m_controllers.erase(leader);
+    auto mark = m_logger.entries().size();
+    startGateway(ip, { nodeIp(1), nodeIp(2), nodeIp(3) });
+    ASSERT_TRUE(m_loop->runUntil([&] { return lastSeen(ip, "state", mark) == "ABSENT"; }, kLimit));
+    beat.sequence = 2;
+    mark = m_logger.entries().size();
+    m_gateways.back()->handleHeartbeat(beat, [](const auto &) {});
+    ASSERT_TRUE(m_loop->runUntil([&] { return lastSeen(ip, "incarnation", mark) == "left@4000000000000"; }, kLimit));
+    EXPECT_EQ(lastSeen(ip, "recorded_state", mark), "DRAINING");
+}
+
 // The operators' page traces a request by its id, so each of these log lines must exist and name the next process to inspect.
 TEST_F(FleetPathTest, TheLinesAboutAnAnsweredRequestNameItsGatewayAndBackendServer)
 {
