--- a/src/runtime/event_loop.cpp
+++ b/src/runtime/event_loop.cpp
@@ -10,6 +10,7 @@
 
 struct EventLoop::Watch::Entry : std::enable_shared_from_this<EventLoop::Watch::Entry>
 {
+    EventLoop *loop = nullptr;
     event *registration = nullptr;
     Handler handler;
     bool active = true;
@@ -36,6 +37,7 @@
         if (self->oneShot) {
             self->active = false;
         }
+        self->loop->endIteration();
         self->handler();
     }
 };
@@ -90,19 +92,24 @@
 EventLoop::EventLoop(const Clock &clock, event_base *base)
     : m_clock(clock)
     , m_base(base)
+    , m_iterationEnd(event_new(
+          base, -1, 0, [](evutil_socket_t, short, void *arg) { event_base_loopbreak(static_cast<event_base *>(arg)); }, base))
 {
+    TOUCANDECK_ASSERT(m_iterationEnd != nullptr, "event_new fails only without memory");
 }
 
 EventLoop::~EventLoop()
 {
     // Handlers may own watches, which must be destroyed before the event base.
     m_soonHandlers.clear();
+    event_free(m_iterationEnd);
     event_base_free(m_base);
 }
 
 EventLoop::Watch EventLoop::add(int descriptor, short what, const Duration *delay, Handler handler)
 {
     auto entry = std::make_shared<Watch::Entry>();
+    entry->loop = this;
     entry->handler = std::move(handler);
     entry->oneShot = (what & EV_PERSIST) == 0;
     entry->registration = event_new(m_base, descriptor, what, &Watch::Entry::onFired, entry.get());
@@ -147,6 +154,14 @@
 void EventLoop::runSoon(Handler handler)
 {
     m_soonHandlers.push_back(std::move(handler));
+    endIteration();
+}
+
+void EventLoop::endIteration()
+{
+    // Without this, libevent returns only when no callback is due. If many connections receive data without pause, it postpones some of
+    // their callbacks in each round, so that it never returns.
+    event_active(m_iterationEnd, 0, 0);
 }
 
 EventLoop::Watch EventLoop::atIterationEnd(Handler handler)
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -74,9 +74,12 @@
     explicit EventLoop(const Clock &clock, event_base *base);
     Watch add(int descriptor, short what, const Duration *delay, Handler handler);
     void iterate();
+    /// Ends the current iteration after the handlers that are already due.
+    void endIteration();
 
     const Clock &m_clock;
     event_base *m_base = nullptr;
+    event *m_iterationEnd = nullptr;
     bool m_stopped = false;
     std::vector<Handler> m_soonHandlers;
     std::vector<std::weak_ptr<Watch::Entry>> m_endHooks;
