Limit answers of a backend server about keys to 64 KiB

Cause, by reading: each of the 16 connections of GrantCaller received an answer of up to 8 MiB, which the common limit of the responses in progress does not count; the blocks that hold them can take 256 MB, the memory of a VM. Answers about keys are short.

Measured: GrantCallerTest.AnAnswerThatIsTooLongForKeysEndsItsConnectionAtOnce fails without the limit (the connection stayed open) and passes with it. That the connections took so much memory was not shown by a run.

--- a/src/gateway/grant_caller.cpp
+++ b/src/gateway/grant_caller.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds kHeartbeatProof{ 300 };
 constexpr std::chrono::seconds kMaxBusyTime{ 5 }; ///< A connection without an answer is closed after this time.
 constexpr std::size_t kMaxLinks = 16; ///< Connections to the backend server, which limits all its connections together.
+constexpr std::size_t kMaxAnswerBytes = 64U << 10U; ///< Of a body; answers about keys are short.
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
@@ -72,6 +73,7 @@
     ++m_openedConnections;
     auto &link = m_links.emplace_back();
     link.connection = std::make_unique<BackendConnection>(m_loop, m_address, m_idHeader);
+    link.connection->limitBodies(kMaxAnswerBytes);
     link.connection->awaitEstablished([this, &link](bool established, BackendError) { onEstablished(link, established); });
 }
 
--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -121,6 +121,11 @@
     });
 }
 
+void BackendConnection::limitBodies(std::size_t bytes)
+{
+    m_parser.setLimits(kMaxHeadBytes, bytes);
+}
+
 void BackendConnection::send(const HttpRequest &request, std::string requestId, ResponseHandler handler)
 {
     m_responseHandler = std::move(handler);
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -71,6 +71,9 @@
     BackendConnection(const BackendConnection &) = delete;
     BackendConnection &operator=(const BackendConnection &) = delete;
 
+    /// Lowers the limit on bodies from kMaxBodyBytes to @p bytes. Call before the first request.
+    void limitBodies(std::size_t bytes);
+
     /// Sends a request. If @p requestId is not empty, a response with another id is discarded as a late response to an earlier request.
     /// @param handler called once, unless the connection is destroyed first; it may destroy the connection.
     void send(const HttpRequest &request, std::string requestId, ResponseHandler handler);
--- a/test/gateway/test_grant_caller.cpp
+++ b/test/gateway/test_grant_caller.cpp
@@ -120,6 +120,17 @@
 
 } // namespace
 
+// Guards against answers of 8 MiB on each of the connections, which together take the memory of the VM.
+TEST_F(GrantCallerTest, AnAnswerThatIsTooLongForKeysEndsItsConnectionAtOnce)
+{
+    connect();
+    grant();
+    const auto id = idOn(0, "/grant");
+    m_accepted.front().write("HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: 1000000\r\n\r\n");
+    EXPECT_EQ(outcome(), GrantOutcome::Unanswered);
+    EXPECT_TRUE(runUntil([this] { return m_accepted.front().isClosed(); }));
+}
+
 TEST_F(GrantCallerTest, TellsWhatTheBackendServerAnswered)
 {
     connect();
