--- a/src/fleet/controller.cpp
+++ b/src/fleet/controller.cpp
@@ -19,6 +19,7 @@
           SocketAddress{ m_options.group.ip, m_options.peerPort },
           [this](const std::string &peer, const wire::PeerMessage &message) { receive(peer, message); },
           [](const std::string &, bool, const std::string &) {})
+    , m_barrier(parts.loop.clock(), m_options.maxConfirmationDelay)
 {
 }
 
@@ -28,8 +29,8 @@
 {
     const ReplicaGroupParts parts{ m_parts.loop, m_links, m_parts.random, m_parts.logger };
     BOOST_LEAF_ASSIGN(m_group, ReplicaGroup::create(parts, m_options.group));
-    m_fleet = std::make_unique<FleetController>(m_parts.loop, *m_group, m_parts.codec, m_parts.logger, m_options.leases);
-    m_orders = std::make_unique<ManifestOrders>(*m_group, m_parts.codec, m_parts.logger);
+    m_fleet = std::make_unique<FleetController>(m_parts.loop, *m_group, m_parts.codec, m_parts.logger, m_options.leases, m_barrier);
+    m_orders = std::make_unique<ManifestOrders>(*m_group, m_parts.codec, m_parts.logger, m_barrier);
     BOOST_LEAF_ASSIGN(m_listener,
                       Listener::listen(m_parts.loop,
                                        { m_options.group.ip, m_options.peerPort },
--- a/src/fleet/controller.h
+++ b/src/fleet/controller.h
@@ -16,6 +16,7 @@
 {
     ReplicaGroupOptions group;
     KeyLeaseOptions leases;
+    Duration maxConfirmationDelay{}; ///< Longest delay of the confirmation of a manifest until the gateways apply it.
     std::uint16_t peerPort = 0; ///< Port on which all gateways and controllers accept connections from each other.
 };
 
@@ -53,6 +54,7 @@
     ControllerOptions m_options;
     PeerLinks m_links;
     std::unique_ptr<ReplicaGroup> m_group;
+    ManifestBarrier m_barrier;
     std::unique_ptr<FleetController> m_fleet;
     std::unique_ptr<ManifestOrders> m_orders;
     std::set<Channel> m_channels;
--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -3,6 +3,8 @@
 #include "fleet/events.h"
 #include "fleet/recorded_instance.h"
 
+#include <algorithm>
+
 namespace Toucandeck
 {
 
@@ -14,6 +16,8 @@
 constexpr milliseconds kTickInterval{ 50 };
 constexpr milliseconds kListCompleteAfter{ 2000 }; ///< After an election; each reachable router has announced itself by then.
 constexpr milliseconds kSilentAfter{ 3000 };
+/// A router that has announced nothing for this time is not in contact; a confirmation does not wait for it.
+constexpr milliseconds kInContactWithin{ 1000 };
 constexpr std::chrono::seconds kRemovedAfter{ 30 }; ///< Long, because a router that the controllers cannot reach may still serve.
 
 bool sameRecord(const wire::RouterRecord &a, const wire::RouterRecord &b)
@@ -35,7 +39,8 @@
 
 } // namespace
 
-FleetController::FleetController(EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases)
+FleetController::FleetController(
+    EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases, ManifestBarrier &barrier)
     : m_loop(loop)
     , m_group(group)
     , m_logger(logger)
@@ -50,10 +55,12 @@
                         m_group.propose(
                             command, [done = std::move(done)](std::optional<CommandOutcome> it) { done(it == CommandOutcome::Applied); });
                     })
+    , m_barrier(barrier)
     , m_keyedServices(codec, logger)
     , m_timer(loop.every(kTickInterval, [this] { tick(); }))
 {
     group.setAppliedHandler([this](LogIndex, const wire::FleetCommand &command, CommandOutcome outcome) { onApplied(command, outcome); });
+    m_barrier.setCondition([this](std::uint64_t version) { return isManifestApplied(version); });
 }
 
 void FleetController::onApplied(const wire::FleetCommand &command, CommandOutcome outcome)
@@ -118,7 +125,9 @@
         session.acceptsCompressed = announce.accepts_compressed();
     }
     session.lastAnnounce = announce.sequence();
+    session.appliedVersion = announce.manifest_version();
     recordRouter(announce);
+    m_barrier.process();
     for (const auto &it : announce.freed()) {
         m_coordinator.onReleased(announce.instance().service(), it);
     }
@@ -217,8 +226,20 @@
     return m_routers.size();
 }
 
+bool FleetController::isManifestApplied(std::uint64_t version) const
+{
+    const auto now = m_loop.clock().now();
+    return std::all_of(m_sessions.begin(), m_sessions.end(), [&](const auto &entry) {
+        const auto &session = entry.second;
+        const auto router = m_routers.find(session.router);
+        const bool inContact = router != m_routers.end() && now - router->second.lastAnnounce <= kInContactWithin;
+        return !inContact || session.appliedVersion >= version;
+    });
+}
+
 void FleetController::tick()
 {
+    m_barrier.process();
     updateLeadership();
     if (!m_isLeader) {
         return;
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -2,6 +2,7 @@
 
 #include "fleet/key_coordinator.h"
 #include "fleet/keyed_services.h"
+#include "fleet/manifest_barrier.h"
 #include "fleet/manifest_updates.h"
 #include "fleet/replica_group.h"
 
@@ -16,7 +17,9 @@
 class FleetController
 {
 public:
-    FleetController(EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases);
+    /// @param barrier must outlive this object.
+    FleetController(
+        EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases, ManifestBarrier &barrier);
 
     void receive(const std::shared_ptr<MessageChannel> &channel, const wire::Announce &announce);
     void onClosed(const std::shared_ptr<MessageChannel> &channel);
@@ -42,6 +45,7 @@
         std::string router;
         std::uint64_t lastAnnounce = 0; ///< Sequence number of the last announcement.
         std::uint64_t manifestVersion = 0;
+        std::uint64_t appliedVersion = 0; ///< Manifest version that the router reported last.
         bool acceptsCompressed = false;
         std::uint64_t evacuationRevision = 0;
         bool areEvacuationsSent = false;
@@ -66,6 +70,8 @@
     bool fillRouters(Session &session, wire::FleetUpdate &update) const;
     bool isListComplete() const;
     void readManifest();
+    /// True if all routers in contact have reported this manifest version or a later one.
+    bool isManifestApplied(std::uint64_t version) const;
     bool fillManifest(Session &session, wire::FleetUpdate &update);
     bool fillTables(Session &session, wire::FleetUpdate &update) const;
     std::vector<KeyHolder> keyHolders() const;
@@ -80,6 +86,7 @@
     std::uint64_t m_listRevision = 1;
     std::map<MessageChannel *, Session> m_sessions;
     ManifestUpdates m_manifestUpdates;
+    ManifestBarrier &m_barrier;
     KeyedServices m_keyedServices;
     std::uint64_t m_readVersion = 0; ///< Manifest version of m_manifestUpdates and m_keyedServices.
     bool m_isLeader = false;
--- a/src/fleet/manifest_orders.cpp
+++ b/src/fleet/manifest_orders.cpp
@@ -22,10 +22,11 @@
     return "unavailable";
 }
 
-ManifestOrders::ManifestOrders(ReplicaGroup &group, const ManifestCodec &codec, Logger &logger)
+ManifestOrders::ManifestOrders(ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, ManifestBarrier &barrier)
     : m_group(group)
     , m_codec(codec)
     , m_logger(logger)
+    , m_barrier(barrier)
 {
 }
 
@@ -94,7 +95,7 @@
 {
     const auto version = change.upsert().version();
     if (m_group.state().isAccepted(change.order())) {
-        reply("manifest", version, { OrderVerdict::Accepted, "accepted before" }, answer);
+        confirmChange(version, "accepted before", answer);
         return;
     }
     const auto checked = checkChange(change);
@@ -105,16 +106,22 @@
     wire::FleetCommand command;
     *command.mutable_change_manifest() = change;
     m_group.propose(command, [this, version, answer](std::optional<CommandOutcome> outcome) {
-        OrderResult result{ OrderVerdict::Accepted, {} };
         if (!outcome) {
-            result = { OrderVerdict::Unavailable, "leadership was lost before the commit was known" };
+            reply("manifest", version, { OrderVerdict::Unavailable, "leadership was lost before the commit was known" }, answer);
         } else if (*outcome == CommandOutcome::Conflict) {
-            result = { OrderVerdict::Conflict, fmt::format("the current version is {}", m_group.state().manifest().version()) };
+            const auto current = fmt::format("the current version is {}", m_group.state().manifest().version());
+            reply("manifest", version, { OrderVerdict::Conflict, current }, answer);
+        } else {
+            confirmChange(version, "", answer);
         }
-        reply("manifest", version, result, answer);
     });
 }
 
+void ManifestOrders::confirmChange(std::uint64_t version, const char *message, const OrderCallback &answer)
+{
+    m_barrier.await(version, [this, version, message, answer] { reply("manifest", version, { OrderVerdict::Accepted, message }, answer); });
+}
+
 void ManifestOrders::evacuate(const std::string &failureDomain, bool active, OrderCallback answer)
 {
     const char *order = active ? "evacuation_start" : "evacuation_end";
--- a/src/fleet/manifest_orders.h
+++ b/src/fleet/manifest_orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/manifest_barrier.h"
 #include "fleet/replica_group.h"
 #include "manifest/manifest_codec.h"
 
@@ -33,7 +34,8 @@
     using OrderCallback = std::function<void(const OrderResult &)>;
     using ReadCallback = std::function<void(const OrderResult &, const wire::ManifestDocument &)>;
 
-    ManifestOrders(ReplicaGroup &group, const ManifestCodec &codec, Logger &logger);
+    /// All arguments must outlive this object.
+    ManifestOrders(ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, ManifestBarrier &barrier);
 
     /// Changes the manifest. A repeated order is accepted without a second change.
     void change(wire::ChangeManifest change, OrderCallback answer);
@@ -46,12 +48,15 @@
     /// Replies and returns false if this controller cannot commit an order now.
     bool admitOrder(const char *order, const OrderCallback &answer);
     void proposeChange(const wire::ChangeManifest &change, const OrderCallback &answer);
+    /// Replies that the order is accepted, once its manifest is in force or the longest delay has passed.
+    void confirmChange(std::uint64_t version, const char *message, const OrderCallback &answer);
     OrderResult checkChange(const wire::ChangeManifest &change) const;
     void reply(const char *order, std::uint64_t version, const OrderResult &result, const OrderCallback &answer);
 
     ReplicaGroup &m_group;
     const ManifestCodec &m_codec;
     Logger &m_logger;
+    ManifestBarrier &m_barrier;
 };
 
 } // namespace Toucandeck
--- a/src/gateway/fleet_client.cpp
+++ b/src/gateway/fleet_client.cpp
@@ -170,7 +170,12 @@
         m_connected = true;
         m_logger.write(GatewayEvents::kControllerRegained, { field("controller", peer), field("term", m_term) });
     }
-    if (!m_view.apply(update)) {
+    const auto formerVersion = m_view.manifestVersion();
+    const bool complete = m_view.apply(update);
+    if (m_view.manifestVersion() != formerVersion) {
+        m_lastAnnouncement = {}; // The next tick reports the version, for which the confirmation of the order waits.
+    }
+    if (!complete) {
         m_links.closeConnection(m_controller); // On a new connection the controller sends its complete state.
         scheduleAnnouncement();
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -116,6 +116,7 @@
     options.group.firstStart = m_settings.firstStart;
     options.group.toleratedLosses = m_settings.toleratedLosses;
     options.leases.leaseDuration = std::min<Duration>(options.leases.leaseDuration, m_settings.longestHold);
+    options.maxConfirmationDelay = m_settings.confirmationDelay;
     options.peerPort = m_settings.peerPort;
     BOOST_LEAF_ASSIGN(m_controller, Controller::create({ *m_loop, *m_random, m_logger, m_interface.manifestCodec() }, std::move(options)));
     m_controller->group().setFailureHandler([this](const Error &) {
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -96,6 +96,7 @@
     BOOST_LEAF_AUTO(losses, fields.number("toleratedLosses", 1));
     out.toleratedLosses = static_cast<std::size_t>(losses);
     BOOST_LEAF_ASSIGN(out.longestHold, fields.time("longestHold", std::chrono::seconds(5)));
+    BOOST_LEAF_ASSIGN(out.confirmationDelay, fields.time("confirmationDelay", Duration::zero()));
     return {};
 }
 
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -47,6 +47,7 @@
     std::string dataFolder;
     bool firstStart = false; ///< True if the whole deployment starts for the first time.
     std::size_t toleratedLosses = 0; ///< Number of controllers that may fail at the same time.
+    Duration confirmationDelay{}; ///< Maximum delay of the confirmation of a manifest until all gateways in contact apply it.
     Duration longestHold{}; ///< Maximum duration of a lease on keys granted to a backend server.
 
     /// Parses settings. Errors: InvalidArgument, naming the field.
