Balance by capacity with estimates of the present load, and refuse nested calls by their deadline only

Cause: an entry took a backend server without a report of the last 400 ms as idle, and all entries with the same view chose the same one; nested calls were refused by their latency target, which wasted the work of their parents. Change: with "balancing": "capacity" three candidates are drawn by capacity and compared by the load that is expected now; replies pass on reports of other backend servers and the time spent at the other gateway; a call names the longest wait that is still useful.

--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -58,6 +58,10 @@
         refuse(waiting, wire::OVERLOADED);
         return id;
     }
+    if (waiting.call.maxWait > Duration::zero() && expectedQueueingDelay(waiting) > waiting.call.maxWait) {
+        refuse(waiting, wire::BUSY);
+        return id;
+    }
     m_queue.push(std::move(waiting));
     processQueue();
     return id;
@@ -113,6 +117,9 @@
     if (wait + serviceTime > left) {
         return true;
     }
+    if (call.call.nested) {
+        return false; // A refusal would waste what its parent has done, a late answer does not.
+    }
     const bool missesTarget = now + wait + serviceTime > call.call.targetTime;
     const auto totalDelay = (now - call.enqueuedAt) + wait;
     return missesTarget && totalDelay > left * kLateWaitShare;
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -10,6 +10,7 @@
 {
 
 using std::chrono::duration_cast;
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 template<class Message>
@@ -73,6 +74,7 @@
     out.set_nested(call.nested);
     out.set_returned(call.clientRetry);
     out.set_sibling_answers(call.siblingAnswers);
+    out.set_max_wait_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(call.maxWait).count()));
     if (call.key) {
         out.set_has_key(true);
         out.set_key(*call.key);
@@ -93,6 +95,7 @@
     call.nested = request.nested();
     call.clientRetry = request.returned();
     call.siblingAnswers = request.sibling_answers();
+    call.maxWait = milliseconds(request.max_wait_ms());
     if (request.has_key()) {
         call.key = request.key();
     }
@@ -111,6 +114,13 @@
     out.set_instance(result.instance);
     out.set_reached(result.reachedBackend);
     *out.mutable_load() = result.load;
+    out.set_elapsed_us(static_cast<std::uint32_t>(duration_cast<microseconds>(result.elapsed).count()));
+    for (const auto &it : result.peers) {
+        auto *peer = out.add_peers();
+        peer->set_router(it.gateway);
+        *peer->mutable_load() = it.load;
+        peer->set_age_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(it.age).count()));
+    }
     return out;
 }
 
@@ -124,6 +134,10 @@
     result.instance = reply.instance();
     result.reachedBackend = reply.reached();
     result.load = reply.load();
+    result.elapsed = microseconds(reply.elapsed_us());
+    for (const auto &it : reply.peers()) {
+        result.peers.push_back({ it.router(), it.load(), milliseconds(it.age_ms()) });
+    }
     return result;
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -8,6 +8,7 @@
 #include <peer.pb.h>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Toucandeck
 {
@@ -28,6 +29,7 @@
     std::uint32_t siblingAnswers = 0; ///< Of a nested call: number of earlier calls of the same request that were answered.
     bool clientRetry = false; ///< The client retries after an attempt without success.
     std::optional<std::uint32_t> key; ///< Below kKeyCount.
+    Duration maxWait{}; ///< Refused with BUSY if the expected queueing delay is longer; zero is no limit.
 };
 
 /// Origin of a call.
@@ -43,6 +45,14 @@
 /// "client", "client_retry" or "nested".
 std::string_view toString(CallOrigin origin);
 
+/// Load of a backend server as another gateway knows it.
+struct PeerReport
+{
+    std::string gateway; ///< IP address of the gateway beside it.
+    wire::LoadReport load;
+    Duration age{};
+};
+
 /// Outcome of a call.
 struct CallResult
 {
@@ -54,6 +64,8 @@
     bool reachedBackend = false; ///< The call was sent to a backend server.
     double slownessPercent = 0; ///< Slowness of its machine as reported with the answer; zero if not reported. Not sent to other gateways.
     wire::LoadReport load; ///< Load of that backend server.
+    Duration elapsed{}; ///< Time from the arrival of the call at the other gateway to its reply; zero if unknown.
+    std::vector<PeerReport> peers; ///< Loads of other backend servers of the service.
 };
 
 using CallDone = std::function<void(CallResult)>;
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -1,7 +1,10 @@
 #include "gateway/call_router.h"
 
 #include "gateway/candidate_sample.h"
+#include "gateway/capacity_weight.h"
 #include "gateway/events.h"
+#include "gateway/load_estimate.h"
+#include "gateway/weighted_sample.h"
 
 #include <algorithm>
 
@@ -24,13 +27,18 @@
 constexpr std::uint32_t kNormalSlownessPermille = 1000;
 constexpr double kRetryBurst = 4; ///< Retries that one gateway can accumulate; all gateways share the slack of the budget.
 constexpr milliseconds kMinTimeForRetry{ 20 };
+constexpr std::size_t kComparedByCapacity = 3; ///< The more are compared, the more entries choose the same one at a time.
+constexpr std::uint32_t kMaxRedirections = 2;
+constexpr std::size_t kReportsPerReply = 3; ///< Reports of other backend servers in a reply.
+constexpr milliseconds kSlownessTimeConstant{ 200 }; ///< Machines change their speed several times a second.
 
 } // namespace
 
-CallRouter::CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare)
+CallRouter::CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare, Balancing balancing)
     : m_parts(parts)
     , m_ownDomain(std::move(ownDomain))
     , m_retryShare(retryShare)
+    , m_balancing(balancing)
     , m_loads(parts.loop.clock())
 {
     parts.port.setSilenceHandler([this](std::uint64_t callId) { onSilence(callId); });
@@ -88,7 +96,7 @@
     candidate.sameDomain = gateway.failureDomain == m_ownDomain;
     candidate.slots = std::max(1U, gateway.slots);
     const auto reported = m_loads.isFresh(load) ? load.report.running() + load.report.waiting() + load.sentSinceReport : 0;
-    candidate.pending = std::max(reported, load.inFlight);
+    candidate.pending = static_cast<double>(std::max(reported, load.inFlight));
     candidate.serviceTime = std::chrono::microseconds(load.report.work_us());
     if (load.report.slowness_permille() != 0 && m_loads.isFresh(load)) {
         // Only a slowdown counts: otherwise the gateway used last would be preferred to all gateways without a recent report.
@@ -101,6 +109,67 @@
     return candidate;
 }
 
+GatewayCandidate CallRouter::estimateCandidate(const ListedGateway &gateway) const
+{
+    const auto &load = m_loads.at(gateway.ip);
+    const auto &service = m_loads.serviceLoad(gateway.service);
+    const auto &report = load.report;
+    GatewayCandidate candidate;
+    candidate.ip = gateway.ip;
+    candidate.sameDomain = gateway.failureDomain == m_ownDomain;
+    candidate.slots = std::max(1U, gateway.slots);
+    const bool known = load.reportedAt != TimePoint();
+    candidate.serviceTime = report.work_us() == 0 ? service.serviceTime : std::chrono::microseconds(report.work_us());
+    if (report.speed_permille() != 0) {
+        candidate.relativeSpeed = report.speed_permille() / 1000.0;
+    } else if (candidate.serviceTime > Duration::zero()) {
+        candidate.relativeSpeed = std::chrono::duration<double>(service.serviceTime) / std::chrono::duration<double>(candidate.serviceTime);
+    }
+    KnownLoad estimate;
+    estimate.age = m_loads.age(load);
+    estimate.reportedCalls = report.running() + report.waiting() + load.sentSinceReport;
+    estimate.usualCalls = (known ? load.usualUtilisation : service.utilisation) * candidate.slots;
+    estimate.ownCalls = load.inFlight;
+    estimate.serviceTime = candidate.serviceTime;
+    candidate.pending = expectedCalls(estimate);
+    const double slowdown = std::max(0.0, report.slowness_permille() / static_cast<double>(kNormalSlownessPermille) - 1);
+    const double slowness = 1 + slowdown * reportWeight(estimate.age, kSlownessTimeConstant);
+    candidate.serviceTime = std::chrono::duration_cast<Duration>(candidate.serviceTime * slowness);
+    candidate.failedShare = report.failed_permille() / 1000.0;
+    candidate.cold = report.cold();
+    candidate.suspect = m_loads.isSuspect(gateway.ip);
+    if (load.transitMeasuredAt != TimePoint()) {
+        candidate.transitTime = m_loads.transitTime(load);
+    }
+    return candidate;
+}
+
+std::vector<GatewayCandidate> CallRouter::sampleCandidates(const std::vector<const ListedGateway *> &eligible)
+{
+    std::vector<GatewayCandidate> candidates;
+    for (const auto *gateway : sampleGateways(eligible, m_ownDomain, m_parts.random)) {
+        candidates.push_back(makeCandidate(*gateway));
+    }
+    return candidates;
+}
+
+std::vector<GatewayCandidate> CallRouter::sampleCandidatesByCapacity(const std::vector<const ListedGateway *> &eligible)
+{
+    std::vector<GatewayCandidate> all;
+    std::vector<double> weights;
+    all.reserve(eligible.size());
+    weights.reserve(eligible.size());
+    for (const auto *gateway : eligible) {
+        all.push_back(estimateCandidate(*gateway));
+        weights.push_back(capacityWeight(all.back()));
+    }
+    std::vector<GatewayCandidate> candidates;
+    for (const auto index : weightedSample(std::move(weights), kComparedByCapacity, m_parts.random)) {
+        candidates.push_back(std::move(all[index]));
+    }
+    return candidates;
+}
+
 std::vector<const ListedGateway *> CallRouter::eligibleGateways(const RoutedCall &it) const
 {
     std::vector<const ListedGateway *> found;
@@ -115,17 +184,16 @@
 
 void CallRouter::attemptAny(std::uint64_t id, const RoutedCallPtr &it)
 {
-    const auto sample = sampleGateways(eligibleGateways(*it), m_ownDomain, m_parts.random);
-    if (sample.empty()) {
+    const bool byCapacity = m_balancing == Balancing::Capacity;
+    const auto eligible = eligibleGateways(*it);
+    const auto candidates = byCapacity ? sampleCandidatesByCapacity(eligible) : sampleCandidates(eligible);
+    if (candidates.empty()) {
         m_parts.loop.runSoon([this, id, it] { finish(id, it, notRun(wire::NO_INSTANCE)); });
         return;
     }
-    std::vector<GatewayCandidate> candidates;
-    candidates.reserve(sample.size());
-    for (const auto *gateway : sample) {
-        candidates.push_back(makeCandidate(*gateway));
-    }
     const auto choice = m_parts.chooser.choose(candidates, m_parts.random);
+    const bool mayRedirect = byCapacity && candidates.size() > 1 && it->redirections < kMaxRedirections;
+    it->call.maxWait = mayRedirect ? longestUsefulWait(candidates, choice, it->call.request.body.size()) : Duration::zero();
     sendTo(id, it, candidates[choice].ip);
 }
 
@@ -135,6 +203,8 @@
     it->triedGateways.insert(ip);
     it->waitsForHolder = false;
     const auto number = ++it->attempts;
+    it->sentAt = m_parts.loop.clock().now();
+    m_loads.setService(ip, it->call.service);
     m_loads.onCallSent(ip);
     it->callId = m_parts.port.send(ip, it->call, [this, id, it, number](CallResult result) {
         if (it->silent && it->silent->number == number) {
@@ -145,7 +215,15 @@
     });
 }
 
-void CallRouter::recordResult(RoutedCall &it, const std::string &gateway, const CallResult &result)
+std::vector<PeerReport> CallRouter::reportsFor(const std::string &service, const std::string &receiver) const
+{
+    if (m_balancing != Balancing::Capacity) {
+        return {};
+    }
+    return m_loads.recentReports(service, receiver, kReportsPerReply, m_parts.random);
+}
+
+void CallRouter::recordResult(RoutedCall &it, const std::string &gateway, TimePoint sentAt, const CallResult &result)
 {
     if (result.reachedBackend && it.reachedBackends++ == 0) {
         // Requests that are refused before they reach a backend server add nothing to the retry budget: the nested calls of a retried
@@ -153,6 +231,12 @@
         m_budgets.at(it.call.service).countRequest();
     }
     m_loads.onCallAnswered(gateway, result);
+    if (result.elapsed != Duration::zero()) {
+        m_loads.recordTransit(gateway, m_parts.loop.clock().now() - sentAt - result.elapsed);
+    }
+    for (const auto &peer : result.peers) {
+        m_loads.onPeerReport(it.call.service, peer);
+    }
 }
 
 void CallRouter::onSilence(std::uint64_t callId)
@@ -167,7 +251,7 @@
     if (it->silent || (!isKeyed(*it) && eligibleGateways(*it).empty())) {
         return;
     }
-    it->silent = SilentAttempt{ it->attempts, std::exchange(it->callId, 0), it->gateway };
+    it->silent = SilentAttempt{ it->attempts, std::exchange(it->callId, 0), it->gateway, it->sentAt };
     if (!takeRetry(*it)) {
         it->callId = it->silent->callId;
         it->silent.reset();
@@ -181,9 +265,9 @@
 
 void CallRouter::onSilentResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
 {
-    const auto gateway = it->silent->gateway;
-    it->silent.reset();
-    recordResult(*it, gateway, result);
+    const auto silent = std::exchange(it->silent, std::nullopt);
+    const auto &gateway = silent->gateway;
+    recordResult(*it, gateway, silent->sentAt, result);
     if (result.outcome == wire::ANSWERED && result.response.status != 500) {
         cancelAttempt(std::exchange(it->callId, 0), it->gateway);
         it->gateway = gateway;
@@ -214,7 +298,7 @@
 void CallRouter::onResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
 {
     it->callId = 0;
-    recordResult(*it, it->gateway, result);
+    recordResult(*it, it->gateway, it->sentAt, result);
     switch (result.outcome) {
     case wire::ANSWERED:
         if (result.response.status == 500 && takeRetry(*it)) {
@@ -270,6 +354,11 @@
 
 void CallRouter::onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
 {
+    if (result.reason == wire::NESTED_CALLS_REFUSED) {
+        finish(id, it, std::move(result));
+        return;
+    }
+    it->redirections += result.reason == wire::BUSY ? 1 : 0;
     const bool keyed = isKeyed(*it);
     const bool atInstance = result.reason == wire::REFUSED_BY_INSTANCE;
     if (atInstance && (!mayRetry(*it) || !m_budgets.at(it->call.service).tryAcquire())) {
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/balancing.h"
 #include "gateway/call_port.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_chooser.h"
@@ -50,7 +51,7 @@
     using Done = std::function<void(RoutedResult)>;
 
     /// @param retryShare is the number of retries per request that the budget allows.
-    CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare);
+    CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare, Balancing balancing = Balancing::LeastTime);
     ~CallRouter();
 
     /// Routes a call. @p done is called once, after this returns, unless the call is cancelled first.
@@ -63,6 +64,9 @@
 
     std::size_t pendingCount() const;
 
+    /// Reports of other backend servers of the service, to be passed on to the receiver of a reply. Empty unless balanced by capacity.
+    std::vector<PeerReport> reportsFor(const std::string &service, const std::string &receiver) const;
+
 private:
     /// An attempt whose gateway sends nothing. It stays pending beside its retry, because it may still be answered.
     struct SilentAttempt
@@ -70,6 +74,7 @@
         std::uint32_t number = 0;
         std::uint64_t callId = 0;
         std::string gateway;
+        TimePoint sentAt;
     };
 
     struct RoutedCall
@@ -84,6 +89,8 @@
         bool mayHaveRun = false;
         std::string gateway; ///< IP address of the gateway of the current attempt.
         std::uint64_t callId = 0; ///< Id of the current attempt at the port; zero if there is none.
+        TimePoint sentAt; ///< Of the current attempt.
+        std::uint32_t redirections = 0; ///< Number of attempts that were refused since another backend server is expected to be faster.
         bool waitsForHolder = false;
         std::optional<SilentAttempt> silent;
         EventLoop::Watch retryTimer;
@@ -100,7 +107,7 @@
     void onSilentResult(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     /// Retries a call whose gateway sends nothing, if that is safe.
     void onSilence(std::uint64_t callId);
-    void recordResult(RoutedCall &it, const std::string &gateway, const CallResult &result);
+    void recordResult(RoutedCall &it, const std::string &gateway, TimePoint sentAt, const CallResult &result);
     void onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void onFailure(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void waitForHolder(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
@@ -112,11 +119,16 @@
     bool takeRetry(const RoutedCall &it);
     std::vector<const ListedGateway *> eligibleGateways(const RoutedCall &it) const;
     GatewayCandidate makeCandidate(const ListedGateway &gateway) const;
+    /// Candidate with the load that is expected now.
+    GatewayCandidate estimateCandidate(const ListedGateway &gateway) const;
+    std::vector<GatewayCandidate> sampleCandidates(const std::vector<const ListedGateway *> &eligible);
+    std::vector<GatewayCandidate> sampleCandidatesByCapacity(const std::vector<const ListedGateway *> &eligible);
     void finish(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
 
     CallRouterParts m_parts;
     std::string m_ownDomain;
     double m_retryShare;
+    Balancing m_balancing;
     GatewayLoads m_loads;
     std::map<std::string, RetryBudget> m_budgets; ///< By service.
     std::unordered_map<std::uint64_t, RoutedCallPtr> m_routedCalls;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,7 +52,10 @@
     , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
     , m_admissionReport(parts.logger, parts.metrics)
     , m_calls(parts.loop, m_links, m_admission, m_options.ip)
-    , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser }, m_options.failureDomain, m_options.retryShare)
+    , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser },
+               m_options.failureDomain,
+               m_options.retryShare,
+               m_options.balancing)
     , m_fleet(parts.loop, m_links, parts.logger, m_view, m_instance, m_options.ip, m_options.failureDomain, m_options.seeds)
     , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router },
                        [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
@@ -84,6 +87,8 @@
 Result<void> Gateway::listen()
 {
     BOOST_LEAF_ASSIGN(m_peers, PeerServer::create(m_parts.loop, m_admission, { m_options.ip, m_options.peerPort }));
+    m_peers->setReportSource(
+        [this](const std::string &service, const std::string &receiver) { return m_router.reportsFor(service, receiver); });
     BOOST_LEAF_ASSIGN(m_outbound,
                       PipelinedServer::create(
                           m_parts.loop,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
     std::uint16_t peerPort = 0; ///< The same at all gateways and controllers.
     std::vector<std::string> seeds; ///< IP addresses of some controllers.
     double retryShare = 0.08; ///< Retries per request.
+    Balancing balancing = Balancing::LeastTime;
     Duration heartbeatInterval = kDefaultHeartbeatInterval; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this time, even with pending work.
 };
--- a/src/gateway/gateway_chooser.cpp
+++ b/src/gateway/gateway_chooser.cpp
@@ -35,7 +35,12 @@
     const double queued = std::max(0.0, pending + 1 - slots);
     const double busy = std::min(1.0, pending / slots);
     double ms = serviceTime * (1 + kBusySlowdown * busy * busy) + queued * serviceTime / slots;
-    ms += candidate.sameDomain ? 0 : kOtherDomainMs + kOtherDomainShare * serviceTime;
+    if (candidate.transitTime) {
+        ms += std::chrono::duration<double, std::milli>(*candidate.transitTime).count();
+        ms += candidate.sameDomain ? 0 : kOtherDomainShare * serviceTime;
+    } else {
+        ms += candidate.sameDomain ? 0 : kOtherDomainMs + kOtherDomainShare * serviceTime;
+    }
     ms *= 1 + kFailureCost * candidate.failedShare;
     ms += candidate.cold ? kColdMs * (1 + pending) : 0;
     ms += candidate.suspect ? kSuspectMs : 0;
--- a/src/gateway/gateway_chooser.h
+++ b/src/gateway/gateway_chooser.h
@@ -4,6 +4,7 @@
 #include "common/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,9 @@
     std::string ip;
     bool sameDomain = false;
     std::uint32_t slots = 1;
-    std::uint32_t pending = 0; ///< Estimated number of running and waiting calls.
+    double pending = 0; ///< Estimated number of running and waiting calls.
+    double relativeSpeed = 1; ///< Speed in relation to the other backend servers of the service.
+    std::optional<Duration> transitTime; ///< Recent time on the links for a call and its reply; none if not measured.
     Duration serviceTime{}; ///< Mean service time; zero if unknown.
     double failedShare = 0; ///< Share of its recent calls that failed.
     bool cold = false;
--- a/src/gateway/gateway_loads.h
+++ b/src/gateway/gateway_loads.h
@@ -3,9 +3,11 @@
 #include "gateway/call.h"
 
 #include "common/clock.h"
+#include "common/random_source.h"
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Toucandeck
 {
@@ -19,6 +21,17 @@
     std::uint32_t sentSinceReport = 0; ///< Calls from this gateway since the report.
     TimePoint suspectUntil; ///< End of the penalty for a failed connection or a leaving gateway.
     int failures = 0; ///< Consecutive connection failures.
+    std::string service; ///< Of the backend server.
+    double usualUtilisation = 0; ///< Mean of running and waiting calls per slot over some seconds.
+    Duration transitTime{}; ///< Mean part of the recent round trips that was spent on the links.
+    TimePoint transitMeasuredAt;
+};
+
+/// Mean over the backend servers of a service, for those that are not known themselves.
+struct ServiceLoad
+{
+    double utilisation = 0; ///< Running and waiting calls per slot.
+    Duration serviceTime{}; ///< Zero if unknown.
 };
 
 /// Load of the gateways' backend servers, from the reports in answers and from the calls that this gateway sent.
@@ -29,6 +42,12 @@
 
     void onCallSent(const std::string &ip);
     void onCallAnswered(const std::string &ip, const CallResult &result);
+    /// Handles a report that another gateway passed on.
+    void onPeerReport(const std::string &service, const PeerReport &peer);
+    /// Records how long a call and its reply were on the links.
+    void recordTransit(const std::string &ip, Duration transitTime);
+    /// Sets the service of the backend server beside a gateway, to which its reports contribute.
+    void setService(const std::string &ip, const std::string &service);
     /// Handles a gateway that sends nothing although a call there is pending.
     void onSilence(const std::string &ip);
     /// Handles a call that was cancelled before its answer.
@@ -40,13 +59,24 @@
     /// True if the report is recent enough to be used.
     bool isFresh(const GatewayLoad &load) const;
 
+    /// Age of the report; Duration::max() without one.
+    Duration age(const GatewayLoad &load) const;
+    /// Recent transit time, which is forgotten over some seconds without calls.
+    Duration transitTime(const GatewayLoad &load) const;
+    const ServiceLoad &serviceLoad(const std::string &service) const;
+    /// Up to @p n of the recent reports of a service, drawn at random, without those of the gateway that receives them.
+    std::vector<PeerReport>
+    recentReports(const std::string &service, const std::string &receiver, std::size_t n, RandomSource &random) const;
+
 private:
     /// Counts one failure, although each call that was pending on the connection reports it.
     void onConnectionLost(GatewayLoad &load) const;
     void markUnreachable(GatewayLoad &load) const;
+    void setReport(GatewayLoad &load, const wire::LoadReport &report, TimePoint at);
 
     const Clock &m_clock;
     std::map<std::string, GatewayLoad> m_loads;
+    std::map<std::string, ServiceLoad> m_serviceLoads;
 };
 
 } // namespace Toucandeck
--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -18,6 +18,11 @@
 {
 }
 
+void PeerServer::setReportSource(ReportSource source)
+{
+    m_reportSource = std::move(source);
+}
+
 void PeerServer::accept(int descriptor, const std::string &peer)
 {
     MessageChannel::Handlers handlers;
@@ -51,12 +56,16 @@
     auto &connection = m_connections[channel];
     connection.lastCall = id;
     connection.calls[id] = 0;
-    const auto admissionId = m_admission.submit(fromWire(request, m_loop.clock().now()), [this, channel, id](const CallResult &result) {
+    const auto arrivedAt = m_loop.clock().now();
+    auto done = [this, channel, id, arrivedAt, service = request.service()](CallResult result) {
         const auto found = m_connections.find(channel);
         if (found != m_connections.end() && found->second.calls.erase(id) != 0) {
+            result.elapsed = m_loop.clock().now() - arrivedAt;
+            result.peers = m_reportSource ? m_reportSource(service, channel->peer()) : std::vector<PeerReport>();
             reply(channel, id, result);
         }
-    });
+    };
+    const auto admissionId = m_admission.submit(fromWire(request, arrivedAt), std::move(done));
     auto &calls = m_connections[channel].calls;
     if (const auto it = calls.find(id); it != calls.end()) {
         it->second = admissionId;
--- a/src/gateway/peer_server.h
+++ b/src/gateway/peer_server.h
@@ -17,6 +17,11 @@
     /// Errors: Io.
     static Result<std::unique_ptr<PeerServer>> create(EventLoop &loop, BackendAdmission &admission, const SocketAddress &address);
 
+    /// Yields the reports of other backend servers that a reply to this gateway passes on.
+    using ReportSource = std::function<std::vector<PeerReport>(const std::string &service, const std::string &receiver)>;
+
+    void setReportSource(ReportSource source);
+
     /// Number of calls without a reply.
     std::size_t pendingCount() const;
     std::size_t connectionCount() const;
@@ -49,6 +54,7 @@
 
     EventLoop &m_loop;
     BackendAdmission &m_admission;
+    ReportSource m_reportSource;
     std::unique_ptr<Listener> m_listener;
     std::map<Channel, Connection> m_connections;
     bool m_acceptsCalls = true;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -92,6 +92,7 @@
     options.peerPort = m_settings.peerPort;
     options.seeds = m_settings.seedIps();
     options.retryShare = m_settings.retryShare;
+    options.balancing = m_settings.balancing;
     options.heartbeatInterval = m_settings.heartbeatInterval;
     options.shutdownLimit = m_settings.shutdownLimit - kShutdownReserve;
     const GatewayParts parts{
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -57,6 +57,18 @@
     return fail(ErrorCode::InvalidArgument, fmt::format("settings: logLevel \"{}\" is none of debug, info, warning, error", text));
 }
 
+Result<Balancing> readBalancing(const JsonFields &fields)
+{
+    BOOST_LEAF_AUTO(text, fields.text("balancing", "least-time"));
+    if (text == "least-time") {
+        return Balancing::LeastTime;
+    }
+    if (text == "capacity") {
+        return Balancing::Capacity;
+    }
+    return fail(ErrorCode::InvalidArgument, fmt::format("settings: balancing \"{}\" is neither least-time nor capacity", text));
+}
+
 Result<std::vector<SocketAddress>> readSeeds(const JsonFields &fields)
 {
     BOOST_LEAF_AUTO(list, fields.value("seeds"));
@@ -81,6 +93,7 @@
     BOOST_LEAF_ASSIGN(out.outbound, readAddress(fields, "outbound"));
     BOOST_LEAF_ASSIGN(out.ready, readAddress(fields, "ready"));
     BOOST_LEAF_ASSIGN(out.retryShare, fields.fraction("retryShare", 0.08));
+    BOOST_LEAF_ASSIGN(out.balancing, readBalancing(fields));
     BOOST_LEAF_ASSIGN(out.heartbeatInterval, fields.time("heartbeatInterval", kDefaultHeartbeatInterval));
     if (out.heartbeatInterval <= Duration::zero()) {
         return fail(ErrorCode::InvalidArgument, "settings: field \"heartbeatInterval\" must be positive");
