Ignore SIGPIPE in the test of the platform's path, as the programs do

Cause: the test program ended once by SIGPIPE (RefusesBodiesAndPathsThatAreNotUtf8, beside five builds): a server closed a connection while the client still wrote to it. toucandeck-platformd ignores the signal, the test program did not. Change: the fixture ignores it; no check is changed.

--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -9,6 +9,7 @@
 #include "platform/platform_backend.h"
 #include "platform/platform_interface.h"
 
+#include <csignal>
 #include <filesystem>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -41,6 +42,12 @@
 class FleetPathTest : public testing::Test
 {
 protected:
+    /// As the programs do: a write to a connection that the other side has just closed must not end the process.
+    static void SetUpTestSuite()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+    }
+
     FleetPathTest()
         : m_loop(EventLoop::create(m_clock).value())
         , m_random(20261204)
