Learn the speed of backend servers from their work by kind of call

Cause: The backend servers of a service differ in speed by a factor of two to three, which nothing reports. The mean time in the slot takes slow kinds of requests for slow machines, and the wait for nested calls hides the difference. Change: Gateways measure the work of each call without nested calls and momentary slowdown, learn the usual work of each kind from the replies (ReferenceWork), and compare (ServerSpeed). The speed is in the load report, the announcement, the service times expected after a start, the capacities of key holders (HolderCapacities) and a metric.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -1,6 +1,7 @@
 #include "fleet/fleet_controller.h"
 
 #include "fleet/events.h"
+#include "fleet/holder_capacities.h"
 #include "fleet/recorded_instance.h"
 
 #include <algorithm>
@@ -28,15 +29,6 @@
         && a.instance().leaving() == b.instance().leaving();
 }
 
-/// Capacity of a backend server in requests per second, from its slots and mean service time. While the service time is unknown, a
-/// common default makes the capacity proportional to the slots.
-double capacityOf(const wire::InstanceReport &instance)
-{
-    constexpr double kDefaultServiceTimeUs = 100'000;
-    const double serviceTimeUs = instance.work_us() == 0 ? kDefaultServiceTimeUs : instance.work_us();
-    return std::max(1U, instance.slots()) * 1e6 / serviceTimeUs;
-}
-
 } // namespace
 
 FleetController::FleetController(
@@ -285,6 +277,12 @@
 std::vector<KeyHolder> FleetController::keyHolders() const
 {
     std::vector<KeyHolder> holders;
+    HolderCapacities capacities;
+    for (const auto &[ip, entry] : m_routers) {
+        if (!entry.isSilent) {
+            capacities.add(entry.record.instance());
+        }
+    }
     const auto &evacuated = m_group.state().evacuated();
     for (const auto &[ip, entry] : m_routers) {
         const auto &instance = entry.record.instance();
@@ -295,7 +293,7 @@
         holder.incarnation = instance.incarnation();
         holder.router = ip;
         holder.service = instance.service();
-        holder.capacity = capacityOf(instance);
+        holder.capacity = capacities.of(instance);
         holder.isEligible = instance.state() == wire::READY && evacuated.count(entry.record.failure_domain()) == 0;
         const auto points = static_cast<double>(entry.demand.points_size());
         for (const auto it : entry.demand.points()) {
--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -16,6 +16,10 @@
 /// Longest queueing delay of a call that misses its latency target, as a share of the time left until its deadline. Calls that wait
 /// longer are mostly not answered in time.
 constexpr double kLateWaitShare = 0.15;
+constexpr std::chrono::seconds kSpeedTimeConstant{ 4 }; ///< A change of the speed shows within seconds.
+/// Keys are not served while they move, so their planner must not follow the variation of the shorter mean.
+constexpr std::chrono::seconds kLongTermSpeedTimeConstant{ 20 };
+constexpr int kFirstErrorStatus = 500; ///< Lowest status of a response that says that the backend server failed.
 constexpr double kFailureSmoothing = 0.05; ///< Weight of the latest call in the moving average of failures.
 
 milliseconds inMs(Duration it)
@@ -32,6 +36,8 @@
     , m_backendStatus(backendStatus)
     , m_port(port)
     , m_queue(order)
+    , m_speed(kSpeedTimeConstant)
+    , m_longTermSpeed(kLongTermSpeedTimeConstant)
 {
 }
 
@@ -40,6 +46,29 @@
     m_submitHandler = std::move(handler);
 }
 
+void BackendAdmission::setReferenceWork(const ReferenceWork *referenceWork)
+{
+    m_referenceWork = referenceWork;
+}
+
+void BackendAdmission::onIncarnationStarted()
+{
+    ++m_incarnation;
+    m_speed.reset();
+    m_longTermSpeed.reset();
+    m_serviceTimes.onIncarnationStarted();
+}
+
+std::optional<Duration> BackendAdmission::referenceServiceTime(const Call &call) const
+{
+    const auto usual = m_referenceWork != nullptr ? m_referenceWork->usual(call) : std::nullopt;
+    if (!usual) {
+        return std::nullopt;
+    }
+    const double speed = m_speed.relative(m_clock.now());
+    return speed == 0 ? *usual : duration_cast<Duration>(*usual / speed);
+}
+
 std::uint64_t BackendAdmission::submit(Call call, CallDone done)
 {
     if (m_submitHandler) {
@@ -47,7 +76,7 @@
     }
     const auto id = m_nextId++;
     const auto now = m_clock.now();
-    const auto serviceTime = m_serviceTimes.expected(call);
+    const auto serviceTime = m_serviceTimes.expected(call, referenceServiceTime(call));
     WaitingCall waiting{ id, std::move(call), std::move(done), now, serviceTime };
     const auto reason = m_backendStatus.refusal(waiting.call);
     if (reason != wire::NONE) {
@@ -171,7 +200,7 @@
     m_tally.recordStart(call.call, now + currentServiceTime(call) > call.call.targetTime);
     const auto id = call.id;
     auto &running = m_running[id];
-    running = { std::move(call.call), std::move(call.done), now, now - call.enqueuedAt, 0, m_slowness.relative(now) };
+    running = { std::move(call.call), std::move(call.done), now, now - call.enqueuedAt, 0, m_slowness.relative(now), m_incarnation };
     m_port.run(id, running.call, [this, id](CallResult result) { finish(id, std::move(result)); });
 }
 
@@ -187,10 +216,7 @@
     const auto serviceTime = now - running.startedAt;
     m_tally.recordEnd(running.call, serviceTime);
     m_slowness.report(result.slownessPercent, now);
-    if (result.outcome == wire::ANSWERED) {
-        const double slowness = (running.slowness + m_slowness.relative(now)) / 2;
-        m_serviceTimes.record(running.call, duration_cast<Duration>(serviceTime / slowness));
-    }
+    result.work = recordWork(running, result);
     recordOutcome(result);
     processQueue();
     result.load = loadReport();
@@ -204,15 +230,43 @@
                      field("status", result.response.status),
                      field("waited_ms", inMs(running.queueingDelay).count()),
                      field("worked_ms", inMs(serviceTime).count()),
+                     field("own_work_ms", inMs(result.work).count()),
+                     field("speed_permille", speedPermille()),
                      field("slowness_percent", static_cast<int>(result.slownessPercent)),
                      field("running", m_running.size()),
                      field("waiting", m_queue.size()) });
     running.done(std::move(result));
 }
 
+Duration BackendAdmission::recordWork(const RunningCall &running, const CallResult &result)
+{
+    if (result.outcome != wire::ANSWERED || running.incarnation != m_incarnation) {
+        return {};
+    }
+    const auto now = m_clock.now();
+    const double slowness = (running.slowness + m_slowness.relative(now)) / 2;
+    const auto serviceTime = now - running.startedAt;
+    m_serviceTimes.record(running.call, duration_cast<Duration>(serviceTime / slowness));
+    if (result.response.status >= kFirstErrorStatus) {
+        return {}; // A failed request ends before its usual work is done.
+    }
+    const auto work = duration_cast<Duration>((serviceTime - timeWithNestedCall(running, now)) / slowness);
+    const auto usual = m_referenceWork != nullptr ? m_referenceWork->usual(running.call) : std::nullopt;
+    if (usual && work > Duration::zero()) {
+        m_speed.record(work, *usual, now);
+        m_longTermSpeed.record(work, *usual, now);
+    }
+    return work;
+}
+
+Duration BackendAdmission::timeWithNestedCall(const RunningCall &call, TimePoint now)
+{
+    return call.nestedTime + (call.pendingNestedCalls > 0 ? now - call.nestedSince : Duration::zero());
+}
+
 void BackendAdmission::recordOutcome(const CallResult &result)
 {
-    const bool failed = result.outcome != wire::ANSWERED || result.response.status >= 500;
+    const bool failed = result.outcome != wire::ANSWERED || result.response.status >= kFirstErrorStatus;
     m_failedShare = m_failedShare * (1 - kFailureSmoothing) + (failed ? kFailureSmoothing : 0);
 }
 
@@ -279,6 +333,30 @@
     }
 }
 
+void BackendAdmission::onNestedCallStarted(std::string_view requestId)
+{
+    const auto found = findRunning(requestId);
+    if (found == m_running.end()) {
+        return;
+    }
+    auto &running = m_running.at(found->first);
+    if (running.pendingNestedCalls++ == 0) {
+        running.nestedSince = m_clock.now();
+    }
+}
+
+void BackendAdmission::onNestedCallEnded(std::string_view requestId)
+{
+    const auto found = findRunning(requestId);
+    if (found == m_running.end() || found->second.pendingNestedCalls == 0) {
+        return;
+    }
+    auto &running = m_running.at(found->first);
+    if (--running.pendingNestedCalls == 0) {
+        running.nestedTime += m_clock.now() - running.nestedSince;
+    }
+}
+
 wire::LoadReport BackendAdmission::loadReport() const
 {
     wire::LoadReport load;
@@ -289,6 +367,7 @@
     load.set_failed_permille(static_cast<std::uint32_t>(m_failedShare * 1000));
     load.set_cold(m_backendStatus.isCold());
     load.set_slowness_permille(static_cast<std::uint32_t>(m_slowness.relative(m_clock.now()) * 1000));
+    load.set_speed_permille(speedPermille());
     return load;
 }
 
@@ -323,4 +402,14 @@
     return m_serviceTimes.mean();
 }
 
+std::uint32_t BackendAdmission::speedPermille() const
+{
+    return m_speed.permille(m_clock.now());
+}
+
+std::uint32_t BackendAdmission::longTermSpeedPermille() const
+{
+    return m_longTermSpeed.permille(m_clock.now());
+}
+
 } // namespace Toucandeck
--- a/src/gateway/backend_admission.h
+++ b/src/gateway/backend_admission.h
@@ -4,6 +4,8 @@
 #include "gateway/backend_port.h"
 #include "gateway/cold_limiter.h"
 #include "gateway/machine_slowness.h"
+#include "gateway/reference_work.h"
+#include "gateway/server_speed.h"
 #include "gateway/service_times.h"
 #include "gateway/slot_shares.h"
 #include "gateway/wait_queue.h"
@@ -45,6 +47,13 @@
     /// Called with each submitted call, before it is admitted, queued or refused.
     void setSubmitHandler(std::function<void(const Call &)> handler);
 
+    /// Sets the usual work of calls, with which the backend server is compared. Without it, the speed is unknown.
+    /// @param referenceWork must outlive this object.
+    void setReferenceWork(const ReferenceWork *referenceWork);
+
+    /// Handles a new incarnation of the backend server: the speed and the service times of the former one do not apply to it.
+    void onIncarnationStarted();
+
     /// Admits, queues or refuses a call. @p done is called once, perhaps before this returns, unless the call is cancelled first.
     /// @return the id for cancel().
     std::uint64_t submit(Call call, CallDone done);
@@ -63,6 +72,10 @@
     std::uint32_t answeredCalls(std::string_view requestId) const;
     /// Handles the answer to a nested call of a running request.
     void onNestedCallAnswered(std::string_view requestId);
+    /// Handles the start and the end of a nested call of a running request. While one is pending, the backend server does not work on the
+    /// request.
+    void onNestedCallStarted(std::string_view requestId);
+    void onNestedCallEnded(std::string_view requestId);
 
     wire::LoadReport loadReport() const;
     std::size_t runningCount() const;
@@ -71,6 +84,10 @@
     std::size_t waitingCount(CallOrigin origin) const;
     const AdmissionTally &tally() const;
     Duration meanServiceTime() const;
+    /// Speed of the backend server relative to its service's, in thousandths; zero is unknown.
+    std::uint32_t speedPermille() const;
+    /// The same over a longer time, for decisions whose change has a cost.
+    std::uint32_t longTermSpeedPermille() const;
 
 private:
     struct RunningCall
@@ -81,8 +98,17 @@
         Duration queueingDelay;
         std::uint32_t answeredCalls = 0; ///< Nested calls of this request that were answered.
         double slowness = 1; ///< Relative slowness of the machine when the call started.
+        std::uint64_t incarnation = 0; ///< Number of the incarnation that runs the call.
+        std::uint32_t pendingNestedCalls = 0;
+        TimePoint nestedSince; ///< Start of the time with a pending nested call.
+        Duration nestedTime{}; ///< Total time with a pending nested call, without the present one.
     };
 
+    static Duration timeWithNestedCall(const RunningCall &call, TimePoint now);
+    std::optional<Duration> referenceServiceTime(const Call &call) const;
+    /// Learns from an answered call. @return its work; zero if it tells nothing about the usual work.
+    Duration recordWork(const RunningCall &running, const CallResult &result);
+
     /// Expected service time of a call at the machine's current speed.
     Duration currentServiceTime(const WaitingCall &call) const;
     Duration expectedQueueingDelay(const WaitingCall &call) const;
@@ -107,6 +133,10 @@
     ColdLimiter m_coldLimiter;
     ServiceTimes m_serviceTimes; ///< Normalised to the usual speed of the machine.
     MachineSlowness m_slowness;
+    const ReferenceWork *m_referenceWork = nullptr;
+    ServerSpeed m_speed;
+    ServerSpeed m_longTermSpeed;
+    std::uint64_t m_incarnation = 0; ///< Number of the current incarnation.
     AdmissionTally m_tally;
     std::unordered_map<std::uint64_t, RunningCall> m_running;
     std::uint64_t m_nextId = 1;
--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -114,6 +114,7 @@
     out.set_instance(result.instance);
     out.set_reached(result.reachedBackend);
     *out.mutable_load() = result.load;
+    out.set_work_us(static_cast<std::uint32_t>(duration_cast<microseconds>(result.work).count()));
     out.set_elapsed_us(static_cast<std::uint32_t>(duration_cast<microseconds>(result.elapsed).count()));
     for (const auto &it : result.peers) {
         auto *peer = out.add_peers();
@@ -134,6 +135,7 @@
     result.instance = reply.instance();
     result.reachedBackend = reply.reached();
     result.load = reply.load();
+    result.work = microseconds(reply.work_us());
     result.elapsed = microseconds(reply.elapsed_us());
     for (const auto &it : reply.peers()) {
         result.peers.push_back({ it.router(), it.load(), milliseconds(it.age_ms()) });
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -64,6 +64,7 @@
     bool reachedBackend = false; ///< The call was sent to a backend server.
     double slownessPercent = 0; ///< Slowness of its machine as reported with the answer; zero if not reported. Not sent to other gateways.
     wire::LoadReport load; ///< Load of that backend server.
+    Duration work{}; ///< Time for which the backend server worked on the call at its usual speed, without nested calls; zero if unknown.
     Duration elapsed{}; ///< Time from the arrival of the call at the other gateway to its reply; zero if unknown.
     std::vector<PeerReport> peers; ///< Loads of other backend servers of the service.
 };
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -231,6 +231,9 @@
         m_budgets.at(it.call.service).countRequest();
     }
     m_loads.onCallAnswered(gateway, result);
+    if (m_parts.referenceWork != nullptr && result.work > Duration::zero()) {
+        m_parts.referenceWork->record(it.call, result.work, m_parts.loop.clock().now());
+    }
     if (result.elapsed != Duration::zero()) {
         m_loads.recordTransit(gateway, m_parts.loop.clock().now() - sentAt - result.elapsed);
     }
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -5,6 +5,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_chooser.h"
 #include "gateway/gateway_loads.h"
+#include "gateway/reference_work.h"
 #include "routing/retry_budget.h"
 
 #include "log/logger.h"
@@ -42,6 +43,7 @@
     CallPort &port;
     const FleetView &view;
     const GatewayChooser &chooser;
+    ReferenceWork *referenceWork = nullptr; ///< Learns the work of answered calls; may be null.
 };
 
 /// Chooses a gateway for each call and, where that is safe, retries at another one after a refusal or a failure.
--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -119,6 +119,9 @@
     auto call = makeCall(*it, request);
     it->deadline = call.deadline;
     m_pending.insert(it);
+    if (!it->parent.empty()) {
+        m_parts.admission.onNestedCallStarted(it->parent);
+    }
     exchange->setDisconnectHandler([this, it] { onClientDisconnected(it); });
     startTimer(it);
     const AttemptPolicy policy{ route->kind == RequestKind::Idempotent, std::max(1U, route->maxAttempts) };
@@ -145,6 +148,7 @@
     const Duration wait = sent ? clientWait(*sent) : route.timeout;
     call.deadline = std::min(pending.receivedAt + std::min(wait, route.timeout), m_answerLimit);
     const auto parent = parentOf(pending.requestId);
+    pending.parent = parent;
     call.nested = !parent.empty();
     call.siblingAnswers = m_parts.admission.answeredCalls(parent);
     pending.attempt.firstAttempt = pending.receivedAt;
@@ -209,10 +213,17 @@
     }
 }
 
-void ClientRequestHandler::respond(const RequestPtr &it, HttpResponse response, const char *outcome)
+void ClientRequestHandler::remove(const RequestPtr &it)
 {
     it->timer.cancel();
-    m_pending.erase(it);
+    if (m_pending.erase(it) != 0 && !it->parent.empty()) {
+        m_parts.admission.onNestedCallEnded(it->parent);
+    }
+}
+
+void ClientRequestHandler::respond(const RequestPtr &it, HttpResponse response, const char *outcome)
+{
+    remove(it);
     if (response.status >= kFirstErrorStatus) {
         rememberFailure(*it);
     }
@@ -328,8 +339,7 @@
 
 void ClientRequestHandler::onClientDisconnected(const RequestPtr &it)
 {
-    it->timer.cancel();
-    m_pending.erase(it);
+    remove(it);
     rememberFailure(*it);
     m_parts.logger.write(GatewayEvents::kRequestAbandoned,
                          { field("request", it->requestId),
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -54,6 +54,7 @@
         TimePoint receivedAt;
         TimePoint deadline;
         Duration clientDeadline{}; ///< Time that the client waits for its answer, as it says; zero if it does not say.
+        std::string parent; ///< Id of the running request that this nested call belongs to; empty if a client sent it.
         ClientAttempt attempt; ///< For the recognition of its retry, if the client says how long it waits.
         std::uint64_t callId = 0; ///< Id at the call router; zero if no call is pending.
         EventLoop::Watch timer;
@@ -73,6 +74,8 @@
     void onAnswerTimeout(const RequestPtr &it);
     void onClientDisconnected(const RequestPtr &it);
     void respond(const RequestPtr &it, HttpResponse response, const char *outcome);
+    /// Removes a request that is answered or whose client has disconnected.
+    void remove(const RequestPtr &it);
     /// Starts the timer after which the request fails without an answer of a backend server.
     void startTimer(const RequestPtr &it);
     /// Sets what identifies the attempts of this client, which waits for @p wait, and the time of its first one.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -52,7 +52,7 @@
     , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
     , m_admissionReport(parts.logger, parts.metrics)
     , m_calls(parts.loop, m_links, m_admission, m_options.ip)
-    , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser },
+    , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser, &m_referenceWork },
                m_options.failureDomain,
                m_options.retryShare,
                m_options.balancing)
@@ -60,6 +60,7 @@
     , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router },
                        [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
 {
+    m_admission.setReferenceWork(&m_referenceWork);
     m_instance.setServiceCheck(
         [this](const std::string &service) { return m_view.manifest() == nullptr || m_view.service(service) != nullptr; });
     m_grantCaller.setReadyHandler([this] { m_instance.updateCallGrants(); });
@@ -128,6 +129,7 @@
 {
     m_runner.setInstance(m_instance.instance());
     m_runner.closeIdle();
+    m_admission.onIncarnationStarted();
     applyPolicy();
     m_fleet.scheduleAnnouncement();
 }
@@ -157,6 +159,7 @@
 {
     m_admission.processQueue();
     m_instance.setMeanServiceTime(m_admission.meanServiceTime());
+    m_instance.setSpeed(m_admission.longTermSpeedPermille());
     if (m_admission.waitingCount() == 0) {
         m_admissionTimer.cancel();
         return;
@@ -242,6 +245,8 @@
     auto &metrics = m_parts.metrics;
     metrics.gauge("toucandeck_gate_running", "Calls in a slot of the backend server").Set(static_cast<double>(m_admission.runningCount()));
     metrics.gauge("toucandeck_gate_waiting", "Calls that wait for a slot").Set(static_cast<double>(m_admission.waitingCount()));
+    metrics.gauge("toucandeck_backend_speed", "Speed of the backend server relative to its service's; 0 is unknown")
+        .Set(m_admission.speedPermille() / 1000.0);
     metrics.gauge("toucandeck_requests_pending", "Requests of clients in progress")
         .Set(static_cast<double>(m_requestHandler.pendingCount()));
     const auto &grants = m_instance.callGrants();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -86,6 +86,7 @@
     LocalInstance m_instance;
     BackendRunner m_runner;
     UrgencyOrder m_order;
+    ReferenceWork m_referenceWork;
     BackendAdmission m_admission;
     AdmissionReport m_admissionReport;
     RemoteCalls m_calls;
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -133,6 +133,7 @@
     m_grantPort.onProcessEnded();
     m_callGrants.clear();
     m_demand.clear();
+    m_speedPermille = 0;
     m_logger.write(GatewayEvents::kInstanceStarted,
                    { field("incarnation", m_current->name),
                      field("service", it.service),
@@ -337,6 +338,11 @@
     m_meanServiceTime = serviceTime;
 }
 
+void LocalInstance::setSpeed(std::uint32_t permille)
+{
+    m_speedPermille = permille;
+}
+
 void LocalInstance::recordDemand(std::uint32_t key)
 {
     const auto now = m_loop.clock().now();
@@ -362,6 +368,7 @@
     report.set_state(m_current->draining ? wire::DRAINING : wire::READY);
     report.set_slots(m_current->slots);
     report.set_work_us(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::microseconds>(m_meanServiceTime).count()));
+    report.set_speed_permille(m_speedPermille);
     return report;
 }
 
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -88,6 +88,8 @@
     Duration timeSinceHeartbeat() const;
 
     void setMeanServiceTime(Duration serviceTime);
+    /// Sets the speed relative to its service's, in thousandths; zero is unknown.
+    void setSpeed(std::uint32_t permille);
 
     const CallGrants &callGrants() const;
     /// Sends the calls about keys that are due, for services whose keys are granted by calls.
@@ -157,6 +159,7 @@
     DemandSampler m_demand;
     TimePoint m_lastSurgeReport;
     Duration m_meanServiceTime{};
+    std::uint32_t m_speedPermille = 0;
     AnswerHandler m_pendingAnswer;
     EventLoop::Watch m_pendingAnswerTimer;
 };
--- /dev/null
+++ b/src/gateway/reference_work.cpp
@@ -0,0 +1,40 @@
+#include "gateway/reference_work.h"
+
+#include "gateway/service_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Toucandeck
+{
+
+namespace
+{
+
+constexpr std::chrono::seconds kTimeConstant{ 4 };
+/// Rare kinds keep about this many calls, over a longer time: the mean of fewer calls is no reference.
+constexpr double kKeptCalls = 50;
+constexpr double kMinCalls = 15; ///< The mean of fewer calls is mostly that of a few backend servers.
+
+} // namespace
+
+void ReferenceWork::record(const Call &call, Duration work, TimePoint now)
+{
+    auto &it = m_sums[{ call.service, kindOf(call) }];
+    const std::chrono::duration<double> age = now - it.recordedAt;
+    const double kept = std::max(std::exp(-age / std::chrono::duration<double>(kTimeConstant)), 1 - 1 / kKeptCalls);
+    it.workSeconds = it.workSeconds * kept + std::chrono::duration<double>(work).count();
+    it.calls = it.calls * kept + 1;
+    it.recordedAt = now;
+}
+
+std::optional<Duration> ReferenceWork::usual(const Call &call) const
+{
+    const auto found = m_sums.find({ call.service, kindOf(call) });
+    if (found == m_sums.end() || found->second.calls < kMinCalls) {
+        return std::nullopt;
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second.workSeconds / found->second.calls));
+}
+
+} // namespace Toucandeck
--- a/src/gateway/service_times.cpp
+++ b/src/gateway/service_times.cpp
@@ -21,24 +21,27 @@
 
 } // namespace
 
-std::uint32_t ServiceTimes::classOf(const Call &call)
+std::uint32_t kindOf(const Call &call)
 {
     return call.rank * 2 + (call.nested ? 1 : 0);
 }
 
 void ServiceTimes::record(const Call &call, Duration serviceTime)
 {
-    auto &it = m_byClass[classOf(call)];
+    auto &it = m_byKind[kindOf(call)];
     it = smoothed(it, serviceTime, kSmoothing);
     m_mean = smoothed(m_mean, serviceTime, kMeanSmoothing);
 }
 
-Duration ServiceTimes::expected(const Call &call) const
+Duration ServiceTimes::expected(const Call &call, std::optional<Duration> reference) const
 {
-    const auto it = m_byClass.find(classOf(call));
-    if (it != m_byClass.end()) {
+    const auto it = m_byKind.find(kindOf(call));
+    if (it != m_byKind.end()) {
         return it->second;
     }
+    if (reference) {
+        return *reference;
+    }
     return m_mean == Duration::zero() ? kInitialEstimate : m_mean;
 }
 
@@ -47,4 +50,9 @@
     return m_mean;
 }
 
+void ServiceTimes::onIncarnationStarted()
+{
+    m_byKind.clear();
+}
+
 } // namespace Toucandeck
--- a/test/gateway/test_call_router.cpp
+++ b/test/gateway/test_call_router.cpp
@@ -63,6 +63,7 @@
     void reply(wire::CallOutcome outcome, wire::CallReason reason, bool reached, int status = 200)
     {
         CallResult result;
+        result.work = m_work;
         result.outcome = outcome;
         result.reason = reason;
         result.reachedBackend = reached;
@@ -77,6 +78,7 @@
     CallDone m_silentDone;
     std::function<void(std::uint64_t id)> m_silenceHandler;
     std::uint64_t m_lastId = 0;
+    Duration m_work{}; ///< In the replies.
 };
 
 class CallRouterTest : public testing::Test
@@ -86,7 +88,7 @@
         : m_loop(EventLoop::create(m_clock).value())
         , m_random(1)
         , m_view(m_clock, m_logger, m_codec)
-        , m_router({ *m_loop, m_logger, m_random, m_port, m_view, m_chooser }, "fd-a", 1.0)
+        , m_router({ *m_loop, m_logger, m_random, m_port, m_view, m_chooser, &m_referenceWork }, "fd-a", 1.0)
     {
         wire::FleetUpdate update;
         update.mutable_manifest()->set_version(1);
@@ -139,6 +141,7 @@
     FleetView m_view;
     FakePort m_port;
     LeastTimeChooser m_chooser;
+    ReferenceWork m_referenceWork;
     CallRouter m_router;
     std::optional<RoutedResult> m_result;
 };
@@ -156,6 +159,23 @@
     EXPECT_EQ(m_result->reachedBackends, 1U);
 }
 
+// Failure: a gateway without a reference cannot tell how fast the backend server beside it is.
+TEST_F(CallRouterTest, LearnsTheUsualWorkFromReplies)
+{
+    for (int i = 0; i < 30; ++i) {
+        m_port.m_work = milliseconds(i % 2 == 0 ? 50 : 150);
+        route(false, 1);
+        m_port.reply(wire::ANSWERED, wire::NONE, true);
+    }
+    m_port.m_work = {};
+    route(false, 1);
+    m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false); // Tells nothing about the work.
+    const auto usual = m_referenceWork.usual(callNamed("a", m_clock));
+    ASSERT_TRUE(usual);
+    EXPECT_GT(*usual, milliseconds(80));
+    EXPECT_LT(*usual, milliseconds(120));
+}
+
 TEST_F(CallRouterTest, NeverRetriesWhatMayHaveRunUnlessItIsIdempotent)
 {
     route(false, 3);
--- a/test/gateway/test_client_request_handler.cpp
+++ b/test/gateway/test_client_request_handler.cpp
@@ -190,6 +190,24 @@
     EXPECT_EQ(sendNested("parent.3").siblingAnswers, 1U);
 }
 
+// Load pattern: nested calls that wait, are refused or are abandoned by the backend server. Their time is not the work of the parent.
+TEST_F(ClientRequestHandlerTest, TheTimeOfNestedCallsIsNotTheWorkOfTheirParent)
+{
+    Duration work{};
+    m_admission.submit(callNamed("parent", m_clock), [&work](const CallResult &it) { work = it.work; });
+    m_clock.advance(milliseconds(20));
+    sendNested("parent.1");
+    m_clock.advance(milliseconds(300));
+    answer();
+    m_clock.advance(milliseconds(10));
+    sendNested("parent.2");
+    m_clock.advance(milliseconds(300));
+    refuse();
+    m_clock.advance(milliseconds(10));
+    m_backend.answerFirst();
+    EXPECT_EQ(work, milliseconds(40));
+}
+
 // Failure: a request that came late in the graceful stop of a gateway, or still ran at its end, was cut off without an answer.
 TEST_F(ClientRequestHandlerTest, RequestsGetTheirAnswerBeforeTheGatewayEnds)
 {
