Name only the load that the test of nested calls has

Cause: Its comment also named calls abandoned by the backend server, which it does not make. Change: The comment names calls that are answered and refused. Result: test_gateway passes.

--- a/test/gateway/test_client_request_handler.cpp
+++ b/test/gateway/test_client_request_handler.cpp
@@ -190,7 +190,7 @@
     EXPECT_EQ(sendNested("parent.3").siblingAnswers, 1U);
 }
 
-// Load pattern: nested calls that wait, are refused or are abandoned by the backend server. Their time is not the work of the parent.
+// Load pattern: nested calls that wait for their answer or their refusal. Their time is not the work of the parent.
 TEST_F(ClientRequestHandlerTest, TheTimeOfNestedCallsIsNotTheWorkOfTheirParent)
 {
     Duration work{};
