--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -1,8 +1,11 @@
 #include "fleet/fleet_controller.h"
 
 #include "fleet/events.h"
+#include "fleet/holder_capacities.h"
 #include "fleet/recorded_instance.h"
 
+#include <algorithm>
+
 namespace Toucandeck
 {
 
@@ -14,6 +17,8 @@
 constexpr milliseconds kTickInterval{ 50 };
 constexpr milliseconds kListCompleteAfter{ 2000 }; ///< After an election; each reachable router has announced itself by then.
 constexpr milliseconds kSilentAfter{ 3000 };
+/// A router that has announced nothing for this time is not in contact; a confirmation does not wait for it.
+constexpr milliseconds kInContactWithin{ 1000 };
 constexpr std::chrono::seconds kRemovedAfter{ 30 }; ///< Long, because a router that the controllers cannot reach may still serve.
 
 bool sameRecord(const wire::RouterRecord &a, const wire::RouterRecord &b)
@@ -24,18 +29,10 @@
         && a.instance().leaving() == b.instance().leaving();
 }
 
-/// Capacity of a backend server in requests per second, from its slots and mean service time. While the service time is unknown, a
-/// common default makes the capacity proportional to the slots.
-double capacityOf(const wire::InstanceReport &instance)
-{
-    constexpr double kDefaultServiceTimeUs = 100'000;
-    const double serviceTimeUs = instance.work_us() == 0 ? kDefaultServiceTimeUs : instance.work_us();
-    return std::max(1U, instance.slots()) * 1e6 / serviceTimeUs;
-}
-
 } // namespace
 
-FleetController::FleetController(EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases)
+FleetController::FleetController(
+    EventLoop &loop, ReplicaGroup &group, const ManifestCodec &codec, Logger &logger, KeyLeaseOptions leases, ManifestBarrier &barrier)
     : m_loop(loop)
     , m_group(group)
     , m_logger(logger)
@@ -50,10 +47,12 @@
                         m_group.propose(
                             command, [done = std::move(done)](std::optional<CommandOutcome> it) { done(it == CommandOutcome::Applied); });
                     })
+    , m_barrier(barrier)
     , m_keyedServices(codec, logger)
     , m_timer(loop.every(kTickInterval, [this] { tick(); }))
 {
     group.setAppliedHandler([this](LogIndex, const wire::FleetCommand &command, CommandOutcome outcome) { onApplied(command, outcome); });
+    m_barrier.setCondition([this](std::uint64_t version) { return isManifestApplied(version); });
 }
 
 void FleetController::onApplied(const wire::FleetCommand &command, CommandOutcome outcome)
@@ -118,7 +117,9 @@
         session.acceptsCompressed = announce.accepts_compressed();
     }
     session.lastAnnounce = announce.sequence();
+    session.appliedVersion = announce.manifest_version();
     recordRouter(announce);
+    m_barrier.process();
     for (const auto &it : announce.freed()) {
         m_coordinator.onReleased(announce.instance().service(), it);
     }
@@ -217,8 +218,20 @@
     return m_routers.size();
 }
 
+bool FleetController::isManifestApplied(std::uint64_t version) const
+{
+    const auto now = m_loop.clock().now();
+    return std::all_of(m_sessions.begin(), m_sessions.end(), [&](const auto &entry) {
+        const auto &session = entry.second;
+        const auto router = m_routers.find(session.router);
+        const bool inContact = router != m_routers.end() && now - router->second.lastAnnounce <= kInContactWithin;
+        return !inContact || session.appliedVersion >= version;
+    });
+}
+
 void FleetController::tick()
 {
+    m_barrier.process();
     updateLeadership();
     if (!m_isLeader) {
         return;
@@ -264,6 +277,12 @@
 std::vector<KeyHolder> FleetController::keyHolders() const
 {
     std::vector<KeyHolder> holders;
+    HolderCapacities capacities;
+    for (const auto &[ip, entry] : m_routers) {
+        if (!entry.isSilent) {
+            capacities.add(entry.record.instance());
+        }
+    }
     const auto &evacuated = m_group.state().evacuated();
     for (const auto &[ip, entry] : m_routers) {
         const auto &instance = entry.record.instance();
@@ -274,7 +293,7 @@
         holder.incarnation = instance.incarnation();
         holder.router = ip;
         holder.service = instance.service();
-        holder.capacity = capacityOf(instance);
+        holder.capacity = capacities.of(instance);
         holder.isEligible = instance.state() == wire::READY && evacuated.count(entry.record.failure_domain()) == 0;
         const auto points = static_cast<double>(entry.demand.points_size());
         for (const auto it : entry.demand.points()) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -92,6 +92,7 @@
     options.peerPort = m_settings.peerPort;
     options.seeds = m_settings.seedIps();
     options.retryShare = m_settings.retryShare;
+    options.balancing = m_settings.balancing;
     options.heartbeatInterval = m_settings.heartbeatInterval;
     options.shutdownLimit = m_settings.shutdownLimit - kShutdownReserve;
     const GatewayParts parts{
@@ -116,6 +117,7 @@
     options.group.firstStart = m_settings.firstStart;
     options.group.toleratedLosses = m_settings.toleratedLosses;
     options.leases.leaseDuration = std::min<Duration>(options.leases.leaseDuration, m_settings.longestHold);
+    options.maxConfirmationDelay = m_settings.confirmationDelay;
     options.peerPort = m_settings.peerPort;
     BOOST_LEAF_ASSIGN(m_controller, Controller::create({ *m_loop, *m_random, m_logger, m_interface.manifestCodec() }, std::move(options)));
     m_controller->group().setFailureHandler([this](const Error &) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "common/time.h"
+#include "gateway/balancing.h"
 #include "link/socket_address.h"
 #include "log/event.h"
 
@@ -38,6 +39,7 @@
     SocketAddress outbound; ///< Listens for requests of clients and of the backend server.
     SocketAddress ready; ///< Listens for readiness checks.
     double retryShare = 0; ///< Maximum ratio of retries to requests, over all gateways.
+    Balancing balancing = Balancing::LeastTime; ///< Choice among the backend servers of services without keys.
     Duration heartbeatInterval{}; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit{}; ///< Maximum duration of a graceful shutdown.
 
@@ -47,6 +49,7 @@
     std::string dataFolder;
     bool firstStart = false; ///< True if the whole deployment starts for the first time.
     std::size_t toleratedLosses = 0; ///< Number of controllers that may fail at the same time.
+    Duration confirmationDelay{}; ///< Maximum delay of the confirmation of a manifest until all gateways in contact apply it.
     Duration longestHold{}; ///< Maximum duration of a lease on keys granted to a backend server.
 
     /// Parses settings. Errors: InvalidArgument, naming the field.
