Try a nested call again after a pause when all gateways asked refused it

Cause: A nested call that four gateways refused at one moment ended its request with an error, and the work on the request was lost, although slots of a busy service change hands within a service time. Change: With "nestedCalls": "protected" the entry tries such a call again after a random pause while its deadline leaves time to run: at most three rounds, of four gateways at first and of two later. A refusal by a backend server still takes from the retry budget. The tests of the router and of the settings pass.

--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -4,6 +4,7 @@
 #include "gateway/capacity_weight.h"
 #include "gateway/events.h"
 #include "gateway/load_estimate.h"
+#include "gateway/refused_call_retry.h"
 #include "gateway/weighted_sample.h"
 
 #include <algorithm>
@@ -16,8 +17,6 @@
 
 using std::chrono::milliseconds;
 
-/// Refusals by a gateway reach no backend server, so more gateways may be tried than backend servers reached.
-constexpr std::uint32_t kMaxGatewaysTried = 4;
 constexpr milliseconds kHolderRetryInterval{ 100 };
 constexpr milliseconds kMaxHolderWait{ 600 }; ///< Keys in handover are mostly served again within this time.
 constexpr milliseconds kMinHolderWait{ 100 };
@@ -34,11 +33,12 @@
 
 } // namespace
 
-CallRouter::CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare, Balancing balancing)
+CallRouter::CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare, Balancing balancing, NestedCalls nestedCalls)
     : m_parts(parts)
     , m_ownDomain(std::move(ownDomain))
     , m_retryShare(retryShare)
     , m_balancing(balancing)
+    , m_nestedCalls(nestedCalls)
     , m_loads(parts.loop.clock())
 {
     parts.port.setSilenceHandler([this](std::uint64_t callId) { onSilence(callId); });
@@ -375,16 +375,46 @@
     if (keyed) {
         const bool unreachable = result.reason == wire::CONNECT_FAILED && m_loads.at(it->gateway).failures >= kFailuresForUnreachable;
         if (result.reason == wire::OVERLOADED || result.reason == wire::DEADLINE || unreachable) {
-            finish(id, it, std::move(result));
+            onRoundRefused(id, it, std::move(result));
         } else {
             waitForHolder(id, it, std::move(result));
         }
         return;
     }
-    if (it->attempts >= kMaxGatewaysTried || eligibleGateways(*it).empty()) {
+    if (it->attempts - it->attemptsBefore >= maxGatewaysTried(it->rounds) || eligibleGateways(*it).empty()) {
+        onRoundRefused(id, it, std::move(result));
+        return;
+    }
+    attempt(id, it);
+}
+
+void CallRouter::onRoundRefused(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
+{
+    const auto left = it->call.deadline - m_parts.loop.clock().now();
+    std::optional<Duration> pause;
+    if (m_nestedCalls == NestedCalls::Protected && it->call.nested && !it->silent) {
+        pause = pauseBeforeRetry({ it->rounds, left, m_loads.serviceLoad(it->call.service).serviceTime }, m_parts.random);
+    }
+    if (!pause) {
         finish(id, it, std::move(result));
         return;
     }
+    m_parts.logger.write(GatewayEvents::kNestedCallRetried,
+                         { field("request", it->call.requestId),
+                           field("reason", wire::CallReason_Name(result.reason)),
+                           field("rounds", it->rounds),
+                           field("attempts", it->attempts),
+                           field("pause_ms", std::chrono::duration_cast<milliseconds>(*pause).count()),
+                           field("left_ms", std::chrono::duration_cast<milliseconds>(left).count()) });
+    it->retryTimer = m_parts.loop.after(*pause, [this, id, it] { startRound(id, it); });
+}
+
+void CallRouter::startRound(std::uint64_t id, const RoutedCallPtr &it)
+{
+    ++m_retriedNestedCalls;
+    ++it->rounds;
+    it->attemptsBefore = it->attempts;
+    it->triedGateways.clear();
     attempt(id, it);
 }
 
@@ -453,4 +483,9 @@
     return m_routedCalls.size();
 }
 
+std::uint64_t CallRouter::retriedNestedCalls() const
+{
+    return m_retriedNestedCalls;
+}
+
 } // namespace Toucandeck
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -5,6 +5,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_chooser.h"
 #include "gateway/gateway_loads.h"
+#include "gateway/nested_calls.h"
 #include "routing/retry_budget.h"
 
 #include "log/logger.h"
@@ -51,7 +52,11 @@
     using Done = std::function<void(RoutedResult)>;
 
     /// @param retryShare is the number of retries per request that the budget allows.
-    CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare, Balancing balancing = Balancing::LeastTime);
+    CallRouter(const CallRouterParts &parts,
+               std::string ownDomain,
+               double retryShare,
+               Balancing balancing = Balancing::LeastTime,
+               NestedCalls nestedCalls = NestedCalls::Independent);
     ~CallRouter();
 
     /// Routes a call. @p done is called once, after this returns, unless the call is cancelled first.
@@ -63,6 +68,8 @@
     void onViewChanged();
 
     std::size_t pendingCount() const;
+    /// Number of retries of nested calls that were refused by all gateways asked before.
+    std::uint64_t retriedNestedCalls() const;
 
     /// Reports of other backend servers of the service, to be passed on to the receiver of a reply. Empty unless balanced by capacity.
     std::vector<PeerReport> reportsFor(const std::string &service, const std::string &receiver) const;
@@ -85,6 +92,8 @@
         TimePoint startedAt;
         std::set<std::string> triedGateways;
         std::uint32_t attempts = 0;
+        std::uint32_t rounds = 1; ///< Number of rounds of attempts; a pause precedes each round after the first.
+        std::uint32_t attemptsBefore = 0; ///< Attempts of earlier rounds.
         std::uint32_t reachedBackends = 0;
         bool mayHaveRun = false;
         std::string gateway; ///< IP address of the gateway of the current attempt.
@@ -110,6 +119,9 @@
     void recordResult(RoutedCall &it, const std::string &gateway, TimePoint sentAt, const CallResult &result);
     void onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void onFailure(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
+    /// Handles a refusal by the last gateway of a round: tries a nested call again after a pause, or finishes.
+    void onRoundRefused(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
+    void startRound(std::uint64_t id, const RoutedCallPtr &it);
     void waitForHolder(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     bool isKeyed(const RoutedCall &it) const;
     bool mayRetry(const RoutedCall &it) const;
@@ -129,10 +141,12 @@
     std::string m_ownDomain;
     double m_retryShare;
     Balancing m_balancing;
+    NestedCalls m_nestedCalls;
     GatewayLoads m_loads;
     std::map<std::string, RetryBudget> m_budgets; ///< By service.
     std::unordered_map<std::uint64_t, RoutedCallPtr> m_routedCalls;
     std::uint64_t m_nextId = 1;
+    std::uint64_t m_retriedNestedCalls = 0;
 };
 
 } // namespace Toucandeck
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -83,5 +83,8 @@
 inline constexpr Event kGatewayDraining{
     10250, LogLevel::Info, "gateway_draining", "The gateway was asked to stop; it finishes its work."
 };
+inline constexpr Event kNestedCallRetried{
+    10260, LogLevel::Info, "nested_call_retried", "All gateways asked refused a nested call; it is tried again after a pause."
+};
 
 } // namespace Toucandeck::GatewayEvents
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -55,7 +55,8 @@
     , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser },
                m_options.failureDomain,
                m_options.retryShare,
-               m_options.balancing)
+               m_options.balancing,
+               m_options.nestedCalls)
     , m_fleet(parts.loop, m_links, parts.logger, m_view, m_instance, m_options.ip, m_options.failureDomain, m_options.seeds)
     , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router },
                        [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
@@ -244,6 +245,8 @@
     metrics.gauge("toucandeck_gate_waiting", "Calls that wait for a slot").Set(static_cast<double>(m_admission.waitingCount()));
     metrics.gauge("toucandeck_requests_pending", "Requests of clients in progress")
         .Set(static_cast<double>(m_requestHandler.pendingCount()));
+    metrics.gauge("toucandeck_nested_calls_retried", "Rounds of attempts of nested calls after refusals by all gateways asked")
+        .Set(static_cast<double>(m_router.retriedNestedCalls()));
     const auto &grants = m_instance.callGrants();
     const auto &counters = grants.counters();
     metrics.gauge("toucandeck_grants_sent", "Calls that granted keys to the backend server").Set(static_cast<double>(counters.sent));
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -69,6 +69,18 @@
     return fail(ErrorCode::InvalidArgument, fmt::format("settings: balancing \"{}\" is neither least-time nor capacity", text));
 }
 
+Result<NestedCalls> readNestedCalls(const JsonFields &fields)
+{
+    BOOST_LEAF_AUTO(text, fields.text("nestedCalls", "independent"));
+    if (text == "independent") {
+        return NestedCalls::Independent;
+    }
+    if (text == "protected") {
+        return NestedCalls::Protected;
+    }
+    return fail(ErrorCode::InvalidArgument, fmt::format("settings: nestedCalls \"{}\" is neither independent nor protected", text));
+}
+
 Result<std::vector<SocketAddress>> readSeeds(const JsonFields &fields)
 {
     BOOST_LEAF_AUTO(list, fields.value("seeds"));
@@ -94,6 +106,7 @@
     BOOST_LEAF_ASSIGN(out.ready, readAddress(fields, "ready"));
     BOOST_LEAF_ASSIGN(out.retryShare, fields.fraction("retryShare", 0.08));
     BOOST_LEAF_ASSIGN(out.balancing, readBalancing(fields));
+    BOOST_LEAF_ASSIGN(out.nestedCalls, readNestedCalls(fields));
     BOOST_LEAF_ASSIGN(out.heartbeatInterval, fields.time("heartbeatInterval", kDefaultHeartbeatInterval));
     if (out.heartbeatInterval <= Duration::zero()) {
         return fail(ErrorCode::InvalidArgument, "settings: field \"heartbeatInterval\" must be positive");
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -3,6 +3,7 @@
 #include "common/result.h"
 #include "common/time.h"
 #include "gateway/balancing.h"
+#include "gateway/nested_calls.h"
 #include "link/socket_address.h"
 #include "log/event.h"
 
@@ -40,6 +41,7 @@
     SocketAddress ready; ///< Listens for readiness checks.
     double retryShare = 0; ///< Maximum ratio of retries to requests, over all gateways.
     Balancing balancing = Balancing::LeastTime; ///< Choice among the backend servers of services without keys.
+    NestedCalls nestedCalls = NestedCalls::Independent; ///< Treatment of the calls that requests make.
     Duration heartbeatInterval{}; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit{}; ///< Maximum duration of a graceful shutdown.
 
--- a/test/gateway/test_call_router.cpp
+++ b/test/gateway/test_call_router.cpp
@@ -350,3 +350,113 @@
     }
     EXPECT_LE(retries, 1U); // The budget of each gateway initially allows one.
 }
+
+namespace
+{
+
+class ProtectedNestedCallTest : public CallRouterTest
+{
+protected:
+    /// Routes a call that leaves no time for long pauses.
+    void routeNested(const std::string &service = "svc", bool nested = true)
+    {
+        auto call = callNamed("r.1", m_clock);
+        call.service = service;
+        call.key = 5;
+        call.nested = nested;
+        call.deadline = m_clock.now() + milliseconds(400);
+        m_id = m_protectedRouter.route(std::move(call), { false, 1 }, [this](RoutedResult result) { m_result = std::move(result); });
+    }
+
+    /// Refuses the pending attempts until none is left.
+    /// @return their number.
+    std::size_t refuseRound(wire::CallReason reason = wire::OVERLOADED)
+    {
+        const auto before = m_port.m_sentTo.size() - 1;
+        while (m_port.m_pendingDone) {
+            m_port.reply(wire::NOT_RUN, reason, false);
+        }
+        return m_port.m_sentTo.size() - before;
+    }
+
+    bool awaitAttempt()
+    {
+        return m_loop->runUntil([this] { return m_port.m_pendingDone != nullptr || m_result; }, seconds(2)) && !m_result;
+    }
+
+    CallRouter m_protectedRouter{
+        { *m_loop, m_logger, m_random, m_port, m_view, m_chooser }, "fd-a", 1.0, Balancing::LeastTime, NestedCalls::Protected
+    };
+    std::uint64_t m_id = 0;
+};
+
+} // namespace
+
+// Failure: a request lost its work because one of its calls was refused by all gateways at one moment.
+TEST_F(ProtectedNestedCallTest, ANestedCallThatWasRefusedEverywhereIsTriedAgain)
+{
+    routeNested();
+    EXPECT_EQ(refuseRound(), 3U);
+    ASSERT_FALSE(m_result);
+    ASSERT_TRUE(awaitAttempt());
+    m_port.reply(wire::ANSWERED, wire::NONE, true);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::ANSWERED);
+    EXPECT_EQ(m_result->reachedBackends, 1U);
+    EXPECT_EQ(m_protectedRouter.retriedNestedCalls(), 1U);
+}
+
+TEST_F(ProtectedNestedCallTest, AtMostThreeRoundsOfAtMostFourGateways)
+{
+    routeNested();
+    EXPECT_LE(refuseRound(), 4U);
+    ASSERT_TRUE(awaitAttempt());
+    EXPECT_LE(refuseRound(), 4U);
+    ASSERT_TRUE(awaitAttempt());
+    EXPECT_LE(refuseRound(), 4U);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::NOT_RUN);
+    EXPECT_EQ(m_protectedRouter.pendingCount(), 0U);
+}
+
+TEST_F(ProtectedNestedCallTest, ACallToABusyHolderOfItsKeyIsTriedAgainThere)
+{
+    setHolder("10.0.0.9", 1);
+    routeNested("keyed");
+    EXPECT_EQ(refuseRound(), 1U);
+    ASSERT_TRUE(awaitAttempt());
+    EXPECT_EQ(m_port.m_sentTo, (std::vector<std::string>{ "10.0.0.9", "10.0.0.9" }));
+}
+
+TEST_F(ProtectedNestedCallTest, ARefusedRequestOfAClientIsNotTriedAgain)
+{
+    routeNested("svc", false);
+    refuseRound();
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_result->result.outcome, wire::NOT_RUN);
+}
+
+// Failure: a call whose own calls cannot be served was sent to gateway after gateway.
+TEST_F(ProtectedNestedCallTest, ACallRefusedForItsNestedCallsIsNotSentToAnotherGateway)
+{
+    routeNested();
+    EXPECT_EQ(refuseRound(wire::NESTED_CALLS_REFUSED), 1U);
+    ASSERT_TRUE(m_result);
+}
+
+TEST_F(ProtectedNestedCallTest, ARefusalByABackendServerUsesTheRetryBudget)
+{
+    routeNested();
+    m_port.reply(wire::NOT_RUN, wire::REFUSED_BY_INSTANCE, true);
+    ASSERT_TRUE(m_result);
+    EXPECT_EQ(m_port.m_sentTo.size(), 1U);
+}
+
+TEST_F(ProtectedNestedCallTest, ACancelledCallIsNotTriedAgain)
+{
+    routeNested();
+    refuseRound();
+    m_protectedRouter.cancel(m_id);
+    EXPECT_FALSE(m_loop->runUntil([this] { return m_port.m_pendingDone != nullptr; }, milliseconds(200)));
+    EXPECT_EQ(m_protectedRouter.pendingCount(), 0U);
+}
--- a/test/node/test_node_settings.cpp
+++ b/test/node/test_node_settings.cpp
@@ -49,6 +49,16 @@
     EXPECT_NE(errorOf(text).find("\"heartbeatInterval\" must be positive"), std::string::npos);
 }
 
+TEST(NodeSettings, ReadsTheTreatmentOfNestedCalls)
+{
+    EXPECT_EQ(NodeSettings::parse(kGateway).value().nestedCalls, NestedCalls::Independent);
+    auto text = std::string(kGateway);
+    text.insert(1, R"("nestedCalls":"protected",)");
+    EXPECT_EQ(NodeSettings::parse(text).value().nestedCalls, NestedCalls::Protected);
+    text.replace(text.find("protected"), 9, "sheltered");
+    EXPECT_NE(errorOf(text).find("nestedCalls \"sheltered\""), std::string::npos);
+}
+
 TEST(NodeSettings, NamesTheFieldThatIsWrong)
 {
     EXPECT_NE(errorOf(without(kGateway, "\"backend\":\"10.0.0.1:81\",")).find("\"backend\" is missing"), std::string::npos);
