Refuse requests whose nested calls cannot be served, and hold early retries

Cause: Requests whose nested calls were refused kept slots from requests that could be served; nested calls were answered too late for their parent or waited behind less urgent requests; clients that retried at once gained over those that obeyed Retry-After. Change: With "nestedCalls": "protected" the gateway beside a backend server limits the concurrent requests of a route while their nested calls lack capacity, nested calls inherit rank and deadline of their parent, and an early retry waits at its entry. Retries, refused parents, the limit and held retries have metrics and log lines. RetryDetector::takeAttempt() returns the whole attempt; its tests check the same.

--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -40,6 +40,11 @@
     m_submitHandler = std::move(handler);
 }
 
+void BackendAdmission::setStartGate(StartGate gate)
+{
+    m_startGate = std::move(gate);
+}
+
 std::uint64_t BackendAdmission::submit(Call call, CallDone done)
 {
     if (m_submitHandler) {
@@ -62,6 +67,10 @@
         refuse(waiting, wire::BUSY);
         return id;
     }
+    if (const auto delay = m_startGate ? m_startGate(waiting.call, waiting.done) : std::nullopt) {
+        refuse(waiting, wire::NESTED_CALLS_REFUSED, *delay);
+        return id;
+    }
     m_queue.push(std::move(waiting));
     processQueue();
     return id;
@@ -216,7 +225,7 @@
     m_failedShare = m_failedShare * (1 - kFailureSmoothing) + (failed ? kFailureSmoothing : 0);
 }
 
-void BackendAdmission::refuse(const WaitingCall &call, wire::CallReason reason)
+void BackendAdmission::refuse(const WaitingCall &call, wire::CallReason reason, Duration retryAfter)
 {
     const auto wait = expectedQueueingDelay(call);
     m_tally.recordRefusal(call.call);
@@ -232,7 +241,7 @@
                      field("running", m_running.size()),
                      field("waiting", m_queue.size()),
                      field("cold", m_backendStatus.isCold()) });
-    auto result = notRun(reason, wait);
+    auto result = notRun(reason, std::max(wait, retryAfter));
     result.instance = m_backendStatus.instance();
     result.load = loadReport();
     call.done(std::move(result));
--- a/src/gateway/backend_admission.h
+++ b/src/gateway/backend_admission.h
@@ -45,6 +45,11 @@
     /// Called with each submitted call, before it is admitted, queued or refused.
     void setSubmitHandler(std::function<void(const Call &)> handler);
 
+    /// Called with each call that passes the other checks, before it is queued. It yields a retry delay to refuse the call because of its
+    /// nested calls, and may replace @p done.
+    using StartGate = std::function<std::optional<Duration>(const Call &, CallDone &done)>;
+    void setStartGate(StartGate gate);
+
     /// Admits, queues or refuses a call. @p done is called once, perhaps before this returns, unless the call is cancelled first.
     /// @return the id for cancel().
     std::uint64_t submit(Call call, CallDone done);
@@ -95,7 +100,8 @@
     std::unordered_map<std::uint64_t, RunningCall>::const_iterator findRunning(std::string_view requestId) const;
     void dispatch(WaitingCall call);
     void finish(std::uint64_t id, CallResult result);
-    void refuse(const WaitingCall &call, wire::CallReason reason);
+    /// @param retryAfter is the shortest delay of a retry.
+    void refuse(const WaitingCall &call, wire::CallReason reason, Duration retryAfter = {});
     void recordOutcome(const CallResult &result);
 
     const Clock &m_clock;
@@ -103,6 +109,7 @@
     const BackendStatus &m_backendStatus;
     BackendPort &m_port;
     std::function<void(const Call &)> m_submitHandler;
+    StartGate m_startGate;
     WaitQueue m_queue;
     ColdLimiter m_coldLimiter;
     ServiceTimes m_serviceTimes; ///< Normalised to the usual speed of the machine.
--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -46,6 +46,12 @@
     return duration_cast<milliseconds>(it).count();
 }
 
+/// True if a call ended for this reason because the service has too little capacity.
+bool isLackOfCapacity(wire::CallReason reason)
+{
+    return reason == wire::OVERLOADED || reason == wire::BUSY || reason == wire::DEADLINE || reason == wire::NESTED_CALLS_REFUSED;
+}
+
 /// True if a Connection header names this header as belonging to the connection.
 bool isNamedByConnection(const HttpHeaders &headers, std::string_view name)
 {
@@ -121,10 +127,45 @@
     m_pending.insert(it);
     exchange->setDisconnectHandler([this, it] { onClientDisconnected(it); });
     startTimer(it);
+    if (m_parts.parents != nullptr && call.nested && call.deadline <= m_parts.loop.clock().now()) {
+        refuse(it, { notRun(wire::DEADLINE), 0, 0, "" });
+        return;
+    }
+    if (isEarlyRetry(*it, call)) {
+        hold(it, std::move(call));
+        return;
+    }
+    send(it, std::move(call));
+}
+
+void ClientRequestHandler::send(const RequestPtr &it, Call call)
+{
+    const auto *route = it->route;
     const AttemptPolicy policy{ route->kind == RequestKind::Idempotent, std::max(1U, route->maxAttempts) };
     it->callId = m_parts.router.route(std::move(call), policy, [this, it](RoutedResult result) { onResult(it, std::move(result)); });
 }
 
+bool ClientRequestHandler::isEarlyRetry(const PendingRequest &it, const Call &call) const
+{
+    return m_parts.parents != nullptr && call.clientRetry && it.attempt.retryAt > m_parts.loop.clock().now();
+}
+
+void ClientRequestHandler::hold(const RequestPtr &it, Call call)
+{
+    const auto wait = it->attempt.retryAt - m_parts.loop.clock().now();
+    if (it->attempt.retryAt >= it->deadline) {
+        refuse(it, { notRun(wire::OVERLOADED), 0, 0, "" });
+        return;
+    }
+    ++m_heldRetries;
+    m_parts.logger.write(GatewayEvents::kRetryHeld,
+                         { field("request", it->requestId), field("route", it->route->name), field("wait_ms", ms(wait)) });
+    it->holdTimer = m_parts.loop.after(wait, [this, it, call = std::move(call)]() mutable {
+        call.deadline = std::min(call.deadline, m_answerLimit);
+        send(it, std::move(call));
+    });
+}
+
 void ClientRequestHandler::startTimer(const RequestPtr &it)
 {
     const auto end = std::min(it->deadline + kAnswerGrace, m_answerLimit);
@@ -147,6 +188,9 @@
     const auto parent = parentOf(pending.requestId);
     call.nested = !parent.empty();
     call.siblingAnswers = m_parts.admission.answeredCalls(parent);
+    if (call.nested && m_parts.parents != nullptr) {
+        passOnParent(parent, pending, call);
+    }
     pending.attempt.firstAttempt = pending.receivedAt;
     call.clientRetry = sent && !call.nested && detectRetry(pending, request, wait);
     call.targetTime = pending.attempt.firstAttempt + route.targetLatency;
@@ -157,15 +201,27 @@
     return call;
 }
 
+void ClientRequestHandler::passOnParent(std::string_view parent, PendingRequest &pending, Call &call)
+{
+    const auto now = m_parts.loop.clock().now();
+    const auto own = call.deadline - now;
+    m_parts.parents->passOn(parent, call);
+    pending.shortened = (call.deadline - now) * 2 < own;
+}
+
 bool ClientRequestHandler::detectRetry(PendingRequest &pending, const HttpRequest &request, Duration wait)
 {
     auto &attempt = pending.attempt;
     pending.clientDeadline = wait;
     attempt.fingerprint = RetryDetector::fingerprint(request);
     attempt.deadline = pending.receivedAt + wait;
-    const auto firstAttempt = m_retryDetector.takeFirstAttempt(attempt.fingerprint, attempt.deadline);
-    attempt.firstAttempt = firstAttempt.value_or(pending.receivedAt);
-    return firstAttempt.has_value();
+    attempt.firstAttempt = pending.receivedAt;
+    const auto earlier = m_retryDetector.takeAttempt(attempt.fingerprint, attempt.deadline);
+    if (earlier) {
+        attempt.firstAttempt = earlier->firstAttempt;
+        attempt.retryAt = earlier->retryAt;
+    }
+    return earlier.has_value();
 }
 
 std::string_view ClientRequestHandler::parentOf(const std::string &requestId) const
@@ -197,6 +253,7 @@
 void ClientRequestHandler::onResult(const RequestPtr &it, RoutedResult result)
 {
     it->callId = 0;
+    onNestedResult(*it, result);
     switch (result.result.outcome) {
     case wire::ANSWERED:
         answer(it, std::move(result));
@@ -209,9 +266,25 @@
     }
 }
 
+void ClientRequestHandler::onNestedResult(const PendingRequest &it, const RoutedResult &result)
+{
+    const auto parent = m_parts.parents != nullptr ? parentOf(it.requestId) : std::string_view();
+    if (parent.empty()) {
+        return;
+    }
+    auto end = NestedCallEnd::Failed;
+    if (result.result.outcome == wire::ANSWERED) {
+        end = result.result.response.status < kFirstErrorStatus ? NestedCallEnd::Served : end;
+    } else if (isLackOfCapacity(result.result.reason) && !it.shortened) {
+        end = NestedCallEnd::OutOfCapacity;
+    }
+    m_parts.parents->onNestedCallEnded(parent, end);
+}
+
 void ClientRequestHandler::respond(const RequestPtr &it, HttpResponse response, const char *outcome)
 {
     it->timer.cancel();
+    it->holdTimer.cancel(); // Its handler holds the request.
     m_pending.erase(it);
     if (response.status >= kFirstErrorStatus) {
         rememberFailure(*it);
@@ -286,6 +359,7 @@
     response.status = 503;
     response.headers.push_back({ m_parts.headers.requestId, it->requestId });
     if (retryAfter >= kMinRetryAfter) {
+        it->attempt.retryAt = std::max(it->attempt.retryAt, m_parts.loop.clock().now() + retryAfter);
         response.headers.push_back({ "Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(retryAfter).count()) });
     }
     response.body = fmt::format("the request was not run: {}\n", wire::CallReason_Name(result.result.reason));
@@ -317,18 +391,25 @@
 
 void ClientRequestHandler::onAnswerTimeout(const RequestPtr &it)
 {
+    if (it->holdTimer.isActive()) {
+        it->holdTimer.cancel();
+        refuse(it, { notRun(wire::DEADLINE), 0, 0, "" });
+        return;
+    }
     if (it->callId == 0) {
         return;
     }
     m_parts.router.cancel(std::exchange(it->callId, 0));
     RoutedResult result;
     result.result.reason = wire::DEADLINE;
+    onNestedResult(*it, result);
     failRequest(it, result, 504);
 }
 
 void ClientRequestHandler::onClientDisconnected(const RequestPtr &it)
 {
     it->timer.cancel();
+    it->holdTimer.cancel();
     m_pending.erase(it);
     rememberFailure(*it);
     m_parts.logger.write(GatewayEvents::kRequestAbandoned,
@@ -350,6 +431,11 @@
     }
 }
 
+std::uint64_t ClientRequestHandler::heldRetries() const
+{
+    return m_heldRetries;
+}
+
 void ClientRequestHandler::refuseNewRequests()
 {
     m_refusesNewRequests = true;
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -3,6 +3,7 @@
 #include "gateway/backend_admission.h"
 #include "gateway/call_router.h"
 #include "gateway/header_names.h"
+#include "gateway/parent_requests.h"
 #include "gateway/retry_detector.h"
 #include "http/pipelined_server.h"
 #include "runtime/metrics.h"
@@ -24,6 +25,7 @@
     const FleetView &view;
     BackendAdmission &admission;
     CallRouter &router;
+    ParentRequests *parents = nullptr; ///< None if nested calls are independent.
 };
 
 /// Handles the requests of clients and of the backend server on this VM: finds their route, forwards and answers them.
@@ -43,6 +45,8 @@
 
     /// Number of requests without an answer.
     std::size_t pendingCount() const;
+    /// Number of retries that came before their time and waited.
+    std::uint64_t heldRetries() const;
 
 private:
     struct PendingRequest
@@ -56,7 +60,9 @@
         Duration clientDeadline{}; ///< Time that the client waits for its answer, as it says; zero if it does not say.
         ClientAttempt attempt; ///< For the recognition of its retry, if the client says how long it waits.
         std::uint64_t callId = 0; ///< Id at the call router; zero if no call is pending.
+        bool shortened = false; ///< A nested call with less than half of its own time, because its parent has not more.
         EventLoop::Watch timer;
+        EventLoop::Watch holdTimer; ///< Active while a retry that came before its time waits.
     };
 
     using RequestPtr = std::shared_ptr<PendingRequest>;
@@ -66,6 +72,14 @@
     /// Id of the request that the backend server on this VM runs and that sent this one; empty if a client sent it.
     std::string_view parentOf(const std::string &requestId) const;
     HttpHeaders forwardedHeaders(const HttpRequest &request) const;
+    /// Gives a nested call the urgency and the deadline of its parent.
+    void passOnParent(std::string_view parent, PendingRequest &pending, Call &call);
+    /// True if the request is a retry before the time that its client was told.
+    bool isEarlyRetry(const PendingRequest &it, const Call &call) const;
+    /// Sends an early retry at the time that its client was told, or refuses it if its deadline is not later.
+    void hold(const RequestPtr &it, Call call);
+    void send(const RequestPtr &it, Call call);
+    void onNestedResult(const PendingRequest &it, const RoutedResult &result);
     void onResult(const RequestPtr &it, RoutedResult result);
     void answer(const RequestPtr &it, RoutedResult result);
     void refuse(const RequestPtr &it, const RoutedResult &result);
@@ -91,6 +105,7 @@
     std::set<RequestPtr> m_pending;
     TimePoint m_answerLimit = TimePoint::max();
     bool m_refusesNewRequests = false;
+    std::uint64_t m_heldRetries = 0;
     prometheus::Histogram &m_latency;
 };
 
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -86,5 +86,14 @@
 inline constexpr Event kNestedCallRetried{
     10260, LogLevel::Info, "nested_call_retried", "All gateways asked refused a nested call; it is tried again after a pause."
 };
+inline constexpr Event kNestedCallLimit{
+    10261,
+    LogLevel::Info,
+    "nested_call_limit",
+    "The limit on concurrent requests of a route has fallen, since their nested calls are refused for lack of capacity, or was lifted."
+};
+inline constexpr Event kRetryHeld{
+    10262, LogLevel::Info, "retry_held", "A client retried before its Retry-After; its request waits until then."
+};
 
 } // namespace Toucandeck::GatewayEvents
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -49,6 +49,8 @@
     , m_grantCaller(parts.loop, parts.grantCodec, m_options.backend, parts.headers.requestId)
     , m_instance(parts.loop, parts.logger, m_grantCaller, m_options.backend.toString(), m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
+    , m_parents(
+          parts.loop.clock(), parts.logger, [this](const Call &call) { return kindOf(call); }, [this] { return m_instance.slots(); })
     , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
     , m_admissionReport(parts.logger, parts.metrics)
     , m_calls(parts.loop, m_links, m_admission, m_options.ip)
@@ -58,7 +60,7 @@
                m_options.balancing,
                m_options.nestedCalls)
     , m_fleet(parts.loop, m_links, parts.logger, m_view, m_instance, m_options.ip, m_options.failureDomain, m_options.seeds)
-    , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router },
+    , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router, parents() },
                        [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
 {
     m_instance.setServiceCheck(
@@ -75,6 +77,9 @@
             m_admissionTimer = m_parts.loop.after(kAdmissionInterval, [this] { processAdmissionQueue(); });
         }
     });
+    if (parents() != nullptr) {
+        m_admission.setStartGate([this](const Call &call, CallDone &done) { return m_parents.enter(call, done); });
+    }
     m_view.setChangeHandler([this] {
         applyPolicy();
         m_router.onViewChanged();
@@ -125,6 +130,18 @@
     m_instance.deregister(instance);
 }
 
+std::string Gateway::kindOf(const Call &call) const
+{
+    const auto manifest = m_view.manifest();
+    const auto *route = manifest ? manifest->routes.find(call.request.header("Host").value_or(""), call.request.path()) : nullptr;
+    return route != nullptr ? route->name : call.service;
+}
+
+ParentRequests *Gateway::parents()
+{
+    return m_options.nestedCalls == NestedCalls::Protected ? &m_parents : nullptr;
+}
+
 void Gateway::onInstanceStarted()
 {
     m_runner.setInstance(m_instance.instance());
@@ -247,6 +264,14 @@
         .Set(static_cast<double>(m_requestHandler.pendingCount()));
     metrics.gauge("toucandeck_nested_calls_retried", "Rounds of attempts of nested calls after refusals by all gateways asked")
         .Set(static_cast<double>(m_router.retriedNestedCalls()));
+    metrics
+        .gauge("toucandeck_nested_call_limit",
+               "Lowest limit on concurrent requests of a route that make nested calls; 0 if none is in force")
+        .Set(m_parents.gate().lowestLimit().value_or(0));
+    metrics.gauge("toucandeck_nested_calls_refused_parents", "Requests refused because their nested calls could not be served")
+        .Set(static_cast<double>(m_parents.gate().refusedRequests()));
+    metrics.gauge("toucandeck_retries_held", "Retries of clients that came before their Retry-After and waited")
+        .Set(static_cast<double>(m_requestHandler.heldRetries()));
     const auto &grants = m_instance.callGrants();
     const auto &counters = grants.counters();
     metrics.gauge("toucandeck_grants_sent", "Calls that granted keys to the backend server").Set(static_cast<double>(counters.sent));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,6 +71,9 @@
     Gateway(const GatewayParts &parts, GatewayOptions options);
     Result<void> listen();
     void receive(const std::string &peer, const wire::PeerMessage &message);
+    /// Name of the route of a call, or its service if it has none.
+    std::string kindOf(const Call &call) const;
+    ParentRequests *parents();
     void onInstanceStarted();
     void onInstanceChanged();
     void applyPolicy();
@@ -87,6 +90,7 @@
     LocalInstance m_instance;
     BackendRunner m_runner;
     UrgencyOrder m_order;
+    ParentRequests m_parents;
     BackendAdmission m_admission;
     AdmissionReport m_admissionReport;
     RemoteCalls m_calls;
--- a/src/gateway/retry_detector.cpp
+++ b/src/gateway/retry_detector.cpp
@@ -36,14 +36,14 @@
     m_byDeadline.emplace(attempt.deadline, attempt);
 }
 
-std::optional<TimePoint> RetryDetector::takeFirstAttempt(std::uint64_t fingerprint, TimePoint deadline)
+std::optional<ClientAttempt> RetryDetector::takeAttempt(std::uint64_t fingerprint, TimePoint deadline)
 {
     const auto last = m_byDeadline.upper_bound(deadline + kDeadlineTolerance);
     for (auto it = m_byDeadline.lower_bound(deadline - kDeadlineTolerance); it != last; ++it) {
         if (it->second.fingerprint == fingerprint) {
-            const auto firstAttempt = it->second.firstAttempt;
+            const auto attempt = it->second;
             m_byDeadline.erase(it);
-            return firstAttempt;
+            return attempt;
         }
     }
     return std::nullopt;
--- a/src/gateway/retry_detector.h
+++ b/src/gateway/retry_detector.h
@@ -16,6 +16,7 @@
     std::uint64_t fingerprint = 0; ///< Of the request; see RetryDetector::fingerprint().
     TimePoint deadline; ///< When the client stops waiting, as it says.
     TimePoint firstAttempt; ///< When its first attempt was received.
+    TimePoint retryAt{}; ///< When the client was told to retry; the epoch if it was not told.
 };
 
 /// Recognises the retries of clients. Each attempt says how much time its client has left, and clients differ in how long they wait; but
@@ -30,9 +31,8 @@
     /// Remembers an attempt that ended without success until its client's deadline.
     void recordFailure(const ClientAttempt &attempt);
 
-    /// When the first attempt of this client was received; none if no attempt is remembered that this one repeats. A remembered attempt
-    /// is matched only once.
-    std::optional<TimePoint> takeFirstAttempt(std::uint64_t fingerprint, TimePoint deadline);
+    /// The attempt that this one repeats, none if no such attempt is remembered. A remembered attempt is matched only once.
+    std::optional<ClientAttempt> takeAttempt(std::uint64_t fingerprint, TimePoint deadline);
 
     /// Number of remembered attempts.
     std::size_t size() const;
--- a/test/gateway/test_client_request_handler.cpp
+++ b/test/gateway/test_client_request_handler.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr milliseconds kTargetLatency{ 500 };
+constexpr std::uint32_t kRank = 3;
 
 /// A manifest with one route to one service.
 class OneRouteCodec : public ManifestCodec
@@ -29,6 +30,7 @@
         route.pathPrefix = "/";
         route.timeout = seconds(3);
         route.targetLatency = kTargetLatency;
+        route.rank = kRank;
         route.targets = { { "svc" } };
         manifest.routes["submit"] = route;
         return manifest;
@@ -61,7 +63,8 @@
 class ClientRequestHandlerTest : public testing::Test
 {
 protected:
-    ClientRequestHandlerTest()
+    explicit ClientRequestHandlerTest(bool protectsNestedCalls = false)
+        : m_protectsNestedCalls(protectsNestedCalls)
     {
         wire::FleetUpdate update;
         update.mutable_manifest()->set_version(1);
@@ -113,6 +116,7 @@
         m_port.m_done(notRun(wire::OVERLOADED));
     }
 
+    bool m_protectsNestedCalls;
     ManualClock m_clock;
     NullLogger m_logger;
     Metrics m_metrics;
@@ -127,9 +131,12 @@
     FakeBackendStatus m_backendStatus;
     FakeBackend m_backend;
     UrgencyOrder m_order;
+    ParentRequests m_parents{ m_clock, m_logger, [](const Call &call) { return call.service; }, [] { return 2U; } };
     BackendAdmission m_admission{ m_clock, m_logger, m_backendStatus, m_backend, m_order };
-    ClientRequestHandler m_handler{ { *m_loop, m_logger, m_random, m_metrics, m_names, m_view, m_admission, m_router },
-                                    [] { return "other"; } };
+    ClientRequestHandler m_handler{
+        { *m_loop, m_logger, m_random, m_metrics, m_names, m_view, m_admission, m_router, m_protectsNestedCalls ? &m_parents : nullptr },
+        [] { return "other"; }
+    };
     int m_requests = 0;
     std::shared_ptr<HttpExchange> m_exchange; ///< Of the latest request of a client.
 };
@@ -217,3 +224,132 @@
     EXPECT_EQ(call.deadline, m_clock.now() + seconds(3));
     EXPECT_FALSE(call.clientRetry);
 }
+
+namespace
+{
+
+class ProtectedRequestsTest : public ClientRequestHandlerTest
+{
+protected:
+    ProtectedRequestsTest()
+        : ClientRequestHandlerTest(true)
+    {
+        m_admission.setStartGate([this](const Call &call, CallDone &done) { return m_parents.enter(call, done); });
+    }
+
+    /// Sends a request and has it refused, then a retry @p delay later.
+    void retryAfter(milliseconds delay)
+    {
+        send("/answers/1", milliseconds(400));
+        refuse();
+        m_port.m_call = {};
+        m_clock.advance(delay);
+        send("/answers/1", milliseconds(400) - delay);
+    }
+
+    bool isSent() const
+    {
+        return !m_port.m_call.requestId.empty();
+    }
+};
+
+} // namespace
+
+// Failure: a client that retried at once had more attempts, and was served sooner, than clients that waited as they were told.
+TEST_F(ProtectedRequestsTest, AnEarlyRetryWaitsUntilTheTimeThatItsClientWasTold)
+{
+    retryAfter(milliseconds(1));
+    EXPECT_FALSE(isSent());
+    EXPECT_FALSE(m_exchange->isAnswered());
+    EXPECT_EQ(m_handler.heldRetries(), 1U);
+    EXPECT_TRUE(m_loop->runUntil([this] { return isSent(); }, seconds(2)));
+    answer();
+    EXPECT_TRUE(m_exchange->isAnswered());
+    EXPECT_EQ(m_handler.pendingCount(), 0U);
+}
+
+TEST_F(ProtectedRequestsTest, ARetryAfterTheTimeThatItsClientWasToldIsSentAtOnce)
+{
+    retryAfter(milliseconds(200)); // Retry-After is at most a third of the time left.
+    EXPECT_TRUE(isSent());
+    EXPECT_TRUE(m_port.m_call.clientRetry);
+}
+
+TEST_F(ProtectedRequestsTest, AnEarlyRetryWithoutTimeToWaitIsRefusedAtOnce)
+{
+    send("/answers/1", milliseconds(400));
+    refuse();
+    m_port.m_call = {};
+    m_handler.setAnswerLimit(m_clock.now() + milliseconds(40));
+    send("/answers/1", milliseconds(400));
+    EXPECT_FALSE(isSent());
+    EXPECT_TRUE(m_exchange->isAnswered());
+    EXPECT_EQ(m_handler.heldRetries(), 0U);
+}
+
+TEST_F(ProtectedRequestsTest, AHeldRetryEndsWithTheGateway)
+{
+    retryAfter(milliseconds(1));
+    m_handler.setAnswerLimit(m_clock.now() + milliseconds(5));
+    EXPECT_TRUE(m_loop->runUntil([this] { return m_exchange->isAnswered(); }, seconds(2)));
+    EXPECT_FALSE(isSent());
+    EXPECT_EQ(m_handler.pendingCount(), 0U);
+}
+
+TEST_F(ClientRequestHandlerTest, AnEarlyRetryIsSentAtOnceIfNestedCallsAreIndependent)
+{
+    send("/answers/1", milliseconds(400));
+    refuse();
+    m_port.m_call = {};
+    EXPECT_TRUE(send("/answers/1", milliseconds(400)).clientRetry);
+}
+
+// Failure: a nested call of an urgent request waited behind less urgent requests, and was answered when its parent could not end in time.
+TEST_F(ProtectedRequestsTest, ANestedCallHasTheUrgencyOfItsParentAndLeavesItTime)
+{
+    auto parent = callNamed("parent", m_clock);
+    parent.deadline = m_clock.now() + seconds(1);
+    m_admission.submit(parent, [](const CallResult &) {});
+    sendNested("parent.1");
+    answer();
+    m_clock.advance(milliseconds(100));
+    m_backend.answerFirst();
+    parent.requestId = "next";
+    parent.deadline = m_clock.now() + seconds(1);
+    m_admission.submit(parent, [](const CallResult &) {});
+    const auto call = sendNested("next.1");
+    EXPECT_EQ(call.deadline, parent.deadline - milliseconds(100));
+    EXPECT_EQ(call.rank, 0U);
+    parent.requestId = "short";
+    parent.rank = kRank + 1;
+    parent.deadline = m_clock.now() + milliseconds(150);
+    m_admission.submit(parent, [](const CallResult &) {});
+    const auto second = sendNested("short.1");
+    EXPECT_EQ(second.deadline, m_clock.now() + milliseconds(100));
+    EXPECT_EQ(second.rank, kRank);
+}
+
+TEST_F(ProtectedRequestsTest, ARefusedNestedCallLimitsRequestsLikeItsParent)
+{
+    m_admission.submit(callNamed("parent", m_clock), [](const CallResult &) {});
+    EXPECT_FALSE(m_parents.gate().limit("svc"));
+    sendNested("parent.1");
+    refuse();
+    EXPECT_TRUE(m_parents.gate().limit("svc"));
+    std::optional<CallResult> second;
+    m_admission.submit(callNamed("second", m_clock), [&second](CallResult result) { second = std::move(result); });
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second->outcome, wire::NOT_RUN);
+    EXPECT_EQ(second->reason, wire::NESTED_CALLS_REFUSED);
+}
+
+TEST_F(ProtectedRequestsTest, AnErrorOfANestedCallLimitsNothing)
+{
+    m_admission.submit(callNamed("parent", m_clock), [](const CallResult &) {});
+    sendNested("parent.1");
+    CallResult result;
+    result.outcome = wire::ANSWERED;
+    result.response.status = 500;
+    m_port.m_done(std::move(result));
+    EXPECT_FALSE(m_parents.gate().limit("svc"));
+}
--- a/test/gateway/test_retry_detector.cpp
+++ b/test/gateway/test_retry_detector.cpp
@@ -34,23 +34,23 @@
     const auto first = m_clock.now();
     recordFailure(1, first + seconds(3));
     m_clock.advance(milliseconds(400));
-    EXPECT_EQ(m_detector.takeFirstAttempt(1, first + seconds(3) + milliseconds(30)), first);
+    EXPECT_EQ(m_detector.takeAttempt(1, first + seconds(3) + milliseconds(30)).value().firstAttempt, first);
 }
 
 TEST_F(RetryDetectorTest, MatchesARememberedAttemptOnlyOnce)
 {
     const auto deadline = m_clock.now() + seconds(3);
     recordFailure(1, deadline);
-    EXPECT_TRUE(m_detector.takeFirstAttempt(1, deadline));
-    EXPECT_FALSE(m_detector.takeFirstAttempt(1, deadline));
+    EXPECT_TRUE(m_detector.takeAttempt(1, deadline));
+    EXPECT_FALSE(m_detector.takeAttempt(1, deadline));
 }
 
 TEST_F(RetryDetectorTest, OtherRequestsWithTheSameDeadlineAreNoRetries)
 {
     const auto deadline = m_clock.now() + seconds(3);
     recordFailure(RetryDetector::fingerprint(submission("a")), deadline);
-    EXPECT_FALSE(m_detector.takeFirstAttempt(RetryDetector::fingerprint(submission("b")), deadline));
-    EXPECT_TRUE(m_detector.takeFirstAttempt(RetryDetector::fingerprint(submission("a")), deadline));
+    EXPECT_FALSE(m_detector.takeAttempt(RetryDetector::fingerprint(submission("b")), deadline));
+    EXPECT_TRUE(m_detector.takeAttempt(RetryDetector::fingerprint(submission("a")), deadline));
 }
 
 TEST_F(RetryDetectorTest, ForgetsAttemptsAfterTheirDeadline)
@@ -67,5 +67,5 @@
         recordFailure(i, m_clock.now() + seconds(3) + std::chrono::microseconds(i));
     }
     EXPECT_LE(m_detector.size(), 10'000U);
-    EXPECT_TRUE(m_detector.takeFirstAttempt(99'999, m_clock.now() + seconds(3) + milliseconds(99)));
+    EXPECT_TRUE(m_detector.takeAttempt(99'999, m_clock.now() + seconds(3) + milliseconds(99)));
 }
