Test that a held retry ends with its client

Cause: No test covered a client that breaks off its held retry. Change: Such a test over a loopback connection; a null pointer that clang-tidy reports in ClientRequestHandler is ruled out.

--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -268,7 +268,10 @@
 
 void ClientRequestHandler::onNestedResult(const PendingRequest &it, const RoutedResult &result)
 {
-    const auto parent = m_parts.parents != nullptr ? parentOf(it.requestId) : std::string_view();
+    if (m_parts.parents == nullptr) {
+        return;
+    }
+    const auto parent = parentOf(it.requestId);
     if (parent.empty()) {
         return;
     }
--- a/test/gateway/test_client_request_handler.cpp
+++ b/test/gateway/test_client_request_handler.cpp
@@ -3,6 +3,9 @@
 
 #include "fakes.h"
 
+#include "link/free_port.h"
+#include "runtime/raw_socket.h"
+
 #include <gtest/gtest.h>
 
 using namespace Toucandeck;
@@ -287,6 +290,32 @@
     EXPECT_EQ(m_handler.heldRetries(), 0U);
 }
 
+// Failure: a client broke off its held retry, and its next one was served at once, or the one broken off was run as well.
+TEST_F(ProtectedRequestsTest, AHeldRetryEndsWithItsClient)
+{
+    send("/answers/1", milliseconds(400));
+    refuse();
+    m_port.m_call = {};
+    const std::uint16_t port = freePort();
+    const auto server = PipelinedServer::create(
+                            *m_loop,
+                            { "127.0.0.1", port },
+                            [] { return HttpLimits{}; },
+                            [this](const std::shared_ptr<HttpExchange> &it) { m_handler.handle(it); })
+                            .value();
+    auto client = RawSocket::connectTo(port);
+    client.write("POST /answers/1 HTTP/1.1\r\nHost: hunt.example\r\n" + m_names.requestId + ": 7\r\n" + m_names.deadlineMs
+                 + ": 400\r\nContent-Length: 10\r\n\r\nthe answer");
+    EXPECT_TRUE(m_loop->runUntil([this] { return m_handler.pendingCount() == 1; }, seconds(2)));
+    EXPECT_EQ(m_handler.heldRetries(), 1U);
+    client.close();
+    EXPECT_TRUE(m_loop->runUntil([this] { return m_handler.pendingCount() == 0; }, seconds(2)));
+    EXPECT_FALSE(m_loop->runUntil([this] { return isSent(); }, milliseconds(200)));
+    send("/answers/1", milliseconds(400));
+    EXPECT_FALSE(isSent());
+    EXPECT_EQ(m_handler.heldRetries(), 2U);
+}
+
 TEST_F(ProtectedRequestsTest, AHeldRetryEndsWithTheGateway)
 {
     retryAfter(milliseconds(1));
