--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
     std::vector<std::string> seeds; ///< IP addresses of some controllers.
     double retryShare = 0.08; ///< Retries per request.
     Balancing balancing = Balancing::LeastTime;
+    NestedCalls nestedCalls = NestedCalls::Independent;
     Duration heartbeatInterval = kDefaultHeartbeatInterval; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this time, even with pending work.
 };
@@ -70,6 +71,9 @@
     Gateway(const GatewayParts &parts, GatewayOptions options);
     Result<void> listen();
     void receive(const std::string &peer, const wire::PeerMessage &message);
+    /// Name of the route of a call, or its service if it has none.
+    std::string kindOf(const Call &call) const;
+    ParentRequests *parents();
     void onInstanceStarted();
     void onInstanceChanged();
     void applyPolicy();
@@ -87,6 +91,7 @@
     BackendRunner m_runner;
     UrgencyOrder m_order;
     ReferenceWork m_referenceWork;
+    ParentRequests m_parents;
     BackendAdmission m_admission;
     AdmissionReport m_admissionReport;
     RemoteCalls m_calls;
