Queue late calls until their deadline and share slots between entries

Cause: at a peak of demand the admission refuses calls that miss their latency target although slots are free a moment later, and the clients of one entry that burst delay those of all others. Change: the gateway's setting "admission" selects "refuse-late" (default, the decisions before) or "serve-late": a call waits while it is expected to be answered before its deadline, with calls that overtake it in the estimate; fair queueing over entries within a rank; LoadReport.wait_us; Retry-After by the work that is known to come back.

--- a/src/gateway/admission_report.cpp
+++ b/src/gateway/admission_report.cpp
@@ -36,6 +36,8 @@
                      field("started", started),
                      field("started_late", counts.startedLate - before.startedLate),
                      field("refused", refused),
+                     field("refused_busy", counts.refusedBusy - before.refusedBusy),
+                     field("usual_wait_ms", std::chrono::duration_cast<std::chrono::milliseconds>(admission.usualWait()).count()),
                      field("slot_ms", std::chrono::duration_cast<std::chrono::milliseconds>(slotTime).count()),
                      field("running", admission.runningCount(origin)),
                      field("waiting", waiting) });
@@ -43,6 +45,16 @@
         .Increment(static_cast<double>(started));
     m_metrics.counter("toucandeck_calls_refused_total", "Calls refused before the backend server, by origin", { { "origin", name } })
         .Increment(static_cast<double>(refused));
+    m_metrics
+        .counter("toucandeck_calls_busy_total",
+                 "Calls refused because another backend server runs them sooner, by origin",
+                 { { "origin", name } })
+        .Increment(static_cast<double>(counts.refusedBusy - before.refusedBusy));
+    m_metrics
+        .counter("toucandeck_calls_started_late_total",
+                 "Calls started that were expected to miss their latency target, by origin",
+                 { { "origin", name } })
+        .Increment(static_cast<double>(counts.startedLate - before.startedLate));
     m_metrics.counter("toucandeck_slot_seconds_total", "Time for which calls occupied slots, by origin", { { "origin", name } })
         .Increment(std::chrono::duration<double>(slotTime).count());
 }
--- a/src/gateway/admission_tally.cpp
+++ b/src/gateway/admission_tally.cpp
@@ -22,9 +22,11 @@
     counts.slotTime += slotTime;
 }
 
-void AdmissionTally::recordRefusal(const Call &call)
+void AdmissionTally::recordRefusal(const Call &call, wire::CallReason reason)
 {
-    ++countsFor(call).refused;
+    auto &counts = countsFor(call);
+    ++counts.refused;
+    counts.refusedBusy += reason == wire::BUSY ? 1 : 0;
 }
 
 const AdmissionTally::Counts &AdmissionTally::of(CallOrigin origin) const
--- a/src/gateway/admission_tally.h
+++ b/src/gateway/admission_tally.h
@@ -16,6 +16,7 @@
         std::uint64_t started = 0;
         std::uint64_t startedLate = 0; ///< Started when they were expected to miss their latency target.
         std::uint64_t refused = 0;
+        std::uint64_t refusedBusy = 0; ///< Of these, because another backend server is expected to run the call sooner.
         std::uint64_t ended = 0; ///< Answered, failed or cancelled while running.
         Duration slotTime{}; ///< Total time for which the ended calls occupied their slots.
     };
@@ -23,7 +24,7 @@
     /// @param late if the call is expected to miss its latency target.
     void recordStart(const Call &call, bool late);
     void recordEnd(const Call &call, Duration slotTime);
-    void recordRefusal(const Call &call);
+    void recordRefusal(const Call &call, wire::CallReason reason);
 
     const Counts &of(CallOrigin origin) const;
 
--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -3,6 +3,7 @@
 #include "gateway/events.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace Toucandeck
 {
@@ -13,11 +14,23 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// Longest queueing delay of a call that misses its latency target, as a share of the time left until its deadline. Calls that wait
-/// longer are mostly not answered in time.
-constexpr double kLateWaitShare = 0.15;
+/// Calls that overtake a late one leave it at least this share of the slots: the rate of arrivals is known by an average only.
+constexpr double kMinShareOfLate = 0.05;
+/// The same for the calls that clients repeat, which may wait at most a third of their time.
+constexpr double kMinShareOfReturning = 0.25;
+constexpr double kLongestRetryShare = 1.0 / 3; ///< Clients wait at most this share of their time left before they retry.
+/// Checking all waiting calls costs a sort of the queue, so it is not done with each call.
+constexpr milliseconds kReviewInterval{ 20 };
 constexpr double kFailureSmoothing = 0.05; ///< Weight of the latest call in the moving average of failures.
 
+std::unique_ptr<AdmissionRule> ruleOf(AdmissionPolicy policy)
+{
+    if (policy == AdmissionPolicy::ServeLate) {
+        return std::make_unique<ServeLateRule>();
+    }
+    return std::make_unique<RefuseLateRule>();
+}
+
 milliseconds inMs(Duration it)
 {
     return duration_cast<milliseconds>(it);
@@ -25,12 +38,18 @@
 
 } // namespace
 
-BackendAdmission::BackendAdmission(
-    const Clock &clock, Logger &logger, const BackendStatus &backendStatus, BackendPort &port, const QueueOrder &order)
+BackendAdmission::BackendAdmission(const Clock &clock,
+                                   Logger &logger,
+                                   const BackendStatus &backendStatus,
+                                   BackendPort &port,
+                                   const QueueOrder &order,
+                                   AdmissionPolicy policy)
     : m_clock(clock)
     , m_logger(logger)
     , m_backendStatus(backendStatus)
     , m_port(port)
+    , m_policy(policy)
+    , m_rule(ruleOf(policy))
     , m_queue(order)
 {
 }
@@ -49,6 +68,7 @@
     const auto now = m_clock.now();
     const auto serviceTime = m_serviceTimes.expected(call);
     WaitingCall waiting{ id, std::move(call), std::move(done), now, serviceTime };
+    waiting.fairTag = m_queue.fairTag(waiting.call);
     const auto reason = m_backendStatus.refusal(waiting.call);
     if (reason != wire::NONE) {
         refuse(waiting, reason);
@@ -62,6 +82,7 @@
         refuse(waiting, wire::BUSY);
         return id;
     }
+    recordOffered(waiting);
     m_queue.push(std::move(waiting));
     processQueue();
     return id;
@@ -72,28 +93,109 @@
     return duration_cast<Duration>(call.serviceTime * m_slowness.relative(m_clock.now()));
 }
 
-Duration BackendAdmission::expectedQueueingDelay(const WaitingCall &call) const
+void BackendAdmission::recordOffered(const WaitingCall &call)
 {
-    const auto slots = std::max(1U, m_backendStatus.slots());
-    if (m_running.size() + m_queue.size() < slots) {
-        return {};
+    const auto now = m_clock.now();
+    if (call.call.nested) {
+        m_offeredWork.recordNested(call.serviceTime, now);
+    } else if (now + currentServiceTime(call) <= call.call.targetTime) {
+        m_offeredWork.recordClient(call.call.rank, call.serviceTime, now);
     }
-    const auto untilSlotIsFree = m_running.size() < slots ? Duration::zero() : m_serviceTimes.mean() / slots;
-    return duration_cast<Duration>((untilSlotIsFree + delayByCallsBefore(call)) * m_slowness.relative(m_clock.now()));
 }
 
-Duration BackendAdmission::delayByCallsBefore(const WaitingCall &call) const
+bool BackendAdmission::hasFreeSlot() const
+{
+    return m_running.size() + m_queue.size() < std::max(1U, m_backendStatus.slots());
+}
+
+BackendAdmission::WorkBefore BackendAdmission::workBefore(const WaitingCall &call) const
 {
     const auto now = m_clock.now();
+    WorkBefore before{ m_queue.serviceTimeBefore(call, now), {} };
+    if (!call.call.nested) {
+        before.clients = m_queue.clientServiceTimeBefore(call, now);
+    }
+    return before;
+}
+
+CallProspect BackendAdmission::prospect(const WaitingCall &call, const WorkBefore &before) const
+{
+    const auto now = m_clock.now();
+    CallProspect it{ call.call, now, now - call.enqueuedAt, {}, {}, currentServiceTime(call) };
+    if (hasFreeSlot()) {
+        return it;
+    }
+    const double slowness = m_slowness.relative(now);
+    if (m_policy == AdmissionPolicy::RefuseLate || call.call.nested) {
+        it.wait = duration_cast<Duration>(delayByCallsBefore(call, before) * slowness);
+        it.waitIfLate = it.wait;
+        return it;
+    }
+    it.wait = duration_cast<Duration>(delayWithOvertakers(call.call.rank, before) * slowness);
+    it.waitIfLate = duration_cast<Duration>(delayWithOvertakers(call.call.rank + 1, before) * slowness);
+    return it;
+}
+
+Duration BackendAdmission::expectedQueueingDelay(const WaitingCall &call) const
+{
+    return prospect(call, workBefore(call)).expectedWait();
+}
+
+Duration BackendAdmission::delayByCallsBefore(const WaitingCall &call, const WorkBefore &before) const
+{
     const auto slots = std::max(1U, m_backendStatus.slots());
     const auto shares = slotShares();
-    const auto serviceTimeBefore = m_queue.serviceTimeBefore(call, now);
+    const auto untilSlotIsFree = m_running.size() < slots ? Duration::zero() : m_serviceTimes.mean() / slots;
     if (call.call.nested) {
         const auto clientsBefore = m_serviceTimes.mean() * static_cast<std::int64_t>(shares.clientsBeforeNested());
-        return serviceTimeBefore / static_cast<std::int64_t>(shares.leftForNested()) + clientsBefore / slots;
+        return untilSlotIsFree + before.all / static_cast<std::int64_t>(shares.leftForNested()) + clientsBefore / slots;
+    }
+    const auto byGuarantee = before.clients / static_cast<std::int64_t>(shares.guaranteedToClients());
+    return untilSlotIsFree + std::min<Duration>(before.all / slots, byGuarantee);
+}
+
+Duration BackendAdmission::delayWithOvertakers(std::uint32_t rank, const WorkBefore &before) const
+{
+    const auto now = m_clock.now();
+    const double slots = std::max(1U, m_backendStatus.slots());
+    const double least = slots * kMinShareOfLate;
+    const double overtakers = m_offeredWork.clientSlotsBefore(rank, now);
+    const double guaranteed = std::max(least, static_cast<double>(slotShares().guaranteedToClients()) - overtakers);
+    const double shared = std::max(least, slots - overtakers - m_offeredWork.nestedSlots(now));
+    const auto untilSlotIsFree = static_cast<double>(m_running.size()) < slots ? Duration::zero() : m_serviceTimes.mean();
+    return std::min(duration_cast<Duration>((untilSlotIsFree + before.all) / shared),
+                    duration_cast<Duration>((untilSlotIsFree + before.clients) / guaranteed));
+}
+
+Duration BackendAdmission::usualWait() const
+{
+    if (hasFreeSlot()) {
+        return {};
     }
-    const auto byGuarantee = m_queue.clientServiceTimeBefore(call, now) / static_cast<std::int64_t>(shares.guaranteedToClients());
-    return std::min<Duration>(serviceTimeBefore / slots, byGuarantee);
+    const auto now = m_clock.now();
+    WaitingCall probe;
+    probe.id = m_nextId;
+    probe.call.rank = m_offeredWork.middleRank(now);
+    probe.call.targetTime = TimePoint::max();
+    probe.call.deadline = TimePoint::max();
+    probe.enqueuedAt = now;
+    probe.fairTag = m_queue.fairTag(probe.call);
+    return prospect(probe, workBefore(probe)).wait;
+}
+
+Duration BackendAdmission::retryDelay(const Call &call)
+{
+    const auto now = m_clock.now();
+    const double slots = std::max(1U, m_backendStatus.slots());
+    const double free = slots - m_offeredWork.nestedSlots(now) - m_offeredWork.clientSlotsBefore(call.rank + 1, now);
+    const auto work = m_serviceTimes.mean() + m_queue.serviceTime() + m_returningWork.pending(now);
+    const auto delay = duration_cast<Duration>(work * m_slowness.relative(now) / std::max(slots * kMinShareOfReturning, free));
+    const auto returnsAfter = std::min(delay, duration_cast<Duration>((call.deadline - now) * kLongestRetryShare));
+    const auto serviceTime = m_serviceTimes.expected(call);
+    if (!call.nested && now + returnsAfter + serviceTime <= call.deadline) {
+        m_returningWork.record(now + returnsAfter, serviceTime, now);
+    }
+    return delay;
 }
 
 SlotShares BackendAdmission::slotShares() const
@@ -110,19 +212,30 @@
 
 bool BackendAdmission::isInfeasible(const WaitingCall &call) const
 {
+    return m_rule->refuses(prospect(call, workBefore(call)));
+}
+
+std::vector<WaitingCall> BackendAdmission::removeInfeasible()
+{
+    if (m_policy == AdmissionPolicy::RefuseLate) {
+        return m_queue.removeIf([this](const WaitingCall &it) { return isInfeasible(it); });
+    }
     const auto now = m_clock.now();
-    const auto wait = expectedQueueingDelay(call);
-    const auto serviceTime = currentServiceTime(call);
-    const auto left = call.call.deadline - now;
-    if (wait + serviceTime > left) {
-        return true;
+    if (m_queue.size() == 0 || now - m_lastReview < kReviewInterval) {
+        return {};
     }
-    if (call.call.nested) {
-        return false; // A refusal would waste what its parent has done, a late answer does not.
+    m_lastReview = now;
+    WorkBefore before;
+    std::unordered_set<std::uint64_t> infeasible;
+    for (const auto *it : m_queue.inOrder(now)) {
+        if (m_rule->refuses(prospect(*it, before))) {
+            infeasible.insert(it->id);
+            continue;
+        }
+        before.all += it->serviceTime;
+        before.clients += it->call.nested ? Duration::zero() : it->serviceTime;
     }
-    const bool missesTarget = now + wait + serviceTime > call.call.targetTime;
-    const auto totalDelay = (now - call.enqueuedAt) + wait;
-    return missesTarget && totalDelay > left * kLateWaitShare;
+    return m_queue.removeIf([&infeasible](const WaitingCall &it) { return infeasible.contains(it.id); });
 }
 
 void BackendAdmission::processQueue()
@@ -145,7 +258,7 @@
         }
         dispatch(std::move(*call));
     }
-    auto infeasible = m_queue.removeIf([this](const WaitingCall &it) { return isInfeasible(it); });
+    auto infeasible = removeInfeasible();
     m_processing = false;
     for (const auto &it : refused) {
         const auto reason = m_backendStatus.refusal(it.call);
@@ -219,7 +332,7 @@
 void BackendAdmission::refuse(const WaitingCall &call, wire::CallReason reason)
 {
     const auto wait = expectedQueueingDelay(call);
-    m_tally.recordRefusal(call.call);
+    m_tally.recordRefusal(call.call, reason);
     m_logger.write(GatewayEvents::kCallRefused,
                    { field("request", call.call.requestId),
                      field("service", call.call.service),
@@ -232,7 +345,9 @@
                      field("running", m_running.size()),
                      field("waiting", m_queue.size()),
                      field("cold", m_backendStatus.isCold()) });
-    auto result = notRun(reason, wait);
+    const bool lacksSlots = reason == wire::OVERLOADED || reason == wire::DEADLINE;
+    const bool forecasts = m_policy == AdmissionPolicy::ServeLate && lacksSlots;
+    auto result = notRun(reason, forecasts ? retryDelay(call.call) : wait);
     result.instance = m_backendStatus.instance();
     result.load = loadReport();
     call.done(std::move(result));
@@ -289,6 +404,9 @@
     load.set_failed_permille(static_cast<std::uint32_t>(m_failedShare * 1000));
     load.set_cold(m_backendStatus.isCold());
     load.set_slowness_permille(static_cast<std::uint32_t>(m_slowness.relative(m_clock.now()) * 1000));
+    if (m_policy == AdmissionPolicy::ServeLate) {
+        load.set_wait_us(static_cast<std::uint32_t>(duration_cast<std::chrono::microseconds>(usualWait()).count()));
+    }
     return load;
 }
 
--- a/src/gateway/backend_admission.h
+++ b/src/gateway/backend_admission.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "gateway/admission_policy.h"
+#include "gateway/admission_rule.h"
 #include "gateway/admission_tally.h"
 #include "gateway/backend_port.h"
 #include "gateway/cold_limiter.h"
 #include "gateway/machine_slowness.h"
+#include "gateway/offered_work.h"
+#include "gateway/returning_work.h"
 #include "gateway/service_times.h"
 #include "gateway/slot_shares.h"
 #include "gateway/wait_queue.h"
@@ -13,6 +17,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <unordered_map>
 
 namespace Toucandeck
@@ -33,14 +38,18 @@
 };
 
 /// Admission control for the backend server on this VM. All calls to it, from any gateway, pass through this queue, which limits their
-/// concurrency to its slots and their rate while it is cold. Calls without a free slot are queued by urgency, or refused at once if they
-/// cannot meet their deadline or would miss their latency target after a long wait. SlotShares decides between requests of clients and
-/// nested calls.
+/// concurrency to its slots and their rate while it is cold. Calls without a free slot are queued by urgency, or refused at once as the
+/// AdmissionRule of the policy says. SlotShares decides between requests of clients and nested calls.
 class BackendAdmission
 {
 public:
     /// All arguments must outlive this object.
-    BackendAdmission(const Clock &clock, Logger &logger, const BackendStatus &backendStatus, BackendPort &port, const QueueOrder &order);
+    BackendAdmission(const Clock &clock,
+                     Logger &logger,
+                     const BackendStatus &backendStatus,
+                     BackendPort &port,
+                     const QueueOrder &order,
+                     AdmissionPolicy policy = AdmissionPolicy::RefuseLate);
 
     /// Called with each submitted call, before it is admitted, queued or refused.
     void setSubmitHandler(std::function<void(const Call &)> handler);
@@ -71,6 +80,8 @@
     std::size_t waitingCount(CallOrigin origin) const;
     const AdmissionTally &tally() const;
     Duration meanServiceTime() const;
+    /// Expected queueing delay of a client's call of middle urgency that arrives now.
+    Duration usualWait() const;
 
 private:
     struct RunningCall
@@ -85,13 +96,29 @@
 
     /// Expected service time of a call at the machine's current speed.
     Duration currentServiceTime(const WaitingCall &call) const;
+    /// Service time of the calls that are dispatched before a call.
+    struct WorkBefore
+    {
+        Duration all{};
+        Duration clients{}; ///< Of requests of clients.
+    };
+
+    WorkBefore workBefore(const WaitingCall &call) const;
+    CallProspect prospect(const WaitingCall &call, const WorkBefore &before) const;
     Duration expectedQueueingDelay(const WaitingCall &call) const;
-    /// Time for which the calls before this one occupy the slots that it can get, at the usual speed of the machine.
-    Duration delayByCallsBefore(const WaitingCall &call) const;
+    /// True if the call gets a slot at once.
+    bool hasFreeSlot() const;
+    /// Time for which the calls before occupy the slots that this call can get, at the usual speed of the machine.
+    Duration delayByCallsBefore(const WaitingCall &call, const WorkBefore &before) const;
+    /// The same with the clients' calls of ranks below @p rank that arrive in the meantime.
+    Duration delayWithOvertakers(std::uint32_t rank, const WorkBefore &before) const;
+    /// Time after which a client that is refused now is expected to get a slot.
+    Duration retryDelay(const Call &call);
     SlotShares slotShares() const;
     std::optional<WaitingCall> takeNext();
-    /// True if the call cannot meet its deadline, or misses its latency target after too long a wait.
     bool isInfeasible(const WaitingCall &call) const;
+    std::vector<WaitingCall> removeInfeasible();
+    void recordOffered(const WaitingCall &call);
     std::unordered_map<std::uint64_t, RunningCall>::const_iterator findRunning(std::string_view requestId) const;
     void dispatch(WaitingCall call);
     void finish(std::uint64_t id, CallResult result);
@@ -103,7 +130,12 @@
     const BackendStatus &m_backendStatus;
     BackendPort &m_port;
     std::function<void(const Call &)> m_submitHandler;
+    AdmissionPolicy m_policy;
+    std::unique_ptr<AdmissionRule> m_rule;
     WaitQueue m_queue;
+    OfferedWork m_offeredWork;
+    ReturningWork m_returningWork;
+    TimePoint m_lastReview; ///< When the waiting calls were last checked against the rule.
     ColdLimiter m_coldLimiter;
     ServiceTimes m_serviceTimes; ///< Normalised to the usual speed of the machine.
     MachineSlowness m_slowness;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -29,6 +29,7 @@
     std::uint32_t siblingAnswers = 0; ///< Of a nested call: number of earlier calls of the same request that were answered.
     bool clientRetry = false; ///< The client retries after an attempt without success.
     std::optional<std::uint32_t> key; ///< Below kKeyCount.
+    std::string entry; ///< IP address of the gateway that sent the call; empty if it is this one. Not sent to other gateways.
     Duration maxWait{}; ///< Refused with BUSY if the expected queueing delay is longer; zero is no limit.
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -27,6 +27,14 @@
 constexpr milliseconds kFinalAnswerTime{ 250 };
 constexpr milliseconds kMinIdleTime{ 150 }; ///< The drain is complete after this time without pending requests and calls.
 
+std::unique_ptr<QueueOrder> queueOrder(AdmissionPolicy policy)
+{
+    if (policy == AdmissionPolicy::ServeLate) {
+        return std::make_unique<FairUrgencyOrder>();
+    }
+    return std::make_unique<UrgencyOrder>();
+}
+
 } // namespace
 
 Result<std::unique_ptr<Gateway>> Gateway::create(const GatewayParts &parts, GatewayOptions options)
@@ -49,7 +57,8 @@
     , m_grantCaller(parts.loop, parts.grantCodec, m_options.backend, parts.headers.requestId)
     , m_instance(parts.loop, parts.logger, m_grantCaller, m_options.backend.toString(), m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
-    , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
+    , m_order(queueOrder(m_options.admission))
+    , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, *m_order, m_options.admission)
     , m_admissionReport(parts.logger, parts.metrics)
     , m_calls(parts.loop, m_links, m_admission, m_options.ip)
     , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser },
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission_policy.h"
 #include "gateway/admission_report.h"
 #include "gateway/backend_runner.h"
 #include "gateway/client_request_handler.h"
@@ -23,6 +24,7 @@
     std::vector<std::string> seeds; ///< IP addresses of some controllers.
     double retryShare = 0.08; ///< Retries per request.
     Balancing balancing = Balancing::LeastTime;
+    AdmissionPolicy admission = AdmissionPolicy::RefuseLate;
     Duration heartbeatInterval = kDefaultHeartbeatInterval; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this time, even with pending work.
 };
@@ -85,7 +87,7 @@
     GrantCaller m_grantCaller;
     LocalInstance m_instance;
     BackendRunner m_runner;
-    UrgencyOrder m_order;
+    std::unique_ptr<QueueOrder> m_order;
     BackendAdmission m_admission;
     AdmissionReport m_admissionReport;
     RemoteCalls m_calls;
--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -65,7 +65,9 @@
             reply(channel, id, result);
         }
     };
-    const auto admissionId = m_admission.submit(fromWire(request, arrivedAt), std::move(done));
+    auto call = fromWire(request, arrivedAt);
+    call.entry = channel->peer();
+    const auto admissionId = m_admission.submit(std::move(call), std::move(done));
     auto &calls = m_connections[channel].calls;
     if (const auto it = calls.find(id); it != calls.end()) {
         it->second = admissionId;
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -1,6 +1,7 @@
 #include "gateway/wait_queue.h"
 
 #include <algorithm>
+#include <compare>
 
 namespace Toucandeck
 {
@@ -38,6 +39,25 @@
     return !it.call.nested;
 }
 
+/// Less if @p a is more urgent: nested calls, then the effective rank, then the progress of the parent.
+std::weak_ordering compareUrgency(const WaitingCall &a, const WaitingCall &b, TimePoint now)
+{
+    if (a.call.nested != b.call.nested) {
+        return a.call.nested ? std::weak_ordering::less : std::weak_ordering::greater;
+    }
+    const double rankA = effectiveRank(a, now);
+    const double rankB = effectiveRank(b, now);
+    if (rankA != rankB) {
+        return rankA < rankB ? std::weak_ordering::less : std::weak_ordering::greater;
+    }
+    return b.call.siblingAnswers <=> a.call.siblingAnswers;
+}
+
+bool precedesByTarget(const WaitingCall &a, const WaitingCall &b)
+{
+    return a.call.targetTime != b.call.targetTime ? a.call.targetTime < b.call.targetTime : a.id < b.id;
+}
+
 } // namespace
 
 bool ArrivalOrder::precedes(const WaitingCall &a, const WaitingCall &b, TimePoint /*now*/) const
@@ -47,21 +67,17 @@
 
 bool UrgencyOrder::precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const
 {
-    if (a.call.nested != b.call.nested) {
-        return a.call.nested;
-    }
-    const double rankA = effectiveRank(a, now);
-    const double rankB = effectiveRank(b, now);
-    if (rankA != rankB) {
-        return rankA < rankB;
-    }
-    if (a.call.siblingAnswers != b.call.siblingAnswers) {
-        return a.call.siblingAnswers > b.call.siblingAnswers;
-    }
-    if (a.call.targetTime != b.call.targetTime) {
-        return a.call.targetTime < b.call.targetTime;
+    const auto byUrgency = compareUrgency(a, b, now);
+    return byUrgency != std::weak_ordering::equivalent ? byUrgency < 0 : precedesByTarget(a, b);
+}
+
+bool FairUrgencyOrder::precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const
+{
+    const auto byUrgency = compareUrgency(a, b, now);
+    if (byUrgency != std::weak_ordering::equivalent) {
+        return byUrgency < 0;
     }
-    return a.id < b.id;
+    return a.fairTag != b.fairTag ? a.fairTag < b.fairTag : precedesByTarget(a, b);
 }
 
 WaitQueue::WaitQueue(const QueueOrder &order)
@@ -71,6 +87,9 @@
 
 void WaitQueue::push(WaitingCall call)
 {
+    call.fairTag = fairTag(call.call);
+    ++m_counts.at(static_cast<std::size_t>(originOf(call.call)));
+    m_shares.charge(call.call, call.fairTag, call.serviceTime);
     m_calls.push_back(std::move(call));
 }
 
@@ -97,6 +116,8 @@
     }
     auto call = std::move(*first);
     m_calls.erase(first);
+    --m_counts.at(static_cast<std::size_t>(originOf(call.call)));
+    m_shares.recordDispatch(call.call, call.fairTag);
     return call;
 }
 
@@ -108,9 +129,46 @@
     }
     auto call = std::move(*it);
     m_calls.erase(it);
+    refund(call);
     return call;
 }
 
+void WaitQueue::refund(const WaitingCall &removed)
+{
+    --m_counts.at(static_cast<std::size_t>(originOf(removed.call)));
+    m_shares.refund(removed.call, removed.serviceTime);
+    for (auto &it : m_calls) {
+        if (it.fairTag > removed.fairTag && FairShares::sameShare(it.call, removed.call)) {
+            it.fairTag -= removed.serviceTime;
+        }
+    }
+}
+
+Duration WaitQueue::fairTag(const Call &call) const
+{
+    return m_shares.startTag(call);
+}
+
+std::vector<const WaitingCall *> WaitQueue::inOrder(TimePoint now) const
+{
+    std::vector<const WaitingCall *> calls;
+    calls.reserve(m_calls.size());
+    for (const auto &it : m_calls) {
+        calls.push_back(&it);
+    }
+    std::sort(calls.begin(), calls.end(), [this, now](const auto *a, const auto *b) { return m_order.precedes(*a, *b, now); });
+    return calls;
+}
+
+Duration WaitQueue::serviceTime() const
+{
+    Duration sum{};
+    for (const auto &it : m_calls) {
+        sum += it.serviceTime;
+    }
+    return sum;
+}
+
 Duration WaitQueue::serviceTimeBefore(const WaitingCall &call, TimePoint now) const
 {
     return serviceTimeBeforeIf(isAny, call, now);
@@ -139,8 +197,7 @@
 
 std::size_t WaitQueue::count(CallOrigin origin) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_calls.begin(), m_calls.end(), [origin](const auto &it) { return originOf(it.call) == origin; }));
+    return m_counts.at(static_cast<std::size_t>(origin));
 }
 
 } // namespace Toucandeck
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "gateway/call.h"
+#include "gateway/fair_shares.h"
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <optional>
@@ -18,6 +19,7 @@
     CallDone done;
     TimePoint enqueuedAt;
     Duration serviceTime; ///< Expected service time.
+    Duration fairTag{}; ///< Start tag of FairShares, set by the queue.
 };
 
 /// Strategy that decides which waiting call is dispatched next.
@@ -47,6 +49,13 @@
     bool precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const override;
 };
 
+/// The same, but calls of equal rank and urgency share the slots equally between the entry gateways that sent them (see FairShares).
+class FairUrgencyOrder : public QueueOrder
+{
+public:
+    bool precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const override;
+};
+
 /// Calls that wait for a slot of one backend server.
 class WaitQueue
 {
@@ -60,6 +69,15 @@
     std::optional<WaitingCall> popFirstOfClients(TimePoint now);
     std::optional<WaitingCall> remove(std::uint64_t id);
 
+    /// Tag of FairShares that the call gets if it is pushed now.
+    Duration fairTag(const Call &call) const;
+
+    /// The calls in the order in which they would be dispatched now. Valid until the queue changes.
+    std::vector<const WaitingCall *> inOrder(TimePoint now) const;
+
+    /// Total service time of all calls.
+    Duration serviceTime() const;
+
     /// Total service time of the calls that would be dispatched before this one.
     Duration serviceTimeBefore(const WaitingCall &call, TimePoint now) const;
     /// The same for requests of clients only.
@@ -78,6 +96,9 @@
                 ++it;
             }
         }
+        for (auto it = removed.rbegin(); it != removed.rend(); ++it) {
+            refund(*it); // The latest first, so that the tags of the calls between them still tell which come later.
+        }
         return removed;
     }
 
@@ -89,10 +110,14 @@
     using Predicate = bool (*)(const WaitingCall &);
 
     std::optional<WaitingCall> popFirstIf(Predicate predicate, TimePoint now);
+    /// Handles a call that has left the queue without being dispatched.
+    void refund(const WaitingCall &removed);
     Duration serviceTimeBeforeIf(Predicate predicate, const WaitingCall &call, TimePoint now) const;
 
     const QueueOrder &m_order;
     std::list<WaitingCall> m_calls;
+    std::array<std::size_t, kCallOriginCount> m_counts{}; ///< By origin.
+    FairShares m_shares;
 };
 
 } // namespace Toucandeck
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -93,6 +93,7 @@
     options.seeds = m_settings.seedIps();
     options.retryShare = m_settings.retryShare;
     options.balancing = m_settings.balancing;
+    options.admission = m_settings.admission;
     options.heartbeatInterval = m_settings.heartbeatInterval;
     options.shutdownLimit = m_settings.shutdownLimit - kShutdownReserve;
     const GatewayParts parts{
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -69,6 +69,18 @@
     return fail(ErrorCode::InvalidArgument, fmt::format("settings: balancing \"{}\" is neither least-time nor capacity", text));
 }
 
+Result<AdmissionPolicy> readAdmission(const JsonFields &fields)
+{
+    BOOST_LEAF_AUTO(text, fields.text("admission", "refuse-late"));
+    if (text == "refuse-late") {
+        return AdmissionPolicy::RefuseLate;
+    }
+    if (text == "serve-late") {
+        return AdmissionPolicy::ServeLate;
+    }
+    return fail(ErrorCode::InvalidArgument, fmt::format("settings: admission \"{}\" is neither refuse-late nor serve-late", text));
+}
+
 Result<std::vector<SocketAddress>> readSeeds(const JsonFields &fields)
 {
     BOOST_LEAF_AUTO(list, fields.value("seeds"));
@@ -94,6 +106,7 @@
     BOOST_LEAF_ASSIGN(out.ready, readAddress(fields, "ready"));
     BOOST_LEAF_ASSIGN(out.retryShare, fields.fraction("retryShare", 0.08));
     BOOST_LEAF_ASSIGN(out.balancing, readBalancing(fields));
+    BOOST_LEAF_ASSIGN(out.admission, readAdmission(fields));
     BOOST_LEAF_ASSIGN(out.heartbeatInterval, fields.time("heartbeatInterval", kDefaultHeartbeatInterval));
     if (out.heartbeatInterval <= Duration::zero()) {
         return fail(ErrorCode::InvalidArgument, "settings: field \"heartbeatInterval\" must be positive");
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -2,6 +2,7 @@
 
 #include "common/result.h"
 #include "common/time.h"
+#include "gateway/admission_policy.h"
 #include "gateway/balancing.h"
 #include "link/socket_address.h"
 #include "log/event.h"
@@ -40,6 +41,7 @@
     SocketAddress ready; ///< Listens for readiness checks.
     double retryShare = 0; ///< Maximum ratio of retries to requests, over all gateways.
     Balancing balancing = Balancing::LeastTime; ///< Choice among the backend servers of services without keys.
+    AdmissionPolicy admission = AdmissionPolicy::RefuseLate; ///< Calls that are expected to miss their latency target.
     Duration heartbeatInterval{}; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit{}; ///< Maximum duration of a graceful shutdown.
 
