Bound the wait of late calls by the length of the overload, and test serve-late under overload

Cause: a fixed share of the slots for late calls either refuses clients that could be served after a peak or holds calls until their deadline in a lasting overload; start tags of different ranks were compared.

--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -14,13 +14,14 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// Calls that overtake a late one leave it at least this share of the slots: the rate of arrivals is known by an average only.
-constexpr double kMinShareOfLate = 0.05;
-/// The same for the calls that clients repeat, which may wait at most a third of their time.
+/// Smallest share of the slots that is taken to be left for calls that clients repeat; they may wait for a third of their time only.
 constexpr double kMinShareOfReturning = 0.25;
 constexpr double kLongestRetryShare = 1.0 / 3; ///< Clients wait at most this share of their time left before they retry.
 /// Checking all waiting calls costs a sort of the queue, so it is not done with each call.
 constexpr milliseconds kReviewInterval{ 20 };
+constexpr std::uint32_t kLateRanks = 1; ///< A late call goes after the calls in time of its own rank and of this many less urgent ones.
+/// The slowness of a machine changes several times a second.
+constexpr milliseconds kSlownessPeriod{ 250 };
 constexpr double kFailureSmoothing = 0.05; ///< Weight of the latest call in the moving average of failures.
 
 std::unique_ptr<AdmissionRule> ruleOf(AdmissionPolicy policy)
@@ -31,6 +32,13 @@
     return std::make_unique<RefuseLateRule>();
 }
 
+/// Time in which a machine of this relative slowness does work that takes @p delay at its usual speed.
+Duration delayAtPresentSpeed(Duration delay, double slowness)
+{
+    const auto workInPeriod = duration_cast<Duration>(kSlownessPeriod / slowness);
+    return delay <= workInPeriod ? duration_cast<Duration>(delay * slowness) : kSlownessPeriod + delay - workInPeriod;
+}
+
 milliseconds inMs(Duration it)
 {
     return duration_cast<milliseconds>(it);
@@ -131,8 +139,8 @@
         it.waitIfLate = it.wait;
         return it;
     }
-    it.wait = duration_cast<Duration>(delayWithOvertakers(call.call.rank, before) * slowness);
-    it.waitIfLate = duration_cast<Duration>(delayWithOvertakers(call.call.rank + 1, before) * slowness);
+    it.wait = delayAtPresentSpeed(delayWithOvertakers(call.call.rank, before), slowness);
+    it.waitIfLate = delayAtPresentSpeed(delayWithOvertakers(call.call.rank + kLateRanks + 1, before), slowness);
     return it;
 }
 
@@ -158,7 +166,7 @@
 {
     const auto now = m_clock.now();
     const double slots = std::max(1U, m_backendStatus.slots());
-    const double least = slots * kMinShareOfLate;
+    const double least = slots * m_lateShare.at(now);
     const double overtakers = m_offeredWork.clientSlotsBefore(rank, now);
     const double guaranteed = std::max(least, static_cast<double>(slotShares().guaranteedToClients()) - overtakers);
     const double shared = std::max(least, slots - overtakers - m_offeredWork.nestedSlots(now));
@@ -258,6 +266,9 @@
         }
         dispatch(std::move(*call));
     }
+    if (hasFreeSlot()) {
+        m_lateShare.recordFreeSlot(now);
+    }
     auto infeasible = removeInfeasible();
     m_processing = false;
     for (const auto &it : refused) {
@@ -281,7 +292,11 @@
 {
     const auto now = m_clock.now();
     m_coldLimiter.record(now);
-    m_tally.recordStart(call.call, now + currentServiceTime(call) > call.call.targetTime);
+    const bool late = now + currentServiceTime(call) > call.call.targetTime;
+    m_tally.recordStart(call.call, late);
+    if (late && !call.call.nested) {
+        m_lateShare.recordStart(call.serviceTime, std::max(1U, m_backendStatus.slots()), now);
+    }
     const auto id = call.id;
     auto &running = m_running[id];
     running = { std::move(call.call), std::move(call.done), now, now - call.enqueuedAt, 0, m_slowness.relative(now) };
--- a/src/gateway/backend_admission.h
+++ b/src/gateway/backend_admission.h
@@ -5,6 +5,7 @@
 #include "gateway/admission_tally.h"
 #include "gateway/backend_port.h"
 #include "gateway/cold_limiter.h"
+#include "gateway/late_share.h"
 #include "gateway/machine_slowness.h"
 #include "gateway/offered_work.h"
 #include "gateway/returning_work.h"
@@ -134,6 +135,7 @@
     std::unique_ptr<AdmissionRule> m_rule;
     WaitQueue m_queue;
     OfferedWork m_offeredWork;
+    LateShare m_lateShare;
     ReturningWork m_returningWork;
     TimePoint m_lastReview; ///< When the waiting calls were last checked against the rule.
     ColdLimiter m_coldLimiter;
--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -77,6 +77,9 @@
     if (byUrgency != std::weak_ordering::equivalent) {
         return byUrgency < 0;
     }
+    if (a.call.rank != b.call.rank) {
+        return a.call.rank > b.call.rank; // The other one is late.
+    }
     return a.fairTag != b.fairTag ? a.fairTag < b.fairTag : precedesByTarget(a, b);
 }
 
--- a/src/gateway/wait_queue.h
+++ b/src/gateway/wait_queue.h
@@ -49,7 +49,8 @@
     bool precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const override;
 };
 
-/// The same, but calls of equal rank and urgency share the slots equally between the entry gateways that sent them (see FairShares).
+/// The same, but a call in time goes before a late one of the next more urgent rank, and calls of one rank share the slots equally
+/// between the entry gateways that sent them (see FairShares).
 class FairUrgencyOrder : public QueueOrder
 {
 public:
--- a/test/gateway/test_admission_under_overload.cpp
+++ b/test/gateway/test_admission_under_overload.cpp
@@ -40,6 +40,7 @@
     std::vector<Kind> kinds;
     double wave = 0; ///< Amplitude of the demand, relative to its mean.
     int retries = 0; ///< Retries of each call after refusals.
+    double slowShare = 0; ///< Share of the time in which the backend server is three times slower, in periods of 250 ms.
 };
 
 struct KindTally
@@ -52,6 +53,17 @@
     int refusals = 0;
     Seconds refusedWait{}; ///< Total queueing delay of the refused calls.
 
+    void add(const KindTally &other)
+    {
+        requests += other.requests;
+        served += other.served;
+        inTime += other.inTime;
+        value += other.value;
+        latency += other.latency;
+        refusals += other.refusals;
+        refusedWait += other.refusedWait;
+    }
+
     double servedShare() const
     {
         return static_cast<double>(served) / requests;
@@ -76,8 +88,10 @@
 class OverloadModel
 {
 public:
-    explicit OverloadModel(AdmissionPolicy policy)
+    OverloadModel(AdmissionPolicy policy, std::uint32_t seed)
         : m_admission(m_clock, m_logger, m_backendStatus, m_backend, order(policy), policy)
+        , m_arrivals(seed)
+        , m_speeds(seed)
     {
         m_backendStatus.m_slots = kSlots;
     }
@@ -89,11 +103,14 @@
         m_tallies.resize(pattern.kinds.size());
         for (int ms = 0; ms < 30'000; ++ms) {
             m_clock.advance(milliseconds(1));
+            if (ms % 250 == 0) {
+                m_slowness = m_speeds.unit() < pattern.slowShare ? 3 : 1;
+            }
             const double demand = 1 + pattern.wave * std::sin(2 * std::numbers::pi * ms / 15'000);
             for (std::size_t kind = 0; kind < pattern.kinds.size(); ++kind) {
-                if (m_random.unit() < pattern.kinds[kind].perSecond() * demand / 1000) {
+                if (m_arrivals.unit() < pattern.kinds[kind].perSecond() * demand / 1000) {
                     ++m_tallies[kind].requests;
-                    submit({ kind, m_clock.now(), 0 });
+                    submit({ kind, m_clock.now(), pattern.kinds[kind].serviceTime * (0.5 + m_arrivals.unit()), 0 });
                 }
             }
             submitRetries();
@@ -114,6 +131,7 @@
     {
         std::size_t kind = 0;
         TimePoint firstAttempt;
+        Seconds serviceTime{};
         int retries = 0;
     };
 
@@ -133,7 +151,7 @@
         call.clientRetry = attempt.retries > 0;
         call.nested = kind.nested;
         call.entry = kind.entry;
-        m_serviceTimes[call.requestId] = std::chrono::duration_cast<Duration>(kind.serviceTime * (0.5 + m_random.unit()));
+        m_work[call.requestId] = attempt.serviceTime;
         const auto arrivedAt = m_clock.now();
         m_admission.submit(call, [this, attempt, arrivedAt](const CallResult &result) {
             if (result.outcome == wire::ANSWERED) {
@@ -168,7 +186,8 @@
         }
         const auto left = attempt.firstAttempt + m_pattern.kinds[attempt.kind].deadline - m_clock.now();
         const auto delay = std::min<Duration>(left / 3, std::max<Duration>(retryAfter, milliseconds(50)));
-        m_pendingRetries.emplace(m_clock.now() + delay, Attempt{ attempt.kind, attempt.firstAttempt, attempt.retries + 1 });
+        m_pendingRetries.emplace(m_clock.now() + delay,
+                                 Attempt{ attempt.kind, attempt.firstAttempt, attempt.serviceTime, attempt.retries + 1 });
     }
 
     void submitRetries()
@@ -182,19 +201,20 @@
 
     void finishWork()
     {
+        std::vector<std::uint64_t> finished;
         for (const auto &[id, running] : m_backend.m_running) {
-            m_ends.try_emplace(id, m_clock.now() + m_serviceTimes.at(running.first.requestId));
-        }
-        for (auto it = m_ends.begin(); it != m_ends.end();) {
-            if (it->second > m_clock.now()) {
-                ++it;
-                continue;
+            auto &left = m_work.at(running.first.requestId);
+            left -= Seconds(0.001 / m_slowness);
+            if (left <= Seconds::zero()) {
+                finished.push_back(id);
             }
-            auto node = m_backend.m_running.extract(it->first);
-            it = m_ends.erase(it);
+        }
+        for (const auto id : finished) {
+            auto node = m_backend.m_running.extract(id);
             CallResult result;
             result.outcome = wire::ANSWERED;
             result.reachedBackend = true;
+            result.slownessPercent = 100 * m_slowness;
             node.mapped().second(std::move(result));
         }
     }
@@ -204,12 +224,13 @@
     FakeBackendStatus m_backendStatus;
     FakeBackend m_backend;
     BackendAdmission m_admission;
-    SeededRandom m_random{ 20261206 };
+    SeededRandom m_arrivals; ///< Draws arrivals and service times, the same for all policies.
+    SeededRandom m_speeds;
+    double m_slowness = 1;
     LoadPattern m_pattern;
     std::vector<KindTally> m_tallies;
     std::multimap<TimePoint, Attempt> m_pendingRetries;
-    std::map<std::string, Duration> m_serviceTimes;
-    std::map<std::uint64_t, TimePoint> m_ends;
+    std::map<std::string, Seconds> m_work; ///< Work left of each call, in time at the usual speed.
     int m_calls = 0;
     std::size_t m_mostRunning = 0;
 };
@@ -222,6 +243,16 @@
     return it;
 }
 
+Kind patientClients(double slots)
+{
+    auto it = clients(slots);
+    it.serviceTime = milliseconds(240);
+    it.targetLatency = milliseconds(600);
+    it.deadline = milliseconds(4000);
+    it.lateValue = 0.5;
+    return it;
+}
+
 Kind clientsOf(const std::string &entry, double slots)
 {
     auto it = clients(slots);
@@ -240,9 +271,17 @@
     return it;
 }
 
+/// Plays the pattern with several seeds. @return the sums, by kind.
 std::vector<KindTally> play(AdmissionPolicy policy, const LoadPattern &pattern)
 {
-    return OverloadModel(policy).play(pattern);
+    std::vector<KindTally> sums(pattern.kinds.size());
+    for (std::uint32_t seed = 1; seed <= 4; ++seed) {
+        const auto tallies = OverloadModel(policy, seed).play(pattern);
+        for (std::size_t i = 0; i < sums.size(); ++i) {
+            sums[i].add(tallies[i]);
+        }
+    }
+    return sums;
 }
 
 double valueOf(const std::vector<KindTally> &tallies)
@@ -305,6 +344,33 @@
     EXPECT_GT(valueOf(ours), valueOf(naive));
 }
 
+// Load: the same with clients that wait seven times their latency target.
+// Failure: requests are refused though their clients wait until the peak has passed.
+TEST(AdmissionUnderOverload, PatientClientsAreServedAfterAPeak)
+{
+    const auto [ours, naive] = compare({ { patientClients(1.2 * OverloadModel::kSlots / 1.55) }, 0.55 });
+    EXPECT_GT(valueOf(ours), valueOf(naive));
+    EXPECT_GT(ours[0].served, naive[0].served);
+}
+
+// Load: the backend server becomes three times slower for a fifth of the time, in periods of 250 ms.
+// Failure: calls are refused in a slow period as if it lasted.
+TEST(AdmissionUnderOverload, CallsWaitForTheEndOfASlowPeriod)
+{
+    const auto [ours, naive] = compare({ { clients(0.6 * OverloadModel::kSlots) }, 0, 0, 0.2 });
+    EXPECT_GT(valueOf(ours), valueOf(naive));
+    EXPECT_GT(ours[0].served, naive[0].served);
+}
+
+// Load: nested calls in waves that exceed the slots for a short time.
+// Failure: nested calls that could still meet their deadline are refused, and the work of their parents is lost.
+TEST(AdmissionUnderOverload, NestedCallsOutlastAShortPeak)
+{
+    const auto [ours, naive] = compare({ { clients(0.2 * OverloadModel::kSlots), nestedCalls(0.5 * OverloadModel::kSlots) }, 0.4, 0, 0.2 });
+    EXPECT_GT(ours[1].served, naive[1].served);
+    EXPECT_GE(ours[0].servedShare(), 0.98 * naive[0].servedShare());
+}
+
 // Load: lasting overload at 1.5 times the capacity.
 // Failure: late calls that others overtake are held until their deadline and dropped, or take the slots of calls in time.
 TEST(AdmissionUnderOverload, ALastingOverloadHoldsNoCallUntilItsDeadline)
@@ -315,6 +381,14 @@
     EXPECT_GT(ours[0].inTime, 0.9 * ours[0].served);
 }
 
+// Load: the same with clients that wait seven times their latency target.
+TEST(AdmissionUnderOverload, ALastingOverloadHoldsNoPatientClientUntilItsDeadline)
+{
+    const auto [ours, naive] = compare({ { patientClients(1.5 * OverloadModel::kSlots) } });
+    EXPECT_GE(valueOf(ours), valueOf(naive));
+    EXPECT_LT(ours[0].meanRefusedWait(), milliseconds(2000)); // Half of the deadline.
+}
+
 // Load: nested calls and requests of clients need more than all slots together.
 // Failure: a refused nested call wastes the work of its parent; nested calls alone may not take all slots either.
 TEST(AdmissionUnderOverload, NestedCallsAreServedAndClientsKeepTheirGuarantee)
--- a/test/gateway/test_peer_calls.cpp
+++ b/test/gateway/test_peer_calls.cpp
@@ -253,6 +253,14 @@
     EXPECT_TRUE(m_backend.m_sentRequests.empty());
 }
 
+// Guards against a share of slots for all entries together instead of one for each: the address of the entry is not sent with a call.
+TEST_F(PeerServerTest, TellsTheAdmissionWhichEntrySentACall)
+{
+    send("call");
+    ASSERT_TRUE(runUntil([this] { return m_backend.m_running.size() == 1; }));
+    EXPECT_FALSE(m_backend.m_running.begin()->second.first.entry.empty());
+}
+
 // Guards against resetting connections that callers have established but that are not accepted yet when the server stops listening.
 TEST_F(PeerServerTest, AcceptsTheWaitingConnectionsBeforeItStopsListening)
 {
--- a/test/node/test_node_settings.cpp
+++ b/test/node/test_node_settings.cpp
@@ -49,6 +49,17 @@
     EXPECT_NE(errorOf(text).find("\"heartbeatInterval\" must be positive"), std::string::npos);
 }
 
+// Guards against deployments that get another admission policy without their operator's choice.
+TEST(NodeSettings, ReadsTheAdmissionPolicy)
+{
+    auto text = std::string(kGateway);
+    EXPECT_EQ(NodeSettings::parse(text).value().admission, AdmissionPolicy::RefuseLate);
+    text.insert(1, R"("admission":"serve-late",)");
+    EXPECT_EQ(NodeSettings::parse(text).value().admission, AdmissionPolicy::ServeLate);
+    text.replace(text.find("serve-late"), 10, "serve");
+    EXPECT_NE(errorOf(text).find("neither refuse-late nor serve-late"), std::string::npos);
+}
+
 TEST(NodeSettings, NamesTheFieldThatIsWrong)
 {
     EXPECT_NE(errorOf(without(kGateway, "\"backend\":\"10.0.0.1:81\",")).find("\"backend\" is missing"), std::string::npos);
