Test the nested calls of both admission policies with a queue that delays them

Cause: the test of nested calls passed also with the rule of refuse-late, since its calls did not wait.

--- a/src/gateway/wait_queue.cpp
+++ b/src/gateway/wait_queue.cpp
@@ -68,14 +68,14 @@
 bool UrgencyOrder::precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const
 {
     const auto byUrgency = compareUrgency(a, b, now);
-    return byUrgency != std::weak_ordering::equivalent ? byUrgency < 0 : precedesByTarget(a, b);
+    return std::is_neq(byUrgency) ? std::is_lt(byUrgency) : precedesByTarget(a, b);
 }
 
 bool FairUrgencyOrder::precedes(const WaitingCall &a, const WaitingCall &b, TimePoint now) const
 {
     const auto byUrgency = compareUrgency(a, b, now);
-    if (byUrgency != std::weak_ordering::equivalent) {
-        return byUrgency < 0;
+    if (std::is_neq(byUrgency)) {
+        return std::is_lt(byUrgency);
     }
     if (a.call.rank != b.call.rank) {
         return a.call.rank > b.call.rank; // The other one is late.
--- a/test/gateway/test_serve_late.cpp
+++ b/test/gateway/test_serve_late.cpp
@@ -32,6 +32,24 @@
         return m_admission.submit(std::move(call), [this, name](CallResult result) { m_results[name] = std::move(result); });
     }
 
+    Call nestedCall(const std::string &id)
+    {
+        auto call = callNamed(id, m_clock);
+        call.nested = true;
+        call.targetTime = m_clock.now() + milliseconds(100);
+        call.deadline = m_clock.now() + milliseconds(1000);
+        return call;
+    }
+
+    /// Submits nested calls that need 400 ms on the two slots.
+    void submitNestedBurst(BackendAdmission &admission)
+    {
+        for (int i = 0; i < 10; ++i) {
+            const auto name = std::to_string(i);
+            admission.submit(nestedCall(name), [this, name](CallResult result) { m_results[name] = std::move(result); });
+        }
+    }
+
     Call callFrom(const std::string &id, const std::string &entry)
     {
         auto call = callNamed(id, m_clock);
@@ -80,21 +98,24 @@
 // Failure: a nested call that would miss its latency target was refused, and the work of its parent lost.
 TEST_F(ServeLateTest, ANestedCallThatMissesItsTargetWaitsForItsDeadline)
 {
-    for (int i = 0; i < 8; ++i) {
-        submit(callNamed(std::to_string(i), m_clock));
-    }
-    auto nested = callNamed("nested", m_clock);
-    nested.nested = true;
-    nested.targetTime = m_clock.now() + milliseconds(10);
-    submit(nested);
-    EXPECT_EQ(m_results.count("nested"), 0U);
-    auto hopeless = nested;
-    hopeless.requestId = "hopeless";
-    hopeless.deadline = m_clock.now() + milliseconds(50);
+    submitNestedBurst(m_admission);
+    EXPECT_TRUE(m_results.empty());
+    auto hopeless = nestedCall("hopeless");
+    hopeless.deadline = m_clock.now() + milliseconds(300);
     submit(hopeless);
     EXPECT_EQ(m_results.at("hopeless").reason, wire::OVERLOADED);
 }
 
+// Failure: deployments that did not choose the policy get its decisions.
+TEST_F(ServeLateTest, TheDefaultPolicyRefusesNestedCallsThatMissTheirTarget)
+{
+    const UrgencyOrder order;
+    BackendAdmission byDefault(m_clock, m_logger, m_backendStatus, m_backend, order);
+    submitNestedBurst(byDefault);
+    EXPECT_FALSE(m_results.empty());
+    EXPECT_EQ(byDefault.loadReport().wait_us(), 0U);
+}
+
 // Failure: clients that were refused one after the other are all told to come back at the same time.
 TEST_F(ServeLateTest, LaterRefusalsGetLongerDelays)
 {
