--- a/test/gateway/test_serve_late.cpp
+++ b/test/gateway/test_serve_late.cpp
@@ -147,10 +147,12 @@
 // Failure: an entry is charged for calls that it cancelled, and its later calls wait behind those of others.
 TEST_F(ServeLateTest, CancelledCallsDoNotCountAsAShare)
 {
+    constexpr std::size_t kCancelled = 8;
     std::vector<std::uint64_t> ids;
+    ids.reserve(kCancelled);
     submit(callFrom("a", "10.0.0.1"));
     submit(callFrom("b", "10.0.0.1"));
-    for (int i = 0; i < 8; ++i) {
+    for (std::size_t i = 0; i < kCancelled; ++i) {
         ids.push_back(submit(callFrom("burst-" + std::to_string(i), "10.0.0.1")));
     }
     submit(callFrom("other-1", "10.0.0.2"));
