--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -94,6 +94,7 @@
     options.retryShare = m_settings.retryShare;
     options.balancing = m_settings.balancing;
     options.nestedCalls = m_settings.nestedCalls;
+    options.admission = m_settings.admission;
     options.heartbeatInterval = m_settings.heartbeatInterval;
     options.shutdownLimit = m_settings.shutdownLimit - kShutdownReserve;
     const GatewayParts parts{
