--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -116,14 +116,19 @@
     *out.mutable_load() = result.load;
     out.set_elapsed_us(static_cast<std::uint32_t>(duration_cast<microseconds>(result.elapsed).count()));
     for (const auto &it : result.peers) {
-        auto *peer = out.add_peers();
-        peer->set_router(it.gateway);
-        *peer->mutable_load() = it.load;
-        peer->set_age_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(it.age).count()));
+        addTo(out, it);
     }
     return out;
 }
 
+void addTo(wire::CallReply &reply, const PeerReport &report)
+{
+    auto *peer = reply.add_peers();
+    peer->set_router(report.gateway);
+    *peer->mutable_load() = report.load;
+    peer->set_age_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(report.age).count()));
+}
+
 CallResult fromWire(const wire::CallReply &reply)
 {
     CallResult result;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -78,5 +78,7 @@
 Call fromWire(const wire::CallRequest &request, TimePoint now);
 wire::CallReply toWire(const CallResult &result);
 CallResult fromWire(const wire::CallReply &reply);
+/// Adds a report that a reply passes on.
+void addTo(wire::CallReply &reply, const PeerReport &report);
 
 } // namespace Toucandeck
--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -1,10 +1,6 @@
 #include "gateway/call_router.h"
 
-#include "gateway/candidate_sample.h"
-#include "gateway/capacity_weight.h"
 #include "gateway/events.h"
-#include "gateway/load_estimate.h"
-#include "gateway/weighted_sample.h"
 
 #include <algorithm>
 
@@ -24,22 +20,18 @@
 constexpr milliseconds kReservedServiceTime{ 100 }; ///< Waiting until the latency target would leave no time to run the call.
 /// Consecutive failed connections to a gateway after which calls for its keys are refused without a wait.
 constexpr int kFailuresForUnreachable = 2;
-constexpr std::uint32_t kNormalSlownessPermille = 1000;
 constexpr double kRetryBurst = 4; ///< Retries that one gateway can accumulate; all gateways share the slack of the budget.
 constexpr milliseconds kMinTimeForRetry{ 20 };
-constexpr std::size_t kComparedByCapacity = 3; ///< The more are compared, the more entries choose the same one at a time.
 constexpr std::uint32_t kMaxRedirections = 2;
 constexpr std::size_t kReportsPerReply = 3; ///< Reports of other backend servers in a reply.
-constexpr milliseconds kSlownessTimeConstant{ 200 }; ///< Machines change their speed several times a second.
 
 } // namespace
 
 CallRouter::CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare, Balancing balancing)
     : m_parts(parts)
-    , m_ownDomain(std::move(ownDomain))
     , m_retryShare(retryShare)
-    , m_balancing(balancing)
     , m_loads(parts.loop.clock())
+    , m_selector(m_loads, parts.chooser, parts.random, std::move(ownDomain), balancing)
 {
     parts.port.setSilenceHandler([this](std::uint64_t callId) { onSilence(callId); });
 }
@@ -88,88 +80,6 @@
     sendTo(id, it, row->router);
 }
 
-GatewayCandidate CallRouter::makeCandidate(const ListedGateway &gateway) const
-{
-    const auto &load = m_loads.at(gateway.ip);
-    GatewayCandidate candidate;
-    candidate.ip = gateway.ip;
-    candidate.sameDomain = gateway.failureDomain == m_ownDomain;
-    candidate.slots = std::max(1U, gateway.slots);
-    const auto reported = m_loads.isFresh(load) ? load.report.running() + load.report.waiting() + load.sentSinceReport : 0;
-    candidate.pending = static_cast<double>(std::max(reported, load.inFlight));
-    candidate.serviceTime = std::chrono::microseconds(load.report.work_us());
-    if (load.report.slowness_permille() != 0 && m_loads.isFresh(load)) {
-        // Only a slowdown counts: otherwise the gateway used last would be preferred to all gateways without a recent report.
-        candidate.serviceTime
-            = candidate.serviceTime * std::max(kNormalSlownessPermille, load.report.slowness_permille()) / kNormalSlownessPermille;
-    }
-    candidate.failedShare = load.report.failed_permille() / 1000.0;
-    candidate.cold = load.report.cold();
-    candidate.suspect = m_loads.isSuspect(gateway.ip);
-    return candidate;
-}
-
-GatewayCandidate CallRouter::estimateCandidate(const ListedGateway &gateway) const
-{
-    const auto &load = m_loads.at(gateway.ip);
-    const auto &service = m_loads.serviceLoad(gateway.service);
-    const auto &report = load.report;
-    GatewayCandidate candidate;
-    candidate.ip = gateway.ip;
-    candidate.sameDomain = gateway.failureDomain == m_ownDomain;
-    candidate.slots = std::max(1U, gateway.slots);
-    const bool known = load.reportedAt != TimePoint();
-    candidate.serviceTime = report.work_us() == 0 ? service.serviceTime : std::chrono::microseconds(report.work_us());
-    if (report.speed_permille() != 0) {
-        candidate.relativeSpeed = report.speed_permille() / 1000.0;
-    } else if (candidate.serviceTime > Duration::zero()) {
-        candidate.relativeSpeed = std::chrono::duration<double>(service.serviceTime) / std::chrono::duration<double>(candidate.serviceTime);
-    }
-    KnownLoad estimate;
-    estimate.age = m_loads.age(load);
-    estimate.reportedCalls = report.running() + report.waiting() + load.sentSinceReport;
-    estimate.usualCalls = (known ? load.usualUtilisation : service.utilisation) * candidate.slots;
-    estimate.ownCalls = load.inFlight;
-    estimate.serviceTime = candidate.serviceTime;
-    candidate.pending = expectedCalls(estimate);
-    const double slowdown = std::max(0.0, report.slowness_permille() / static_cast<double>(kNormalSlownessPermille) - 1);
-    const double slowness = 1 + slowdown * reportWeight(estimate.age, kSlownessTimeConstant);
-    candidate.serviceTime = std::chrono::duration_cast<Duration>(candidate.serviceTime * slowness);
-    candidate.failedShare = report.failed_permille() / 1000.0;
-    candidate.cold = report.cold();
-    candidate.suspect = m_loads.isSuspect(gateway.ip);
-    if (load.transitMeasuredAt != TimePoint()) {
-        candidate.transitTime = m_loads.transitTime(load);
-    }
-    return candidate;
-}
-
-std::vector<GatewayCandidate> CallRouter::sampleCandidates(const std::vector<const ListedGateway *> &eligible)
-{
-    std::vector<GatewayCandidate> candidates;
-    for (const auto *gateway : sampleGateways(eligible, m_ownDomain, m_parts.random)) {
-        candidates.push_back(makeCandidate(*gateway));
-    }
-    return candidates;
-}
-
-std::vector<GatewayCandidate> CallRouter::sampleCandidatesByCapacity(const std::vector<const ListedGateway *> &eligible)
-{
-    std::vector<GatewayCandidate> all;
-    std::vector<double> weights;
-    all.reserve(eligible.size());
-    weights.reserve(eligible.size());
-    for (const auto *gateway : eligible) {
-        all.push_back(estimateCandidate(*gateway));
-        weights.push_back(capacityWeight(all.back()));
-    }
-    std::vector<GatewayCandidate> candidates;
-    for (const auto index : weightedSample(std::move(weights), kComparedByCapacity, m_parts.random)) {
-        candidates.push_back(std::move(all[index]));
-    }
-    return candidates;
-}
-
 std::vector<const ListedGateway *> CallRouter::eligibleGateways(const RoutedCall &it) const
 {
     std::vector<const ListedGateway *> found;
@@ -184,17 +94,15 @@
 
 void CallRouter::attemptAny(std::uint64_t id, const RoutedCallPtr &it)
 {
-    const bool byCapacity = m_balancing == Balancing::Capacity;
-    const auto eligible = eligibleGateways(*it);
-    const auto candidates = byCapacity ? sampleCandidatesByCapacity(eligible) : sampleCandidates(eligible);
-    if (candidates.empty()) {
+    const bool mayRedirect = it->redirections < kMaxRedirections;
+    const auto selection = m_selector.select(eligibleGateways(*it), it->call.request.body.size(), mayRedirect);
+    if (!selection) {
         m_parts.loop.runSoon([this, id, it] { finish(id, it, notRun(wire::NO_INSTANCE)); });
         return;
     }
-    const auto choice = m_parts.chooser.choose(candidates, m_parts.random);
-    const bool mayRedirect = byCapacity && candidates.size() > 1 && it->redirections < kMaxRedirections;
-    it->call.maxWait = mayRedirect ? longestUsefulWait(candidates, choice, it->call.request.body.size()) : Duration::zero();
-    sendTo(id, it, candidates[choice].ip);
+    it->call.maxWait = selection->maxWait;
+    m_counters.recordSelection(selection->reportAge);
+    sendTo(id, it, selection->gateway);
 }
 
 void CallRouter::sendTo(std::uint64_t id, const RoutedCallPtr &it, const std::string &ip)
@@ -217,12 +125,36 @@
 
 std::vector<PeerReport> CallRouter::reportsFor(const std::string &service, const std::string &receiver) const
 {
-    if (m_balancing != Balancing::Capacity) {
-        return {};
+    const auto *known = m_parts.view.service(service);
+    if (m_selector.balancing() != Balancing::Capacity || known == nullptr || known->keyed) {
+        return {}; // The calls of a keyed service have one possible target.
     }
     return m_loads.recentReports(service, receiver, kReportsPerReply, m_parts.random);
 }
 
+const RoutingCounters &CallRouter::counters() const
+{
+    return m_counters;
+}
+
+Duration CallRouter::longestTransitTime() const
+{
+    return m_loads.longestTransitTime();
+}
+
+void CallRouter::recordPeerReports(const std::string &service, const CallResult &result)
+{
+    if (m_selector.balancing() != Balancing::Capacity) {
+        return;
+    }
+    for (const auto &it : result.peers) {
+        const auto *gateway = m_parts.view.gateway(it.gateway);
+        if (gateway != nullptr && gateway->service == service) {
+            m_loads.onPeerReport(service, it);
+        }
+    }
+}
+
 void CallRouter::recordResult(RoutedCall &it, const std::string &gateway, TimePoint sentAt, const CallResult &result)
 {
     if (result.reachedBackend && it.reachedBackends++ == 0) {
@@ -234,9 +166,7 @@
     if (result.elapsed != Duration::zero()) {
         m_loads.recordTransit(gateway, m_parts.loop.clock().now() - sentAt - result.elapsed);
     }
-    for (const auto &peer : result.peers) {
-        m_loads.onPeerReport(it.call.service, peer);
-    }
+    recordPeerReports(it.call.service, result);
 }
 
 void CallRouter::onSilence(std::uint64_t callId)
@@ -358,7 +288,10 @@
         finish(id, it, std::move(result));
         return;
     }
-    it->redirections += result.reason == wire::BUSY ? 1 : 0;
+    if (result.reason == wire::BUSY) {
+        ++it->redirections;
+        ++m_counters.redirected;
+    }
     const bool keyed = isKeyed(*it);
     const bool atInstance = result.reason == wire::REFUSED_BY_INSTANCE;
     if (atInstance && (!mayRetry(*it) || !m_budgets.at(it->call.service).tryAcquire())) {
@@ -407,6 +340,7 @@
 
 void CallRouter::onViewChanged()
 {
+    m_loads.forgetIf([this](const std::string &ip) { return m_parts.view.gateway(ip) == nullptr; });
     const auto copy = m_routedCalls;
     for (const auto &[id, it] : copy) {
         if (it->waitsForHolder) {
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "gateway/balancing.h"
 #include "gateway/call_port.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_chooser.h"
 #include "gateway/gateway_loads.h"
+#include "gateway/gateway_selector.h"
+#include "gateway/routing_counters.h"
 #include "routing/retry_budget.h"
 
 #include "log/logger.h"
@@ -67,6 +68,10 @@
     /// Reports of other backend servers of the service, to be passed on to the receiver of a reply. Empty unless balanced by capacity.
     std::vector<PeerReport> reportsFor(const std::string &service, const std::string &receiver) const;
 
+    const RoutingCounters &counters() const;
+    /// Longest recent transit time over all gateways.
+    Duration longestTransitTime() const;
+
 private:
     /// An attempt whose gateway sends nothing. It stays pending beside its retry, because it may still be answered.
     struct SilentAttempt
@@ -118,18 +123,15 @@
     /// True if the request may be retried after it may have run; takes the retry from the budget.
     bool takeRetry(const RoutedCall &it);
     std::vector<const ListedGateway *> eligibleGateways(const RoutedCall &it) const;
-    GatewayCandidate makeCandidate(const ListedGateway &gateway) const;
-    /// Candidate with the load that is expected now.
-    GatewayCandidate estimateCandidate(const ListedGateway &gateway) const;
-    std::vector<GatewayCandidate> sampleCandidates(const std::vector<const ListedGateway *> &eligible);
-    std::vector<GatewayCandidate> sampleCandidatesByCapacity(const std::vector<const ListedGateway *> &eligible);
+    /// Records the reports that a reply passes on, of gateways that are listed.
+    void recordPeerReports(const std::string &service, const CallResult &result);
     void finish(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
 
     CallRouterParts m_parts;
-    std::string m_ownDomain;
     double m_retryShare;
-    Balancing m_balancing;
     GatewayLoads m_loads;
+    GatewaySelector m_selector;
+    RoutingCounters m_counters;
     std::map<std::string, RetryBudget> m_budgets; ///< By service.
     std::unordered_map<std::uint64_t, RoutedCallPtr> m_routedCalls;
     std::uint64_t m_nextId = 1;
--- a/src/gateway/capacity_weight.cpp
+++ b/src/gateway/capacity_weight.cpp
@@ -11,18 +11,19 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-constexpr double kSameDomainFactor = 3;
+constexpr double kSameDomainFactor = 3; ///< Of a backend server without load; the preference decreases as its slots fill.
 constexpr double kMinSpeed = 0.25; ///< Bounds of the relative speed, so that a wrong report neither starves nor floods a backend server.
 constexpr double kMaxSpeed = 4;
 constexpr Milliseconds kCongestedTransit{ 50 }; ///< Transit time that halves the weight; a link without a queue takes a tenth of it.
 constexpr Milliseconds kRedirectionTime{ 10 }; ///< Round trip and processing of a refusal that leads to another gateway.
+constexpr Milliseconds kMaxUsefulWait{ 60'000 }; ///< Without another candidate; no call waits that long.
 constexpr double kLinkBytesPerMs = 500; ///< Rate at which the narrow link of a VM carries a body.
 
 double queueingMs(const GatewayCandidate &it)
 {
     const double slots = std::max(1U, it.slots);
     const double queued = std::max(0.0, it.pending + 1 - slots);
-    return queued * Milliseconds(it.serviceTime).count() / slots;
+    return queued * LeastTimeChooser::serviceMs(it) / slots;
 }
 
 } // namespace
@@ -33,7 +34,10 @@
         return 0;
     }
     double weight = std::max(1U, candidate.slots) * std::clamp(candidate.relativeSpeed, kMinSpeed, kMaxSpeed);
-    weight *= candidate.sameDomain ? kSameDomainFactor : 1;
+    if (candidate.sameDomain) {
+        const double room = std::clamp(1 - candidate.pending / std::max(1U, candidate.slots), 0.0, 1.0);
+        weight *= 1 + (kSameDomainFactor - 1) * room;
+    }
     weight *= 1 - std::clamp(candidate.failedShare, 0.0, 1.0);
     const Milliseconds transit = candidate.transitTime.value_or(Duration::zero());
     return weight / (1 + transit / kCongestedTransit);
@@ -50,7 +54,8 @@
     const auto &chosen = candidates[choice];
     const double advantageMs = std::max(0.0, nextMs - LeastTimeChooser::expectedMs(chosen));
     const double detourMs = kRedirectionTime.count() + static_cast<double>(bodyBytes) / kLinkBytesPerMs;
-    return std::chrono::duration_cast<Duration>(Milliseconds(queueingMs(chosen) + advantageMs + detourMs));
+    const Milliseconds wait(queueingMs(chosen) + advantageMs + detourMs);
+    return std::chrono::duration_cast<Duration>(std::min(wait, kMaxUsefulWait));
 }
 
 } // namespace Toucandeck
--- a/src/gateway/gateway_chooser.cpp
+++ b/src/gateway/gateway_chooser.cpp
@@ -18,6 +18,17 @@
 constexpr double kColdMs = 150; ///< Per call, the pending ones included; a cold backend server runs only a few per second.
 constexpr double kSuspectMs = 5000;
 
+/// Service time for the comparison, between the mean of the service and the backend server's own.
+double comparedServiceMs(const GatewayCandidate &candidate)
+{
+    const double own = LeastTimeChooser::serviceMs(candidate);
+    if (candidate.usualServiceTime == Duration::zero()) {
+        return own;
+    }
+    const double usual = std::chrono::duration<double, std::milli>(candidate.usualServiceTime).count();
+    return usual + (own - usual) * candidate.speedWeight;
+}
+
 } // namespace
 
 std::size_t RandomChooser::choose(const std::vector<GatewayCandidate> &candidates, RandomSource &random) const
@@ -25,18 +36,24 @@
     return static_cast<std::size_t>(random.below(candidates.size()));
 }
 
+double LeastTimeChooser::serviceMs(const GatewayCandidate &candidate)
+{
+    const bool known = candidate.serviceTime != Duration::zero();
+    return known ? std::chrono::duration<double, std::milli>(candidate.serviceTime).count() : kDefaultServiceTimeMs;
+}
+
 double LeastTimeChooser::expectedMs(const GatewayCandidate &candidate)
 {
-    const double serviceTime = candidate.serviceTime == Duration::zero()
-        ? kDefaultServiceTimeMs
-        : std::chrono::duration<double, std::milli>(candidate.serviceTime).count();
+    const double serviceTime = serviceMs(candidate);
     const double slots = std::max(1U, candidate.slots);
     const double pending = candidate.pending;
     const double queued = std::max(0.0, pending + 1 - slots);
     const double busy = std::min(1.0, pending / slots);
-    double ms = serviceTime * (1 + kBusySlowdown * busy * busy) + queued * serviceTime / slots;
+    double ms = comparedServiceMs(candidate) * (1 + kBusySlowdown * busy * busy) + queued * serviceTime / slots;
     if (candidate.transitTime) {
-        ms += std::chrono::duration<double, std::milli>(*candidate.transitTime).count();
+        // The mean of the measured times decreases without calls, but not below the usual time.
+        const double usualMs = candidate.sameDomain ? 0 : kOtherDomainMs;
+        ms += std::max(std::chrono::duration<double, std::milli>(*candidate.transitTime).count(), usualMs);
         ms += candidate.sameDomain ? 0 : kOtherDomainShare * serviceTime;
     } else {
         ms += candidate.sameDomain ? 0 : kOtherDomainMs + kOtherDomainShare * serviceTime;
--- a/src/gateway/gateway_chooser.h
+++ b/src/gateway/gateway_chooser.h
@@ -24,6 +24,9 @@
     double failedShare = 0; ///< Share of its recent calls that failed.
     bool cold = false;
     bool suspect = false; ///< Its connection failed recently.
+    Duration usualServiceTime{}; ///< Mean of its service; zero if unknown.
+    /// 1: faster backend servers are preferred. 0: only the load is compared, since work is spread by capacity already.
+    double speedWeight = 1;
 };
 
 /// Chooses among gateways for calls that any backend server of a service can run.
@@ -51,6 +54,8 @@
 
     /// Expected time to an answer in milliseconds, including penalties for failures.
     static double expectedMs(const GatewayCandidate &candidate);
+    /// Service time in milliseconds; an initial estimate if it is unknown.
+    static double serviceMs(const GatewayCandidate &candidate);
 };
 
 } // namespace Toucandeck
--- a/src/gateway/gateway_loads.cpp
+++ b/src/gateway/gateway_loads.cpp
@@ -17,10 +17,34 @@
 constexpr milliseconds kReportAge{ 400 }; ///< An older report says little about the current load.
 constexpr milliseconds kMaxPassedOnAge{ 1000 }; ///< Older reports are not passed on to other gateways.
 constexpr std::chrono::seconds kUsualTimeConstant{ 2 }; ///< Of the mean utilisation of one backend server.
-constexpr double kServiceSmoothing = 0.02; ///< Weight of the latest report in the means of a service.
+constexpr std::uint32_t kReportsInMean = 50; ///< Number of reports that the means of a service represent.
+constexpr double kMaxUtilisation = 8; ///< Bound for wrong reports, in calls per slot.
+constexpr std::size_t kMaxSentTimes = 64; ///< Calls to one gateway between two of its reports; there are rarely more than a few.
+constexpr std::size_t kMaxPassedOnBytes = 60; ///< In one reply; links of VMs are narrow.
+constexpr std::size_t kDrawnPerReport = 2; ///< Reports drawn for each that is passed on, so that receivers get different ones.
 constexpr double kTransitSmoothing = 0.3; ///< Weight of the latest round trip.
 constexpr std::chrono::seconds kTransitTimeConstant{ 1 }; ///< Time over which the transit time is forgotten without calls.
 
+/// The fields of a report that are passed on to other gateways.
+wire::LoadReport loadFieldsOf(const wire::LoadReport &report)
+{
+    wire::LoadReport load;
+    load.set_running(report.running());
+    load.set_waiting(report.waiting());
+    load.set_slots(report.slots());
+    load.set_work_us(report.work_us());
+    load.set_cold(report.cold());
+    return load;
+}
+
+/// Bytes that the report adds to a reply.
+std::size_t encodedSize(const PeerReport &report)
+{
+    wire::CallReply reply;
+    addTo(reply, report);
+    return reply.ByteSizeLong();
+}
+
 } // namespace
 
 GatewayLoads::GatewayLoads(const Clock &clock)
@@ -33,6 +57,9 @@
     auto &load = m_loads[ip];
     ++load.inFlight;
     ++load.sentSinceReport;
+    if (load.sentAt.size() < kMaxSentTimes) {
+        load.sentAt.push_back(m_clock.now());
+    }
 }
 
 void GatewayLoads::onCallCancelled(const std::string &ip)
@@ -65,33 +92,64 @@
 
 void GatewayLoads::setReport(GatewayLoad &load, const wire::LoadReport &report, TimePoint at)
 {
-    const double slots = std::max(1U, report.slots());
-    const double utilisation = (report.running() + report.waiting()) / slots;
+    updateMeans(load, report, at);
+    load.report = report;
+    load.reportedAt = at;
+    const auto isReported = [at](TimePoint it) { return it <= at; };
+    load.sentAt.erase(std::remove_if(load.sentAt.begin(), load.sentAt.end(), isReported), load.sentAt.end());
+    load.sentSinceReport = static_cast<std::uint32_t>(load.sentAt.size());
+}
+
+void GatewayLoads::updateMeans(GatewayLoad &load, const wire::LoadReport &report, TimePoint at)
+{
+    if (report.slots() == 0) {
+        return; // There is no backend server, which says nothing about the load of the others.
+    }
     auto &service = m_serviceLoads[load.service];
+    const double calls = static_cast<double>(report.running()) + report.waiting();
+    const double utilisation = std::min(calls / report.slots(), kMaxUtilisation);
     if (load.reportedAt == TimePoint()) {
         load.usualUtilisation = utilisation;
     } else {
         const double weight = 1 - reportWeight(at - load.reportedAt, kUsualTimeConstant);
         load.usualUtilisation += (utilisation - load.usualUtilisation) * weight;
     }
-    service.utilisation += (utilisation - service.utilisation) * kServiceSmoothing;
+    service.reports = std::min(service.reports + 1, kReportsInMean);
+    service.utilisation += (utilisation - service.utilisation) / service.reports;
     if (report.work_us() != 0) {
-        const auto serviceTime = std::chrono::microseconds(report.work_us());
-        const auto weight = service.serviceTime == Duration::zero() ? 1 : kServiceSmoothing;
+        const Duration serviceTime = std::chrono::microseconds(report.work_us());
+        const double weight = service.serviceTime == Duration::zero() ? 1 : 1.0 / kReportsInMean;
         service.serviceTime += std::chrono::duration_cast<Duration>((serviceTime - service.serviceTime) * weight);
     }
-    load.report = report;
-    load.reportedAt = at;
-    load.sentSinceReport = 0;
 }
 
 void GatewayLoads::onPeerReport(const std::string &service, const PeerReport &peer)
 {
+    if (peer.age < Duration::zero() || peer.age > kMaxPassedOnAge || peer.load.slots() == 0) {
+        return;
+    }
     auto &load = m_loads[peer.gateway];
     load.service = service;
     const auto at = m_clock.now() - peer.age;
-    if (at > load.reportedAt) {
-        setReport(load, peer.load, at);
+    if (at <= load.reportedAt) {
+        return;
+    }
+    auto report = load.report; // A report that is passed on has the fields of the load only.
+    report.set_running(peer.load.running());
+    report.set_waiting(peer.load.waiting());
+    report.set_slots(peer.load.slots());
+    report.set_cold(peer.load.cold());
+    if (peer.load.work_us() != 0) {
+        report.set_work_us(peer.load.work_us());
+    }
+    report.clear_slowness_permille();
+    setReport(load, report, at);
+}
+
+void GatewayLoads::forgetIf(const std::function<bool(const std::string &ip)> &isGone)
+{
+    for (auto it = m_loads.begin(); it != m_loads.end();) {
+        it = it->second.inFlight == 0 && isGone(it->first) ? m_loads.erase(it) : std::next(it);
     }
 }
 
@@ -138,7 +196,17 @@
 
 bool GatewayLoads::isSuspect(const std::string &ip) const
 {
-    return m_clock.now() < at(ip).suspectUntil;
+    return isSuspect(at(ip));
+}
+
+bool GatewayLoads::isSuspect(const GatewayLoad &load) const
+{
+    return m_clock.now() < load.suspectUntil;
+}
+
+bool GatewayLoads::hasNoBackend(const GatewayLoad &load) const
+{
+    return load.report.slots() == 0 && load.reportedAt != TimePoint() && age(load) <= kMaxPassedOnAge;
 }
 
 Duration GatewayLoads::age(const GatewayLoad &load) const
@@ -162,22 +230,49 @@
     return it == m_serviceLoads.end() ? unknown : it->second;
 }
 
+double GatewayLoads::usualUtilisation(const GatewayLoad &load, const ServiceLoad &service) const
+{
+    const double weight = load.reportedAt == TimePoint() ? 0 : reportWeight(age(load), kUsualTimeConstant);
+    return weight * load.usualUtilisation + (1 - weight) * service.utilisation;
+}
+
+Duration GatewayLoads::longestTransitTime() const
+{
+    Duration longest{};
+    for (const auto &it : m_loads) {
+        longest = std::max(longest, transitTime(it.second));
+    }
+    return longest;
+}
+
 std::vector<PeerReport>
 GatewayLoads::recentReports(const std::string &service, const std::string &receiver, std::size_t n, RandomSource &random) const
 {
-    const auto now = m_clock.now();
-    std::vector<const std::pair<const std::string, GatewayLoad> *> recent;
+    using Entry = std::pair<const std::string, GatewayLoad>;
+    std::vector<const Entry *> recent;
     for (const auto &it : m_loads) {
         const auto &load = it.second;
-        if (load.service == service && it.first != receiver && now - load.reportedAt <= kMaxPassedOnAge) {
+        const bool isRecent = load.reportedAt != TimePoint() && age(load) <= kMaxPassedOnAge && load.report.slots() != 0;
+        if (isRecent && load.service == service && it.first != receiver) {
             recent.push_back(&it);
         }
     }
-    std::vector<PeerReport> reports;
-    for (std::size_t i = 0; i < std::min(n, recent.size()); ++i) {
+    const auto drawn = std::min(n * kDrawnPerReport, recent.size());
+    for (std::size_t i = 0; i < drawn; ++i) {
         std::swap(recent[i], recent[i + static_cast<std::size_t>(random.below(recent.size() - i))]);
-        const auto &[gateway, load] = *recent[i];
-        reports.push_back({ gateway, load.report, now - load.reportedAt });
+    }
+    recent.resize(drawn);
+    const auto isNewer = [](const Entry *a, const Entry *b) { return a->second.reportedAt > b->second.reportedAt; };
+    std::sort(recent.begin(), recent.end(), isNewer);
+    std::vector<PeerReport> reports;
+    std::size_t bytes = 0;
+    for (const auto *it : recent) {
+        PeerReport report{ it->first, loadFieldsOf(it->second.report), age(it->second) };
+        bytes += encodedSize(report);
+        if (reports.size() == n || bytes > kMaxPassedOnBytes) {
+            break;
+        }
+        reports.push_back(std::move(report));
     }
     return reports;
 }
--- a/src/gateway/load_estimate.cpp
+++ b/src/gateway/load_estimate.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-/// Queues last longer than the calls in the slots, so a report of the load stays useful for more than one service time.
-constexpr double kServiceTimesPerTimeConstant = 2;
 constexpr std::chrono::milliseconds kMinTimeConstant{ 50 };
 
 } // namespace
@@ -23,8 +21,7 @@
 
 double expectedCalls(const KnownLoad &load)
 {
-    const auto timeConstant = std::chrono::duration_cast<Duration>(load.serviceTime * kServiceTimesPerTimeConstant);
-    const double weight = reportWeight(load.age, std::max<Duration>(timeConstant, kMinTimeConstant));
+    const double weight = reportWeight(load.age, std::max<Duration>(load.serviceTime, kMinTimeConstant));
     const double calls = weight * load.reportedCalls + (1 - weight) * load.usualCalls;
     return std::max(calls, load.ownCalls);
 }
--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peer_server.h"
 
+#include <algorithm>
+
 namespace Toucandeck
 {
 
@@ -60,7 +62,7 @@
     auto done = [this, channel, id, arrivedAt, service = request.service()](CallResult result) {
         const auto found = m_connections.find(channel);
         if (found != m_connections.end() && found->second.calls.erase(id) != 0) {
-            result.elapsed = m_loop.clock().now() - arrivedAt;
+            result.elapsed = std::max<Duration>(m_loop.clock().now() - arrivedAt, std::chrono::microseconds(1)); // Zero is unknown.
             result.peers = m_reportSource ? m_reportSource(service, channel->peer()) : std::vector<PeerReport>();
             reply(channel, id, result);
         }
