Count redirected calls, ages of load reports and transit times

Cause: whether the balancing works could not be seen from outside, and its parts had no tests of their own.

--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -41,6 +41,9 @@
 inline constexpr Event kAdmissionReport{
     10215, LogLevel::Info, "admission_report", "Calls of one origin at the backend server since the previous report, a second before."
 };
+inline constexpr Event kRoutingReport{
+    10216, LogLevel::Info, "routing_report", "Gateways selected for calls since the previous report, a second before."
+};
 inline constexpr Event kInstanceStarted{
     10220, LogLevel::Info, "instance_started", "A new incarnation of the backend server sent its first heartbeat."
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kAdmissionInterval{ 20 }; ///< Interval of processing the admission queue while calls wait.
-constexpr milliseconds kAdmissionReportInterval{ 1000 };
+constexpr milliseconds kReportInterval{ 1000 };
 constexpr milliseconds kInstanceCheckInterval{ 300 };
 constexpr milliseconds kMaxHeartbeatDelay{ 600 }; ///< A backend server whose heartbeat is overdue by more than this is probed.
 constexpr milliseconds kDrainInterval{ 50 };
@@ -51,6 +51,7 @@
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
     , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
     , m_admissionReport(parts.logger, parts.metrics)
+    , m_routingReport(parts.logger, parts.metrics)
     , m_calls(parts.loop, m_links, m_admission, m_options.ip)
     , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser },
                m_options.failureDomain,
@@ -78,7 +79,10 @@
         applyPolicy();
         m_router.onViewChanged();
     });
-    m_admissionReportTimer = parts.loop.every(kAdmissionReportInterval, [this] { m_admissionReport.write(m_admission); });
+    m_reportTimer = parts.loop.every(kReportInterval, [this] {
+        m_admissionReport.write(m_admission);
+        m_routingReport.write(m_router);
+    });
     m_instanceTimer = parts.loop.every(kInstanceCheckInterval, [this] { checkInstance(); });
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "gateway/grant_caller.h"
 #include "gateway/peer_server.h"
 #include "gateway/remote_calls.h"
+#include "gateway/routing_report.h"
 
 namespace Toucandeck
 {
@@ -88,6 +89,7 @@
     UrgencyOrder m_order;
     BackendAdmission m_admission;
     AdmissionReport m_admissionReport;
+    RoutingReport m_routingReport;
     RemoteCalls m_calls;
     LeastTimeChooser m_chooser;
     CallRouter m_router;
@@ -99,7 +101,7 @@
     TimePoint m_drainStart;
     TimePoint m_lastBusy;
     EventLoop::Watch m_admissionTimer;
-    EventLoop::Watch m_admissionReportTimer;
+    EventLoop::Watch m_reportTimer;
     EventLoop::Watch m_instanceTimer;
     EventLoop::Watch m_drainTimer;
 };
--- a/test/node/test_node_settings.cpp
+++ b/test/node/test_node_settings.cpp
@@ -49,6 +49,18 @@
     EXPECT_NE(errorOf(text).find("\"heartbeatInterval\" must be positive"), std::string::npos);
 }
 
+TEST(NodeSettings, BalancesByLeastTimeUnlessToldOtherwise)
+{
+    auto text = std::string(kGateway);
+    EXPECT_EQ(NodeSettings::parse(text).value().balancing, Balancing::LeastTime);
+    text.insert(1, R"("balancing":"capacity",)");
+    EXPECT_EQ(NodeSettings::parse(text).value().balancing, Balancing::Capacity);
+    text.replace(text.find("capacity"), 8, "least-time");
+    EXPECT_EQ(NodeSettings::parse(text).value().balancing, Balancing::LeastTime);
+    text.replace(text.find("least-time"), 10, "fastest");
+    EXPECT_NE(errorOf(text).find("balancing \"fastest\" is neither"), std::string::npos);
+}
+
 TEST(NodeSettings, NamesTheFieldThatIsWrong)
 {
     EXPECT_NE(errorOf(without(kGateway, "\"backend\":\"10.0.0.1:81\",")).find("\"backend\" is missing"), std::string::npos);
