--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -74,7 +74,7 @@
     out.set_nested(call.nested);
     out.set_returned(call.clientRetry);
     out.set_sibling_answers(call.siblingAnswers);
-    out.set_max_wait_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(call.maxWait).count()));
+    out.set_max_wait_ms(static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(call.maxWait).count()));
     if (call.key) {
         out.set_has_key(true);
         out.set_key(*call.key);
@@ -117,14 +117,19 @@
     out.set_work_us(static_cast<std::uint32_t>(duration_cast<microseconds>(result.work).count()));
     out.set_elapsed_us(static_cast<std::uint32_t>(duration_cast<microseconds>(result.elapsed).count()));
     for (const auto &it : result.peers) {
-        auto *peer = out.add_peers();
-        peer->set_router(it.gateway);
-        *peer->mutable_load() = it.load;
-        peer->set_age_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(it.age).count()));
+        addTo(out, it);
     }
     return out;
 }
 
+void addTo(wire::CallReply &reply, const PeerReport &report)
+{
+    auto *peer = reply.add_peers();
+    peer->set_router(report.gateway);
+    *peer->mutable_load() = report.load;
+    peer->set_age_ms(static_cast<std::uint32_t>(duration_cast<milliseconds>(report.age).count()));
+}
+
 CallResult fromWire(const wire::CallReply &reply)
 {
     CallResult result;
