Count the time that a call was on its way against its deadline

Cause: a receiver counted the time left of a call from its arrival. Change: a call carries the sender's monotonic clock; TransitDelay compares it with the fastest call on the connection. What was delayed beyond its deadline is refused, truly not run. Result: test_gateway's tests of the peer calls pass; the new one fails if the delay is not subtracted (by the assertion on the sent requests, not run separately).

--- a/src/gateway/call.cpp
+++ b/src/gateway/call.cpp
@@ -74,6 +74,7 @@
     out.set_nested(call.nested);
     out.set_returned(call.clientRetry);
     out.set_sibling_answers(call.siblingAnswers);
+    out.set_sent_ms(static_cast<std::uint64_t>(duration_cast<milliseconds>(now.time_since_epoch()).count()));
     out.set_max_wait_ms(static_cast<std::uint32_t>(std::chrono::ceil<milliseconds>(call.maxWait).count()));
     if (call.key) {
         out.set_has_key(true);
--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -46,6 +46,11 @@
     }
 }
 
+Duration PeerServer::delayOf(const wire::CallRequest &request, Connection &connection, TimePoint now)
+{
+    return request.sent_ms() == 0 ? Duration::zero() : connection.transitDelay.excess(std::chrono::milliseconds(request.sent_ms()), now);
+}
+
 void PeerServer::startCall(const Channel &channel, const wire::CallRequest &request)
 {
     const auto id = request.call();
@@ -67,8 +72,15 @@
             reply(channel, id, result);
         }
     };
-    auto call = fromWire(request, arrivedAt);
+    // The remaining times in the request count from its sending.
+    auto call = fromWire(request, arrivedAt - delayOf(request, connection, arrivedAt));
     call.entry = channel->peer();
+    if (call.deadline <= arrivedAt) {
+        auto result = notRun(wire::DEADLINE);
+        result.load = m_admission.loadReport();
+        done(std::move(result));
+        return;
+    }
     const auto admissionId = m_admission.submit(std::move(call), std::move(done));
     auto &calls = m_connections[channel].calls;
     if (const auto it = calls.find(id); it != calls.end()) {
--- a/src/gateway/peer_server.h
+++ b/src/gateway/peer_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/backend_admission.h"
+#include "gateway/transit_delay.h"
 #include "link/listener.h"
 #include "link/message_channel.h"
 
@@ -41,12 +42,15 @@
     {
         std::unordered_map<std::uint64_t, std::uint64_t> calls; ///< Ids at the admission by the ids of the caller.
         std::uint64_t lastCall = 0; ///< Id of the latest call; callers assign increasing ids.
+        TransitDelay transitDelay;
     };
 
     PeerServer(EventLoop &loop, BackendAdmission &admission);
     void accept(int descriptor, const std::string &peer);
     void receive(const Channel &channel, const wire::PeerMessage &message);
     void startCall(const Channel &channel, const wire::CallRequest &request);
+    /// Time that the call was on its way beyond the usual.
+    static Duration delayOf(const wire::CallRequest &request, Connection &connection, TimePoint now);
     static void reply(const Channel &channel, std::uint64_t id, const CallResult &result);
     void sendGoAway(const Channel &channel, std::uint64_t lastCall);
     void cancelCall(const Channel &channel, std::uint64_t id);
--- a/test/gateway/test_peer_calls.cpp
+++ b/test/gateway/test_peer_calls.cpp
@@ -261,6 +261,27 @@
     EXPECT_FALSE(m_backend.m_running.begin()->second.first.entry.empty());
 }
 
+// Guards against calls that a congested link delays beyond their deadline and that run after their clients have left.
+TEST_F(PeerServerTest, DoesNotRunACallWhoseTimeWasUsedUpOnItsWay)
+{
+    const auto sendAgedCall = [this](std::uint64_t id, Duration age) {
+        const auto now = m_clock.now();
+        wire::PeerMessage message;
+        *message.mutable_call() = toWire(callNamed(std::to_string(id), m_clock), now - age);
+        message.mutable_call()->set_call(id);
+        message.mutable_call()->set_remaining_ms(1000);
+        m_links.send(kGatewayIp, message);
+    };
+    sendAgedCall(1, Duration::zero());
+    ASSERT_TRUE(runUntil([this] { return m_backend.m_sentRequests.size() == 1; }));
+    sendAgedCall(2, milliseconds(1500));
+    sendAgedCall(3, milliseconds(300));
+    ASSERT_TRUE(runUntil([this] { return m_backend.m_sentRequests.size() == 2; }));
+    EXPECT_EQ(m_backend.m_sentRequests.back(), "3");
+    const auto &delayed = m_backend.m_running.rbegin()->second.first;
+    EXPECT_LT(delayed.deadline, m_clock.now() + milliseconds(800));
+}
+
 // Guards against resetting connections that callers have established but that are not accepted yet when the server stops listening.
 TEST_F(PeerServerTest, AcceptsTheWaitingConnectionsBeforeItStopsListening)
 {
