Reject responses with an invalid status line

Cause: The reader of backend servers' responses delivered status 000, 099, 600 and 999, statuses of one or two digits or with a leading zero, and HTTP/2.0; it took an unrequested 101 for an interim response, and returned a message after an endless sequence of interim responses that arrived in one piece. The other reader delivered 600 and 999. Change: Both readers accept "HTTP/1.x" with three digits from 100 to 599 other than 101. The message parser checks each status line before the rest of the response, and the limits after each interim response. A table of status lines runs at both readers.

--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -1,5 +1,6 @@
 #include "http/message_parser.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -11,11 +12,28 @@
 
 constexpr std::size_t kChunkFramingBytes = 16; ///< Not counted as header bytes: the size and line ends of a chunk.
 
+constexpr std::size_t kStatusLineBytes = 14; ///< Stored of a status line: up to the end of "HTTP/1.1 200" and a line break.
+
 bool isInterim(int status)
 {
     return status >= 100 && status < 200;
 }
 
+/// True for "HTTP/1.x" and a status of three digits from 100 to 599 other than 101. @p line is cut after kStatusLineBytes.
+bool isValidStatusLine(std::string_view line)
+{
+    constexpr std::string_view kStart = "HTTP/1.";
+    constexpr std::size_t kStatusAt = kStart.size() + 2;
+    constexpr std::size_t kStatusEnd = kStatusAt + 3;
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    if (line.size() < kStatusEnd || !line.starts_with(kStart) || !isDigit(line[kStart.size()]) || line[kStatusAt - 1] != ' ') {
+        return false;
+    }
+    const auto status = line.substr(kStatusAt, kStatusEnd - kStatusAt);
+    return status[0] >= '1' && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2]) && status != "101"
+        && (line.size() == kStatusEnd || line[kStatusEnd] == ' ');
+}
+
 /// True for a status whose response has no body, whatever its headers say (RFC 9112, 6.3).
 bool isBodyless(int status)
 {
@@ -27,6 +45,7 @@
 MessageParser::MessageParser(Kind kind)
     : m_maxHeaderBytes(64U << 10U)
     , m_maxBodyBytes(std::numeric_limits<std::size_t>::max())
+    , m_inStatusLine(kind == Kind::Response)
 {
     http_parser_init(&m_parser, kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     m_parser.data = this;
@@ -52,12 +71,26 @@
 
 std::size_t MessageParser::feed(std::string_view data)
 {
-    if (m_error || m_complete || data.empty()) {
-        return 0;
+    std::size_t n = 0;
+    while (n < data.size() && !m_error && !m_complete) {
+        n += feedPart(data.substr(n));
     }
+    return n;
+}
+
+std::size_t MessageParser::feedPart(std::string_view data)
+{
     if (HTTP_PARSER_ERRNO(&m_parser) == HPE_PAUSED) {
         http_parser_pause(&m_parser, 0);
     }
+    if (m_inStatusLine) {
+        const auto end = data.find('\n');
+        data = end == std::string_view::npos ? data : data.substr(0, end + 1);
+        readStatusLine(data);
+    }
+    if (m_error) {
+        return data.size();
+    }
     const auto n = http_parser_execute(&m_parser, &callbacks(), data.data(), data.size());
     m_receivedBytes += n;
     updateError();
@@ -65,6 +98,20 @@
     return n;
 }
 
+void MessageParser::readStatusLine(std::string_view data)
+{
+    m_statusLine.append(data, 0, kStatusLineBytes - std::min(m_statusLine.size(), kStatusLineBytes));
+    if (!data.ends_with('\n')) {
+        return;
+    }
+    const auto line = std::string_view(m_statusLine).substr(0, m_statusLine.find_last_not_of("\r\n") + 1);
+    if (!line.empty() && !isValidStatusLine(line)) {
+        m_error = ParseError::Malformed;
+    }
+    m_inStatusLine = line.empty(); // Empty lines before a response are skipped.
+    m_statusLine.clear();
+}
+
 void MessageParser::checkExchangeLimits()
 {
     const auto uncounted = m_bodyBytes + m_chunks * kChunkFramingBytes;
@@ -255,9 +302,11 @@
 int MessageParser::onComplete(http_parser *parser)
 {
     auto &it = self(parser);
+    it.m_inStatusLine = parser->type == HTTP_RESPONSE;
     if (parser->type == HTTP_RESPONSE && isInterim(it.m_message.status)) {
         it.m_inMessage = false;
         it.m_hasHeaders = false;
+        http_parser_pause(parser, 1); // The next status line is checked first.
         return 0;
     }
     it.m_complete = true;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -68,7 +68,8 @@
     void expectNoBody(bool noBody);
 
     /// Parses up to the end of the current message. Returns the number of bytes consumed, which is less than the size of @p data if the
-    /// message ends earlier.
+    /// message ends earlier or is invalid. A response is Malformed if its status line is invalid or its status is 101, because no request
+    /// asks for another protocol.
     std::size_t feed(std::string_view data);
 
     /// Handles the end of the stream, which completes a message that is delimited by the end of the connection.
@@ -101,6 +102,8 @@
     static int onComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
 
+    std::size_t feedPart(std::string_view data);
+    void readStatusLine(std::string_view data);
     /// True if the body has a transfer encoding other than a single "chunked".
     bool hasUnsupportedEncoding() const;
     int countHeaderBytes(std::size_t n);
@@ -115,6 +118,8 @@
     std::size_t m_receivedBytes = 0; ///< Since the start of the exchange, as are the next two.
     std::size_t m_bodyBytes = 0;
     std::size_t m_chunks = 0; ///< Without empty ones.
+    std::string m_statusLine; ///< Start of the status line of the current response.
+    bool m_inStatusLine; ///< The end of the status line has not arrived. False for requests.
     ParsedMessage m_message;
     bool m_inMessage = false;
     bool m_hasHeaders = false;
--- a/src/runtime/http_response_parser.cpp
+++ b/src/runtime/http_response_parser.cpp
@@ -168,10 +168,11 @@
     constexpr std::size_t kStatusAt = kStart.size() + 2;
     constexpr std::size_t kStatusEnd = kStatusAt + 3;
     constexpr int kMinStatus = 100;
+    constexpr int kMaxStatus = 599;
     const bool valid = line.size() >= kStatusEnd && line.starts_with(kStart) && isDigit(line[kStart.size()]) && line[kStatusAt - 1] == ' '
         && (line.size() == kStatusEnd || line[kStatusEnd] == ' ');
     const auto status = valid ? parseNumber(line.substr(kStatusAt, kStatusEnd - kStatusAt), 10) : std::nullopt;
-    if (!status || *status < kMinStatus) {
+    if (!status || *status < kMinStatus || *status > kMaxStatus) {
         fail(kMalformed);
         return;
     }
--- a/test/http/test_message_parser.cpp
+++ b/test/http/test_message_parser.cpp
@@ -1,6 +1,8 @@
 // Guards against request smuggling, limits that are not enforced, and truncated responses accepted as complete.
 #include "http/message_parser.h"
 
+#include "runtime/status_lines.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -108,3 +110,22 @@
     parser.feedEof();
     RC_SUCCEED("no crash");
 }
+
+// Guards against a status that no client can interpret, or the data after an unrequested switch of protocols, delivered as a response.
+TEST(MessageParser, RefusesInvalidStatusLinesInWhateverPiecesTheyCome)
+{
+    for (const auto &line : invalidStatusLines()) {
+        for (const std::size_t piece : { std::size_t(1), std::size_t(7), line.text.size() }) {
+            MessageParser parser(MessageParser::Kind::Response);
+            parser.startExchange();
+            std::size_t at = 0;
+            std::size_t n = 1;
+            while (at < line.text.size() && n > 0) {
+                n = parser.feed(std::string_view(line.text).substr(at, piece));
+                at += n;
+            }
+            EXPECT_TRUE(parser.error()) << line.reason << " in pieces of " << piece;
+            EXPECT_FALSE(parser.take()) << line.reason << " in pieces of " << piece;
+        }
+    }
+}
--- a/test/runtime/test_http_response_parser.cpp
+++ b/test/runtime/test_http_response_parser.cpp
@@ -1,6 +1,8 @@
 // Guards against responses whose parsing depends on how the stream is cut into segments.
 #include "runtime/http_response_parser.h"
 
+#include "status_lines.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -71,3 +73,19 @@
 {
     outcome(bytes, 1);
 }
+
+// Guards against a status that no client can interpret, or the data after an unrequested switch of protocols, delivered as a response.
+TEST(HttpResponseParser, RefusesInvalidStatusLinesInWhateverPiecesTheyCome)
+{
+    for (const auto &line : invalidStatusLines()) {
+        for (const std::size_t piece : { std::size_t(1), std::size_t(7), line.text.size() }) {
+            HttpResponseParser parser(64U << 10U, kMaxBodyBytes);
+            parser.begin(false);
+            for (std::size_t at = 0; at < line.text.size(); at += piece) {
+                parser.feed(std::string_view(line.text).substr(at, piece));
+            }
+            EXPECT_FALSE(parser.error().empty()) << line.reason << " in pieces of " << piece;
+            EXPECT_FALSE(parser.isComplete()) << line.reason << " in pieces of " << piece;
+        }
+    }
+}
