--- a/standin/platform/platform_backend.cpp
+++ b/standin/platform/platform_backend.cpp
@@ -67,10 +67,14 @@
     m_instance = fmt::format("i-{}-{}", m_options.announced.ip, m_bornMs);
     m_state = "ready";
     m_sequence = 0;
-    BOOST_LEAF_ASSIGN(
-        m_server,
-        PipelinedServer::create(
-            m_loop, m_options.listen, [] { return HttpLimits{}; }, [this](const std::shared_ptr<HttpExchange> &it) { serve(it); }));
+    BOOST_LEAF_ASSIGN(m_server,
+                      PipelinedServer::create(
+                          m_loop,
+                          m_options.listen,
+                          [] {
+                              return HttpLimits{ 64U << 10U, 64U << 20U };
+                          },
+                          [this](const std::shared_ptr<HttpExchange> &it) { serve(it); }));
     m_timer = m_loop.every(m_options.heartbeat, [this] { beat(); });
     m_loop.runSoon([this] { beat(); });
     return {};
