Account for the memory of clients and refuse them beyond a limit

Change: RequestMemory counts received fields, bodies, unparsed input and unread responses of all HTTP servers of a process, with the limit from the setting memoryLimit. The connection with the most memory gives way first, and requests that find no room get 503 with Retry-After before they start. Reading stops at 64 KiB of unparsed input and 256 KiB of unread responses; connections are bounded by count; a response of which nothing is read for the idle time closes its connection. A body is copied fewer times on its way to the backend server.

--- a/src/gateway/backend_runner.cpp
+++ b/src/gateway/backend_runner.cpp
@@ -90,8 +90,8 @@
     }
     auto *it = connection.get();
     m_busyConnections[id] = std::move(connection);
-    it->send(backendRequest(call), call.requestId, [this, id, call, done = std::move(done)](BackendResult result) {
-        finish(id, call, std::move(result), done);
+    it->send(backendRequest(call), call.requestId, [this, id, requestId = call.requestId, done = std::move(done)](BackendResult result) {
+        finish(id, requestId, std::move(result), done);
     });
 }
 
@@ -106,16 +106,16 @@
     return request;
 }
 
-void BackendRunner::finish(std::uint64_t id, const Call &call, BackendResult result, const CallDone &done)
+void BackendRunner::finish(std::uint64_t id, const std::string &requestId, BackendResult result, const CallDone &done)
 {
     const auto found = m_busyConnections.find(id);
     auto connection = std::move(found->second);
     m_busyConnections.erase(found);
     const bool refused = result.error == BackendError::Refused;
-    logDropped(call, result);
+    logDropped(requestId, result);
     const bool namesRequest = result.response.header(m_headers.requestId).has_value();
-    auto interpreted = interpret(call, std::move(result));
-    release(std::move(connection), call, interpreted, namesRequest);
+    auto interpreted = interpret(requestId, std::move(result));
+    release(std::move(connection), requestId, interpreted, namesRequest);
     const auto callback = done;
     callback(std::move(interpreted));
     if (refused && m_connectionRefusedHandler) {
@@ -123,10 +123,10 @@
     }
 }
 
-void BackendRunner::release(Connection connection, const Call &call, const CallResult &result, bool namesRequest)
+void BackendRunner::release(Connection connection, const std::string &requestId, const CallResult &result, bool namesRequest)
 {
     if (result.reason == wire::REFUSED_BY_INSTANCE) {
-        connection->excludeRequestId(call.requestId);
+        connection->excludeRequestId(requestId);
     }
     // Without an id, the next response on the connection could not be told from a late copy of this one.
     if (connection->isReusable() && namesRequest && result.outcome != wire::MAY_HAVE_RUN) {
@@ -137,24 +137,24 @@
     }
 }
 
-void BackendRunner::logDropped(const Call &call, const BackendResult &result) const
+void BackendRunner::logDropped(const std::string &requestId, const BackendResult &result) const
 {
     if (result.droppedResponses == 0) {
         return;
     }
     m_logger.write(GatewayEvents::kResponseDropped,
-                   { field("request", call.requestId),
+                   { field("request", requestId),
                      field("instance", m_instance),
                      field("named", result.droppedId),
                      field("count", result.droppedResponses) });
 }
 
-CallResult BackendRunner::interpret(const Call &call, BackendResult result) const
+CallResult BackendRunner::interpret(const std::string &requestId, BackendResult result) const
 {
     CallResult out;
     switch (result.error) {
     case BackendError::None:
-        out = interpretAnswer(call, std::move(result));
+        out = interpretAnswer(requestId, std::move(result));
         break;
     case BackendError::Refused:
     case BackendError::ConnectFailed:
@@ -166,17 +166,17 @@
         out.reachedBackend = true;
         break;
     case BackendError::InvalidResponse:
-        out = rejectAnswer(call, result.response, toString(result.fault));
+        out = rejectAnswer(requestId, result.response, toString(result.fault));
         break;
     }
     out.instance = m_instance;
     return out;
 }
 
-CallResult BackendRunner::rejectAnswer(const Call &call, const HttpResponse &response, const char *cause) const
+CallResult BackendRunner::rejectAnswer(const std::string &requestId, const HttpResponse &response, const char *cause) const
 {
     m_logger.write(GatewayEvents::kResponseRejected,
-                   { field("request", call.requestId),
+                   { field("request", requestId),
                      field("instance", m_instance),
                      field("cause", cause),
                      field("status", response.status),
@@ -188,14 +188,14 @@
     return out;
 }
 
-CallResult BackendRunner::interpretAnswer(const Call &call, BackendResult result) const
+CallResult BackendRunner::interpretAnswer(const std::string &requestId, BackendResult result) const
 {
     auto &response = result.response;
     CallResult out;
     out.reachedBackend = true;
     if (response.header(m_headers.notExecuted) || response.status == kMisdirectedRequest) {
         if (!result.identified) {
-            return rejectAnswer(call, response, "refusal_of_unknown_request");
+            return rejectAnswer(requestId, response, "refusal_of_unknown_request");
         }
         out.outcome = wire::NOT_RUN;
         out.reason = wire::REFUSED_BY_INSTANCE;
@@ -203,14 +203,14 @@
         return out;
     }
     const auto echoed = response.header(m_headers.requestId);
-    if (echoed && *echoed != call.requestId) {
-        return rejectAnswer(call, response, "other_request");
+    if (echoed && *echoed != requestId) {
+        return rejectAnswer(requestId, response, "other_request");
     }
     if (!result.identified) {
-        return rejectAnswer(call, response, "unknown_request");
+        return rejectAnswer(requestId, response, "unknown_request");
     }
     if (isSuccess(response.status) && !response.header(m_headers.answerSeal)) {
-        return rejectAnswer(call, response, "no_seal");
+        return rejectAnswer(requestId, response, "no_seal");
     }
     out.outcome = wire::ANSWERED;
     out.slownessPercent = readSlowness(response.header(m_headers.serverLoad));
--- a/src/gateway/backend_runner.h
+++ b/src/gateway/backend_runner.h
@@ -44,14 +44,14 @@
     /// An idle connection that may carry the request; none if there is no such connection.
     Connection takeIdle(const std::string &requestId);
     HttpRequest backendRequest(const Call &call) const;
-    CallResult interpret(const Call &call, BackendResult result) const;
-    CallResult interpretAnswer(const Call &call, BackendResult result) const;
-    CallResult rejectAnswer(const Call &call, const HttpResponse &response, const char *cause) const;
-    void logDropped(const Call &call, const BackendResult &result) const;
+    CallResult interpret(const std::string &requestId, BackendResult result) const;
+    CallResult interpretAnswer(const std::string &requestId, BackendResult result) const;
+    CallResult rejectAnswer(const std::string &requestId, const HttpResponse &response, const char *cause) const;
+    void logDropped(const std::string &requestId, const BackendResult &result) const;
     /// Keeps the connection for later calls if it can carry them; closes it otherwise.
     /// @param namesRequest the response had the id of its request.
-    void release(Connection connection, const Call &call, const CallResult &result, bool namesRequest);
-    void finish(std::uint64_t id, const Call &call, BackendResult result, const CallDone &done);
+    void release(Connection connection, const std::string &requestId, const CallResult &result, bool namesRequest);
+    void finish(std::uint64_t id, const std::string &requestId, BackendResult result, const CallDone &done);
 
     EventLoop &m_loop;
     Logger &m_logger;
--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -117,6 +117,7 @@
     it->receivedAt = exchange->receivedAt();
     it->requestId = request.header(m_parts.headers.requestId).value_or("");
     auto call = makeCall(*it, request);
+    call.request.body = std::move(exchange->request().body); // Moved, because a body may occupy a large part of the memory.
     it->deadline = call.deadline;
     m_pending.insert(it);
     exchange->setDisconnectHandler([this, it] { onClientDisconnected(it); });
@@ -138,7 +139,7 @@
     Call call;
     call.service = m_split.next(route);
     call.requestId = pending.requestId;
-    call.request = { request.method, request.target, forwardedHeaders(request), request.body };
+    call.request = { request.method, request.target, forwardedHeaders(request), {} };
     call.rank = route.rank;
     call.idempotent = route.kind == RequestKind::Idempotent;
     const auto sent = readNumber(request.header(m_parts.headers.deadlineMs));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -94,7 +94,8 @@
                           m_parts.loop,
                           m_options.outbound,
                           [this] { return httpLimits(); },
-                          [this](const std::shared_ptr<HttpExchange> &exchange) { m_requestHandler.handle(exchange); }));
+                          [this](const std::shared_ptr<HttpExchange> &exchange) { m_requestHandler.handle(exchange); },
+                          m_options.requestMemory));
     return {};
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
     std::vector<std::string> seeds; ///< IP addresses of some controllers.
     double retryShare = 0.08; ///< Retries per request.
     Balancing balancing = Balancing::LeastTime;
+    std::shared_ptr<RequestMemory> requestMemory; ///< Limits the memory of the clients; null for no limit.
     Duration heartbeatInterval = kDefaultHeartbeatInterval; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this time, even with pending work.
 };
--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -22,6 +22,19 @@
 constexpr seconds kDefaultIdleTimeout{ 4 }; ///< For backend servers that advertise no timeout.
 constexpr std::size_t kMaxExcludedIds = 256; ///< Per connection.
 
+/// Hands the text to the output buffer, which frees it after it has been sent.
+void writeWithoutCopy(bufferevent *stream, std::string text)
+{
+    if (text.empty()) {
+        return;
+    }
+    const auto destroy = [](const void * /*data*/, std::size_t /*size*/, void *owned) { delete static_cast<std::string *>(owned); };
+    auto owned = std::make_unique<std::string>(std::move(text));
+    if (evbuffer_add_reference(bufferevent_get_output(stream), owned->data(), owned->size(), destroy, owned.get()) == 0) {
+        static_cast<void>(owned.release()); // Owned by the output buffer.
+    }
+}
+
 /// Value of N in the header "Keep-Alive: timeout=N".
 std::optional<seconds> advertisedIdleTimeout(const HttpResponse &response)
 {
@@ -158,9 +171,10 @@
     }
     const bool bodyless = request.body.empty() && (request.method == "GET" || request.method == "HEAD");
     head += bodyless ? "\r\n" : fmt::format("Content-Length: {}\r\n\r\n", request.body.size());
+    head.reserve(head.size() + request.body.size());
     head += request.body;
     if (m_established) {
-        bufferevent_write(m_stream, head.data(), head.size());
+        writeWithoutCopy(m_stream, std::move(head));
     } else {
         m_unsentRequest = std::move(head);
     }
@@ -170,8 +184,7 @@
 {
     m_established = true;
     m_connectTimer.cancel();
-    const auto unsent = std::exchange(m_unsentRequest, {});
-    bufferevent_write(m_stream, unsent.data(), unsent.size());
+    writeWithoutCopy(m_stream, std::exchange(m_unsentRequest, {}));
     if (m_establishedHandler) {
         std::exchange(m_establishedHandler, nullptr)(true, BackendError::None);
     }
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -159,6 +159,23 @@
     return m_message.body.capacity();
 }
 
+std::size_t MessageParser::memory() const
+{
+    constexpr std::size_t kTextFactor = 2; // A growing text occupies at most twice its size.
+    if (!m_inMessage) {
+        return 0;
+    }
+    return m_message.headers.capacity() * sizeof(HttpHeader) + m_headerBytes * kTextFactor + m_message.body.capacity();
+}
+
+void MessageParser::discard()
+{
+    m_message = {};
+    m_headerBytes = 0;
+    m_complete = false;
+    m_error = m_error.value_or(ParseError::BodyTooLarge);
+}
+
 bool MessageParser::isInMessage() const
 {
     return m_inMessage;
@@ -287,6 +304,20 @@
     return 0;
 }
 
+void MessageParser::reserveBody(std::size_t n)
+{
+    auto &body = m_message.body;
+    if (body.size() + n <= body.capacity()) {
+        return;
+    }
+    const auto doubled = std::max(std::min(2 * body.capacity(), m_maxBodyBytes), body.size() + n);
+    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0;
+    std::string grown; // reserve() of the body itself may double its buffer beyond the length.
+    grown.reserve(hasLength ? std::min<std::size_t>(doubled, body.size() + n + m_parser.content_length) : doubled);
+    grown.append(body);
+    body.swap(grown);
+}
+
 int MessageParser::onBody(http_parser *parser, const char *data, std::size_t n)
 {
     auto &it = self(parser);
@@ -295,6 +326,7 @@
         it.m_error = ParseError::BodyTooLarge;
         return 1;
     }
+    it.reserveBody(n);
     it.m_message.body.append(data, n);
     return 0;
 }
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -83,6 +83,12 @@
     /// Memory that the body of the current message occupies.
     std::size_t bodyCapacity() const;
 
+    /// Memory that the current message occupies, in bytes: fields and the buffer of the body.
+    std::size_t memory() const;
+
+    /// Frees the current message; the stream cannot be parsed any further.
+    void discard();
+
     /// True from the first byte of a message until take() returns it.
     bool isInMessage() const;
     /// True once the headers of the current message are complete.
@@ -97,6 +103,8 @@
     static int onField(http_parser *parser, const char *data, std::size_t n);
     static int onValue(http_parser *parser, const char *data, std::size_t n);
     static int onHeadersComplete(http_parser *parser);
+    /// Grows the buffer of the body; not beyond the announced length.
+    void reserveBody(std::size_t n);
     static int onChunkHeader(http_parser *parser);
     static int onBody(http_parser *parser, const char *data, std::size_t n);
     static int onComplete(http_parser *parser);
--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -13,6 +13,9 @@
 {
 
 constexpr std::size_t kMaxPipelined = 64; ///< Maximum requests in progress per connection; further requests remain unparsed.
+constexpr std::size_t kMaxUnreadBytes = 256U << 10U; ///< Of responses; further requests remain unparsed until they are sent.
+constexpr std::size_t kMaxInputBytes = 64U << 10U; ///< Not parsed; reading stops above it.
+constexpr std::chrono::seconds kRetryAfter{ 1 }; ///< For requests refused for lack of memory.
 constexpr std::chrono::seconds kLingerTime{ 1 }; ///< Closing a socket with unread data resets the connection, which can lose the response.
 
 } // namespace
@@ -22,7 +25,9 @@
     , m_stream(bufferevent_socket_new(server.m_loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS))
     , m_parser(MessageParser::Kind::Request)
     , m_lastActive(server.m_loop.clock().now())
+    , m_lastRead(m_lastActive)
 {
+    bufferevent_setwatermark(m_stream, EV_READ, 0, kMaxInputBytes);
     bufferevent_setcb(m_stream, &PipelinedConnection::onRead, &PipelinedConnection::onWrite, &PipelinedConnection::onEvent, this);
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
 }
@@ -38,6 +43,47 @@
         bufferevent_free(m_stream);
         m_stream = nullptr;
     }
+    if (m_server.m_memory) {
+        m_server.m_memory->set(*this, 0);
+    }
+}
+
+bool PipelinedConnection::isIdle() const
+{
+    return m_stream == nullptr
+        || (m_slots.empty() && !m_parser.isInMessage() && evbuffer_get_length(bufferevent_get_output(m_stream)) == 0);
+}
+
+TimePoint PipelinedConnection::lastActive() const
+{
+    return m_lastActive;
+}
+
+std::size_t PipelinedConnection::receivedMemory() const
+{
+    return m_stream == nullptr ? 0 : m_parser.memory() + evbuffer_get_length(bufferevent_get_input(m_stream));
+}
+
+std::size_t PipelinedConnection::unreadMemory() const
+{
+    return m_stream == nullptr ? 0 : m_queuedBytes + evbuffer_get_length(bufferevent_get_output(m_stream));
+}
+
+void PipelinedConnection::updateMemory()
+{
+    if (m_server.m_memory && m_stream != nullptr && !m_server.m_memory->set(*this, receivedMemory() + unreadMemory())) {
+        m_server.m_memory->set(*this, 0);
+        giveWay();
+    }
+}
+
+void PipelinedConnection::giveWay()
+{
+    if (m_parser.isInMessage() && !m_noMoreRequests && receivedMemory() > unreadMemory()) {
+        refuse(503, "there is no memory for the request at present");
+    } else {
+        abandon();
+    }
 }
 
 bool PipelinedConnection::isClosed() const
@@ -66,6 +112,7 @@
 {
     const auto connection = static_cast<PipelinedConnection *>(self)->shared_from_this();
     connection->finishWriting();
+    connection->readRequests();
 }
 
 void PipelinedConnection::onEvent(bufferevent * /*stream*/, short what, void *self)
@@ -79,6 +126,7 @@
 void PipelinedConnection::abandon()
 {
     close();
+    m_queuedBytes = 0;
     auto slots = std::exchange(m_slots, {});
     for (const auto &it : slots) {
         const auto exchange = it.weakExchange.lock();
@@ -88,13 +136,19 @@
     }
 }
 
+bool PipelinedConnection::mayReadRequests() const
+{
+    return m_stream != nullptr && !m_noMoreRequests && m_slots.size() < kMaxPipelined && unreadMemory() <= kMaxUnreadBytes;
+}
+
 void PipelinedConnection::readRequests()
 {
-    while (m_stream != nullptr && !m_noMoreRequests && m_slots.size() < kMaxPipelined && readRequest()) { }
+    while (mayReadRequests() && readRequest()) { }
     if (m_stream != nullptr && m_noMoreRequests) {
         auto *in = bufferevent_get_input(m_stream);
         evbuffer_drain(in, evbuffer_get_length(in));
     }
+    updateMemory();
 }
 
 bool PipelinedConnection::readRequest()
@@ -122,6 +176,7 @@
     if (!m_sentContinue && m_parser.expectsContinue()) {
         m_sentContinue = true;
         bufferevent_write(m_stream, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+        m_writtenBytes += 25;
     }
     if (auto message = m_parser.take()) {
         startRequest(std::move(*message));
@@ -129,12 +184,31 @@
     return true;
 }
 
+std::unique_ptr<RequestMemory::Reservation> PipelinedConnection::reserve(const HttpRequest &request)
+{
+    if (!m_server.m_memory) {
+        return nullptr;
+    }
+    m_server.m_memory->set(*this, 0); // Until all of the input has been processed, so that the request is not counted twice.
+    std::size_t bytes = request.target.capacity() + request.headers.capacity() * sizeof(HttpHeader) + request.body.size();
+    for (const auto &it : request.headers) {
+        bytes += it.name.size() + it.value.size();
+    }
+    return m_server.m_memory->reserve(bytes);
+}
+
 void PipelinedConnection::startRequest(ParsedMessage message)
 {
     const auto now = m_server.m_loop.clock().now();
     HttpRequest request{ std::move(message.method), std::move(message.target), std::move(message.headers), std::move(message.body) };
     const bool head = request.method == "HEAD";
+    auto reservation = reserve(request);
+    if (m_server.m_memory && !reservation) {
+        refuse(503, "there is no memory for the request at present");
+        return;
+    }
     const auto exchange = std::make_shared<HttpExchange>(weak_from_this(), std::move(request), now);
+    exchange->m_reservation = std::move(reservation);
     m_slots.push_back({ exchange.get(), exchange, head, message.keepAlive, std::nullopt });
     m_hadRequest = true;
     if (!message.keepAlive) {
@@ -163,6 +237,10 @@
     HttpResponse response;
     response.status = status;
     response.body = fmt::format("{}\n", text);
+    if (status == 503) {
+        response.headers.push_back({ "Retry-After", std::to_string(kRetryAfter.count()) });
+    }
+    m_parser.discard();
     m_slots.push_back({ nullptr, {}, false, false, std::move(response) });
     m_noMoreRequests = true;
     writeResponses();
@@ -172,11 +250,13 @@
 {
     for (auto &it : m_slots) {
         if (it.exchange == &exchange) {
+            m_queuedBytes += response.body.size();
             it.response = std::move(response);
             break;
         }
     }
     writeResponses();
+    updateMemory();
 }
 
 void PipelinedConnection::onExchangeDropped(const HttpExchange & /*exchange*/)
@@ -189,6 +269,7 @@
     while (m_stream != nullptr && !m_slots.empty() && m_slots.front().response) {
         const auto slot = std::move(m_slots.front());
         m_slots.pop_front();
+        m_queuedBytes -= slot.exchange != nullptr ? slot.response->body.size() : 0;
         const bool last = m_slots.empty() && (m_noMoreRequests || (m_server.m_draining && !hasUnreadInput()));
         write(slot, last || !slot.keepAlive);
         m_lastActive = m_server.m_loop.clock().now();
@@ -222,8 +303,10 @@
     }
     head += last ? "Connection: close\r\n\r\n" : "\r\n";
     bufferevent_write(m_stream, head.data(), head.size());
+    m_writtenBytes += head.size();
     if (!bodyless && !slot.headRequest) {
         bufferevent_write(m_stream, response.body.data(), response.body.size());
+        m_writtenBytes += response.body.size();
     }
 }
 
@@ -252,6 +335,19 @@
     }
 }
 
+void PipelinedConnection::checkReading(const HttpLimits &limits)
+{
+    const auto now = m_server.m_loop.clock().now();
+    const auto unread = evbuffer_get_length(bufferevent_get_output(m_stream));
+    const auto read = m_writtenBytes - unread;
+    if (unread == 0 || read > m_readBytes) {
+        m_readBytes = read;
+        m_lastRead = now;
+    } else if (now - m_lastRead >= limits.idleTimeout) {
+        abandon();
+    }
+}
+
 void PipelinedConnection::checkTimeouts(const HttpLimits &limits)
 {
     if (m_stream == nullptr) {
@@ -264,6 +360,11 @@
         }
         return;
     }
+    checkReading(limits);
+    updateMemory();
+    if (m_stream == nullptr) {
+        return;
+    }
     const auto inactiveTime = now - m_lastActive;
     if (m_parser.isInMessage()) {
         const auto limit = m_parser.hasHeaders() ? limits.idleTimeout : limits.headerTimeout;
--- a/src/http/pipelined_connection.h
+++ b/src/http/pipelined_connection.h
@@ -11,11 +11,11 @@
 {
 
 /// Server side of one client connection with pipelined requests.
-class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>
+class PipelinedConnection : public std::enable_shared_from_this<PipelinedConnection>, private RequestMemory::User
 {
 public:
     PipelinedConnection(PipelinedServer &server, int descriptor);
-    ~PipelinedConnection();
+    ~PipelinedConnection() override;
 
     PipelinedConnection(const PipelinedConnection &) = delete;
     PipelinedConnection &operator=(const PipelinedConnection &) = delete;
@@ -32,6 +32,9 @@
     std::size_t unfinishedRequests() const;
     /// True from the end of the sending side until the client closes the connection or the time for it is over.
     bool isLingering() const;
+    /// True if the connection is closed, or no request and no response is in progress.
+    bool isIdle() const;
+    TimePoint lastActive() const;
 
 private:
     struct Slot
@@ -43,9 +46,11 @@
         std::optional<HttpResponse> response;
     };
 
+    bool mayReadRequests() const;
     void readRequests();
     bool readRequest();
     void startRequest(ParsedMessage message);
+    std::unique_ptr<RequestMemory::Reservation> reserve(const HttpRequest &request);
     void refuse(int status, const char *text);
     void refuseMalformed(ParseError error);
     void writeResponses();
@@ -55,6 +60,11 @@
     void finishWriting();
     void abandon();
     void close();
+    void giveWay() override;
+    void updateMemory();
+    std::size_t receivedMemory() const;
+    std::size_t unreadMemory() const;
+    void checkReading(const HttpLimits &limits);
 
     static void onRead(bufferevent *stream, void *self);
     static void onWrite(bufferevent *stream, void *self);
@@ -65,6 +75,10 @@
     MessageParser m_parser;
     std::deque<Slot> m_slots;
     TimePoint m_lastActive; ///< Time of the last response, of the first byte of the current request or of the latest data of its body.
+    std::size_t m_queuedBytes = 0; ///< Of responses that wait for an earlier one.
+    std::size_t m_writtenBytes = 0; ///< Handed to the stream since the start.
+    std::size_t m_readBytes = 0; ///< Of these, no longer in the output buffer when last checked.
+    TimePoint m_lastRead; ///< Time at which that number last grew, or the output buffer was empty.
     bool m_sentContinue = false; ///< "100 Continue" was sent for the current request.
     bool m_hadRequest = false; ///< At least one request has arrived.
     bool m_noMoreRequests = false; ///< Further input on the connection is discarded.
--- a/src/http/pipelined_server.cpp
+++ b/src/http/pipelined_server.cpp
@@ -5,6 +5,7 @@
 #include "common/assert.h"
 
 #include <algorithm>
+#include <unistd.h>
 
 namespace Toucandeck
 {
@@ -13,6 +14,7 @@
 {
 
 constexpr std::chrono::milliseconds kSweepInterval{ 200 };
+constexpr std::size_t kMaxConnections = 1024; ///< Of each server with a limit on memory; a connection occupies some kilobytes.
 
 } // namespace
 
@@ -66,20 +68,21 @@
     return m_answered;
 }
 
-Result<std::unique_ptr<PipelinedServer>>
-PipelinedServer::create(EventLoop &loop, const SocketAddress &address, LimitsProvider limits, Handler handler)
+Result<std::unique_ptr<PipelinedServer>> PipelinedServer::create(
+    EventLoop &loop, const SocketAddress &address, LimitsProvider limits, Handler handler, std::shared_ptr<RequestMemory> memory)
 {
-    std::unique_ptr<PipelinedServer> server(new PipelinedServer(loop, std::move(limits), std::move(handler)));
+    std::unique_ptr<PipelinedServer> server(new PipelinedServer(loop, std::move(limits), std::move(handler), std::move(memory)));
     auto *it = server.get();
     BOOST_LEAF_ASSIGN(server->m_listener,
                       Listener::listen(loop, address, [it](int descriptor, const std::string &) { it->accept(descriptor); }));
     return server;
 }
 
-PipelinedServer::PipelinedServer(EventLoop &loop, LimitsProvider limits, Handler handler)
+PipelinedServer::PipelinedServer(EventLoop &loop, LimitsProvider limits, Handler handler, std::shared_ptr<RequestMemory> memory)
     : m_loop(loop)
     , m_limitsProvider(std::move(limits))
     , m_handler(std::move(handler))
+    , m_memory(std::move(memory))
     , m_sweepTimer(loop.every(kSweepInterval, [this] { sweep(); }))
 {
 }
@@ -88,9 +91,25 @@
 
 void PipelinedServer::accept(int descriptor)
 {
+    if (m_memory && m_connections.size() >= kMaxConnections && !closeOneIdle()) {
+        ::close(descriptor);
+        return;
+    }
     m_connections.push_back(std::make_shared<internal::PipelinedConnection>(*this, descriptor));
 }
 
+bool PipelinedServer::closeOneIdle()
+{
+    const auto isOlder
+        = [](const auto &a, const auto &b) { return a->isIdle() != b->isIdle() ? a->isIdle() : a->lastActive() < b->lastActive(); };
+    const auto it = std::min_element(m_connections.begin(), m_connections.end(), isOlder);
+    if (!(*it)->isIdle()) {
+        return false;
+    }
+    m_connections.erase(it);
+    return true;
+}
+
 void PipelinedServer::sweep()
 {
     const auto limits = m_limitsProvider();
--- a/src/http/pipelined_server.h
+++ b/src/http/pipelined_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/message_parser.h"
+#include "http/request_memory.h"
 
 #include "link/listener.h"
 #include "runtime/event_loop.h"
@@ -49,6 +50,7 @@
     TimePoint m_receivedAt;
     std::function<void()> m_disconnectHandler;
     bool m_answered = false;
+    std::unique_ptr<RequestMemory::Reservation> m_reservation;
 };
 
 /// HTTP/1.1 server that processes pipelined requests concurrently and responds in order.
@@ -59,9 +61,13 @@
     using LimitsProvider = std::function<HttpLimits()>;
 
     /// @param limits called for each request, so that changed limits apply immediately.
+    /// @param memory limits the memory of the clients; null for no limit on memory and connections.
     /// Errors: Io.
-    static Result<std::unique_ptr<PipelinedServer>>
-    create(EventLoop &loop, const SocketAddress &address, LimitsProvider limits, Handler handler);
+    static Result<std::unique_ptr<PipelinedServer>> create(EventLoop &loop,
+                                                           const SocketAddress &address,
+                                                           LimitsProvider limits,
+                                                           Handler handler,
+                                                           std::shared_ptr<RequestMemory> memory = nullptr);
     ~PipelinedServer();
 
     PipelinedServer(const PipelinedServer &) = delete;
@@ -86,13 +92,16 @@
 private:
     friend class internal::PipelinedConnection;
 
-    PipelinedServer(EventLoop &loop, LimitsProvider limits, Handler handler);
+    PipelinedServer(EventLoop &loop, LimitsProvider limits, Handler handler, std::shared_ptr<RequestMemory> memory);
     void accept(int descriptor);
+    /// Closes the connection that has been idle for the longest time; false if none is idle.
+    bool closeOneIdle();
     void sweep();
 
     EventLoop &m_loop;
     LimitsProvider m_limitsProvider;
     Handler m_handler;
+    std::shared_ptr<RequestMemory> m_memory;
     bool m_draining = false;
     bool m_closesIdleConnections = false;
     std::list<std::shared_ptr<internal::PipelinedConnection>> m_connections;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <malloc.h>
 #include <sstream>
 #include <unistd.h>
 
@@ -13,10 +14,21 @@
 namespace
 {
 
+/// Part of the memory for clients; the rest is for the process itself, responses of the backend server and messages between nodes.
+constexpr std::size_t kClientMemoryDivisor = 2;
 constexpr std::chrono::seconds kSettingsCheckInterval{ 1 };
 /// Subtracted from the shutdown limit of the gateway, because the process must have terminated when the limit expires.
 constexpr std::chrono::milliseconds kShutdownReserve{ 400 };
 
+/// Makes the allocator return the memory of large buffers to the system when they are freed. By default, glibc raises the threshold for
+/// this with each such buffer, so that later ones stay in the heap.
+void returnLargeBuffers()
+{
+    constexpr int kLargeBytes = 128 << 10;
+    ::mallopt(M_MMAP_THRESHOLD, kLargeBytes);
+    ::mallopt(M_TRIM_THRESHOLD, kLargeBytes);
+}
+
 std::string readFile(const std::string &path)
 {
     std::ifstream in(path, std::ios::binary);
@@ -54,6 +66,10 @@
     m_watches.push_back(m_loop->onSignal(SIGHUP, [this] { reload("signal"); }));
     m_watches.push_back(m_loop->every(kSettingsCheckInterval, [this] { checkSettingsFile(); }));
     m_watches.push_back(m_loop->atIterationEnd([this] { m_logger.flush(); }));
+    if (m_settings.memoryLimit != 0) {
+        returnLargeBuffers();
+        m_requestMemory = RequestMemory::create(m_settings.memoryLimit / kClientMemoryDivisor);
+    }
     if (m_settings.role == NodeRole::Gateway) {
         BOOST_LEAF_CHECK(startGateway());
     } else {
@@ -78,7 +94,8 @@
         [] {
             return HttpLimits{ 64U << 10U, 64U << 20U };
         },
-        std::move(handler));
+        std::move(handler),
+        m_requestMemory);
 }
 
 Result<void> Node::startGateway()
@@ -92,6 +109,7 @@
     options.peerPort = m_settings.peerPort;
     options.seeds = m_settings.seedIps();
     options.retryShare = m_settings.retryShare;
+    options.requestMemory = m_requestMemory;
     options.balancing = m_settings.balancing;
     options.heartbeatInterval = m_settings.heartbeatInterval;
     options.shutdownLimit = m_settings.shutdownLimit - kShutdownReserve;
@@ -144,6 +162,12 @@
     if (m_gateway) {
         m_gateway->updateMetrics();
     }
+    if (m_requestMemory) {
+        m_metrics.gauge("toucandeck_client_memory_bytes", "Memory in the account of clients")
+            .Set(static_cast<double>(m_requestMemory->bytes()));
+        m_metrics.gauge("toucandeck_client_memory_refusals", "Requests refused and connections closed for lack of memory")
+            .Set(static_cast<double>(m_requestMemory->refusals()));
+    }
     if (m_controller) {
         const auto &group = m_controller->group();
         m_metrics.gauge("toucandeck_leads", "1 while this controller leads").Set(group.isLeaderReady() ? 1 : 0);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -65,6 +65,7 @@
     std::unique_ptr<EventLoop> m_loop;
     std::unique_ptr<Gateway> m_gateway;
     std::unique_ptr<Controller> m_controller;
+    std::shared_ptr<RequestMemory> m_requestMemory; ///< Null without a limit.
     std::vector<std::unique_ptr<PipelinedServer>> m_servers;
     std::vector<EventLoop::Watch> m_watches;
     std::string m_settingsText; ///< Contents of the settings file when it was last read.
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -126,6 +126,7 @@
     BOOST_LEAF_ASSIGN(out.failureDomain, fields.text("failureDomain"));
     BOOST_LEAF_ASSIGN(out.peerPort, readPort(fields, "peerPort", 0));
     BOOST_LEAF_ASSIGN(out.metricsPort, readPort(fields, "metricsPort", 0));
+    BOOST_LEAF_ASSIGN(out.memoryLimit, fields.number("memoryLimit", 0));
     BOOST_LEAF_ASSIGN(out.logLevel, readLevel(fields));
     BOOST_LEAF_ASSIGN(out.seeds, readSeeds(fields));
     BOOST_LEAF_ASSIGN(out.control, readAddress(fields, "control"));
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -30,6 +30,7 @@
     std::string failureDomain;
     std::uint16_t peerPort = 0; ///< Port for connections between nodes; the same on all nodes.
     std::uint16_t metricsPort = 0; ///< Port of the metrics endpoint; zero disables it.
+    std::size_t memoryLimit = 0; ///< Bytes that the process may occupy; clients get half of them. Zero is no limit.
     std::vector<SocketAddress> seeds; ///< Addresses of some controllers for operators.
     LogLevel logLevel = LogLevel::Info;
 
--- a/test/node/test_node_settings.cpp
+++ b/test/node/test_node_settings.cpp
@@ -68,3 +68,13 @@
         "control":"10.0.0.1:84"})";
     EXPECT_NE(errorOf(text).find("\"dataFolder\" is missing"), std::string::npos);
 }
+
+TEST(NodeSettings, ReadsTheLimitOnMemory)
+{
+    EXPECT_EQ(NodeSettings::parse(kGateway).value().memoryLimit, 0U);
+    auto text = std::string(kGateway);
+    text.insert(1, R"("memoryLimit":160000000,)");
+    EXPECT_EQ(NodeSettings::parse(text).value().memoryLimit, 160'000'000U);
+    text.replace(text.find("160000000"), 9, "\"much\"");
+    EXPECT_NE(errorOf(text).find("\"memoryLimit\""), std::string::npos);
+}
