Test the close of a connection whose client stops reading

Cause: No test covers the limit on the time without any byte read of a response. Change: A test of the server with a client that reads nothing of a response larger than the socket buffers.

--- a/test/http/test_pipelined_server.cpp
+++ b/test/http/test_pipelined_server.cpp
@@ -260,3 +260,16 @@
     ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
     EXPECT_EQ(m_exchanges[0]->request().body, "ok");
 }
+
+// Guards against a client that stops reading and thereby holds its responses for ever.
+TEST_F(PipelinedServerTest, ClosesAConnectionWhoseClientReadsNothingForTheIdleTime)
+{
+    constexpr std::size_t kMoreThanSocketBuffers = 32U << 20U;
+    m_limits.idleTimeout = milliseconds(400);
+    auto client = RawSocket::connectTo(m_address.port, 4096);
+    client.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(runUntil([this] { return m_exchanges.size() == 1; }));
+    m_exchanges[0]->respond(withBody(std::string(kMoreThanSocketBuffers, 'x')));
+    EXPECT_GT(m_server->unfinishedRequests(), 0U);
+    EXPECT_TRUE(runUntil([this] { return m_server->unfinishedRequests() == 0; }));
+}
