--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,7 @@
     Balancing balancing = Balancing::LeastTime;
     NestedCalls nestedCalls = NestedCalls::Independent;
     AdmissionPolicy admission = AdmissionPolicy::RefuseLate;
+    std::shared_ptr<RequestMemory> requestMemory; ///< Limits the memory of the clients; null for no limit.
     Duration heartbeatInterval = kDefaultHeartbeatInterval; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this time, even with pending work.
 };
