--- a/test/gateway/test_refused_call_retry.cpp
+++ b/test/gateway/test_refused_call_retry.cpp
@@ -33,7 +33,7 @@
     {
         for (std::size_t i = 0; i < kServers; ++i) {
             m_servers.push_back(std::make_unique<SimulatedServer>(
-                m_clock, m_logger, kSlots, [this](const Call &, double slowness, std::function<void(int)> done) {
+                m_clock, m_logger, kSlots, [this](const Call &, double slowness, const std::function<void(int)> &done) {
                     const auto work = std::chrono::duration_cast<Duration>(kWork * slowness * (0.5 + m_random.unit()));
                     m_agenda.after(work, [done] { done(200); });
                 }));
