--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -1,11 +1,13 @@
 #pragma once
 
-#include "gateway/balancing.h"
 #include "gateway/call_port.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_chooser.h"
 #include "gateway/gateway_loads.h"
+#include "gateway/gateway_selector.h"
+#include "gateway/nested_calls.h"
 #include "gateway/reference_work.h"
+#include "gateway/routing_counters.h"
 #include "routing/retry_budget.h"
 
 #include "log/logger.h"
@@ -53,7 +55,11 @@
     using Done = std::function<void(RoutedResult)>;
 
     /// @param retryShare is the number of retries per request that the budget allows.
-    CallRouter(const CallRouterParts &parts, std::string ownDomain, double retryShare, Balancing balancing = Balancing::LeastTime);
+    CallRouter(const CallRouterParts &parts,
+               std::string ownDomain,
+               double retryShare,
+               Balancing balancing = Balancing::LeastTime,
+               NestedCalls nestedCalls = NestedCalls::Independent);
     ~CallRouter();
 
     /// Routes a call. @p done is called once, after this returns, unless the call is cancelled first.
@@ -65,10 +71,16 @@
     void onViewChanged();
 
     std::size_t pendingCount() const;
+    /// Number of retries of nested calls that were refused by all gateways asked before.
+    std::uint64_t retriedNestedCalls() const;
 
     /// Reports of other backend servers of the service, to be passed on to the receiver of a reply. Empty unless balanced by capacity.
     std::vector<PeerReport> reportsFor(const std::string &service, const std::string &receiver) const;
 
+    const RoutingCounters &counters() const;
+    /// Longest recent transit time over all gateways.
+    Duration longestTransitTime() const;
+
 private:
     /// An attempt whose gateway sends nothing. It stays pending beside its retry, because it may still be answered.
     struct SilentAttempt
@@ -87,6 +99,8 @@
         TimePoint startedAt;
         std::set<std::string> triedGateways;
         std::uint32_t attempts = 0;
+        std::uint32_t rounds = 1; ///< Number of rounds of attempts; a pause precedes each round after the first.
+        std::uint32_t attemptsBefore = 0; ///< Attempts of earlier rounds.
         std::uint32_t reachedBackends = 0;
         bool mayHaveRun = false;
         std::string gateway; ///< IP address of the gateway of the current attempt.
@@ -112,6 +126,9 @@
     void recordResult(RoutedCall &it, const std::string &gateway, TimePoint sentAt, const CallResult &result);
     void onRefusal(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     void onFailure(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
+    /// Handles a refusal by the last gateway of a round: tries a nested call again after a pause, or finishes.
+    void onRoundRefused(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
+    void startRound(std::uint64_t id, const RoutedCallPtr &it);
     void waitForHolder(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
     bool isKeyed(const RoutedCall &it) const;
     bool mayRetry(const RoutedCall &it) const;
@@ -120,21 +137,20 @@
     /// True if the request may be retried after it may have run; takes the retry from the budget.
     bool takeRetry(const RoutedCall &it);
     std::vector<const ListedGateway *> eligibleGateways(const RoutedCall &it) const;
-    GatewayCandidate makeCandidate(const ListedGateway &gateway) const;
-    /// Candidate with the load that is expected now.
-    GatewayCandidate estimateCandidate(const ListedGateway &gateway) const;
-    std::vector<GatewayCandidate> sampleCandidates(const std::vector<const ListedGateway *> &eligible);
-    std::vector<GatewayCandidate> sampleCandidatesByCapacity(const std::vector<const ListedGateway *> &eligible);
+    /// Records the reports that a reply passes on, of gateways that are listed.
+    void recordPeerReports(const std::string &service, const CallResult &result);
     void finish(std::uint64_t id, const RoutedCallPtr &it, CallResult result);
 
     CallRouterParts m_parts;
-    std::string m_ownDomain;
     double m_retryShare;
-    Balancing m_balancing;
+    NestedCalls m_nestedCalls;
     GatewayLoads m_loads;
+    GatewaySelector m_selector;
+    RoutingCounters m_counters;
     std::map<std::string, RetryBudget> m_budgets; ///< By service.
     std::unordered_map<std::uint64_t, RoutedCallPtr> m_routedCalls;
     std::uint64_t m_nextId = 1;
+    std::uint64_t m_retriedNestedCalls = 0;
 };
 
 } // namespace Toucandeck
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -41,6 +41,9 @@
 inline constexpr Event kAdmissionReport{
     10215, LogLevel::Info, "admission_report", "Calls of one origin at the backend server since the previous report, a second before."
 };
+inline constexpr Event kRoutingReport{
+    10216, LogLevel::Info, "routing_report", "Gateways selected for calls since the previous report, a second before."
+};
 inline constexpr Event kInstanceStarted{
     10220, LogLevel::Info, "instance_started", "A new incarnation of the backend server sent its first heartbeat."
 };
@@ -83,5 +86,17 @@
 inline constexpr Event kGatewayDraining{
     10250, LogLevel::Info, "gateway_draining", "The gateway was asked to stop; it finishes its work."
 };
+inline constexpr Event kNestedCallRetried{
+    10260, LogLevel::Info, "nested_call_retried", "All gateways asked refused a nested call; it is tried again after a pause."
+};
+inline constexpr Event kNestedCallLimit{
+    10261,
+    LogLevel::Info,
+    "nested_call_limit",
+    "The limit on concurrent requests of a route has fallen, since their nested calls are refused for lack of capacity, or was lifted."
+};
+inline constexpr Event kRetryHeld{
+    10262, LogLevel::Info, "retry_held", "A client retried before its Retry-After; its request waits until then."
+};
 
 } // namespace Toucandeck::GatewayEvents
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kAdmissionInterval{ 20 }; ///< Interval of processing the admission queue while calls wait.
-constexpr milliseconds kAdmissionReportInterval{ 1000 };
+constexpr milliseconds kReportInterval{ 1000 };
 constexpr milliseconds kInstanceCheckInterval{ 300 };
 constexpr milliseconds kMaxHeartbeatDelay{ 600 }; ///< A backend server whose heartbeat is overdue by more than this is probed.
 constexpr milliseconds kDrainInterval{ 50 };
@@ -27,6 +27,14 @@
 constexpr milliseconds kFinalAnswerTime{ 250 };
 constexpr milliseconds kMinIdleTime{ 150 }; ///< The drain is complete after this time without pending requests and calls.
 
+std::unique_ptr<QueueOrder> queueOrder(AdmissionPolicy policy)
+{
+    if (policy == AdmissionPolicy::ServeLate) {
+        return std::make_unique<FairUrgencyOrder>();
+    }
+    return std::make_unique<UrgencyOrder>();
+}
+
 } // namespace
 
 Result<std::unique_ptr<Gateway>> Gateway::create(const GatewayParts &parts, GatewayOptions options)
@@ -49,15 +57,20 @@
     , m_grantCaller(parts.loop, parts.grantCodec, m_options.backend, parts.headers.requestId)
     , m_instance(parts.loop, parts.logger, m_grantCaller, m_options.backend.toString(), m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
-    , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, m_order)
+    , m_parents(
+          parts.loop.clock(), parts.logger, [this](const Call &call) { return kindOf(call); }, [this] { return m_instance.slots(); })
+    , m_order(queueOrder(m_options.admission))
+    , m_admission(parts.loop.clock(), parts.logger, m_instance, m_runner, *m_order, m_options.admission)
     , m_admissionReport(parts.logger, parts.metrics)
+    , m_routingReport(parts.logger, parts.metrics)
     , m_calls(parts.loop, m_links, m_admission, m_options.ip)
     , m_router({ parts.loop, parts.logger, parts.random, m_calls, m_view, m_chooser, &m_referenceWork },
                m_options.failureDomain,
                m_options.retryShare,
-               m_options.balancing)
+               m_options.balancing,
+               m_options.nestedCalls)
     , m_fleet(parts.loop, m_links, parts.logger, m_view, m_instance, m_options.ip, m_options.failureDomain, m_options.seeds)
-    , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router },
+    , m_requestHandler({ parts.loop, parts.logger, parts.random, parts.metrics, parts.headers, m_view, m_admission, m_router, parents() },
                        [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
 {
     m_admission.setReferenceWork(&m_referenceWork);
@@ -75,11 +88,17 @@
             m_admissionTimer = m_parts.loop.after(kAdmissionInterval, [this] { processAdmissionQueue(); });
         }
     });
+    if (parents() != nullptr) {
+        m_admission.setStartGate([this](const Call &call, CallDone &done) { return m_parents.enter(call, done); });
+    }
     m_view.setChangeHandler([this] {
         applyPolicy();
         m_router.onViewChanged();
     });
-    m_admissionReportTimer = parts.loop.every(kAdmissionReportInterval, [this] { m_admissionReport.write(m_admission); });
+    m_reportTimer = parts.loop.every(kReportInterval, [this] {
+        m_admissionReport.write(m_admission);
+        m_routingReport.write(m_router);
+    });
     m_instanceTimer = parts.loop.every(kInstanceCheckInterval, [this] { checkInstance(); });
 }
 
@@ -95,7 +114,8 @@
                           m_parts.loop,
                           m_options.outbound,
                           [this] { return httpLimits(); },
-                          [this](const std::shared_ptr<HttpExchange> &exchange) { m_requestHandler.handle(exchange); }));
+                          [this](const std::shared_ptr<HttpExchange> &exchange) { m_requestHandler.handle(exchange); },
+                          m_options.requestMemory));
     return {};
 }
 
@@ -125,6 +145,18 @@
     m_instance.deregister(instance);
 }
 
+std::string Gateway::kindOf(const Call &call) const
+{
+    const auto manifest = m_view.manifest();
+    const auto *route = manifest ? manifest->routes.find(call.request.header("Host").value_or(""), call.request.path()) : nullptr;
+    return route != nullptr ? route->name : call.service;
+}
+
+ParentRequests *Gateway::parents()
+{
+    return m_options.nestedCalls == NestedCalls::Protected ? &m_parents : nullptr;
+}
+
 void Gateway::onInstanceStarted()
 {
     m_runner.setInstance(m_instance.instance());
@@ -249,6 +281,16 @@
         .Set(m_admission.speedPermille() / 1000.0);
     metrics.gauge("toucandeck_requests_pending", "Requests of clients in progress")
         .Set(static_cast<double>(m_requestHandler.pendingCount()));
+    metrics.gauge("toucandeck_nested_calls_retried", "Rounds of attempts of nested calls after refusals by all gateways asked")
+        .Set(static_cast<double>(m_router.retriedNestedCalls()));
+    metrics
+        .gauge("toucandeck_nested_call_limit",
+               "Lowest limit on concurrent requests of a route that make nested calls; 0 if none is in force")
+        .Set(m_parents.gate().lowestLimit().value_or(0));
+    metrics.gauge("toucandeck_nested_calls_refused_parents", "Requests refused because their nested calls could not be served")
+        .Set(static_cast<double>(m_parents.gate().refusedRequests()));
+    metrics.gauge("toucandeck_retries_held", "Retries of clients that came before their Retry-After and waited")
+        .Set(static_cast<double>(m_requestHandler.heldRetries()));
     const auto &grants = m_instance.callGrants();
     const auto &counters = grants.counters();
     metrics.gauge("toucandeck_grants_sent", "Calls that granted keys to the backend server").Set(static_cast<double>(counters.sent));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/admission_policy.h"
 #include "gateway/admission_report.h"
 #include "gateway/backend_runner.h"
 #include "gateway/client_request_handler.h"
@@ -7,6 +8,7 @@
 #include "gateway/grant_caller.h"
 #include "gateway/peer_server.h"
 #include "gateway/remote_calls.h"
+#include "gateway/routing_report.h"
 
 namespace Toucandeck
 {
@@ -23,6 +25,9 @@
     std::vector<std::string> seeds; ///< IP addresses of some controllers.
     double retryShare = 0.08; ///< Retries per request.
     Balancing balancing = Balancing::LeastTime;
+    NestedCalls nestedCalls = NestedCalls::Independent;
+    AdmissionPolicy admission = AdmissionPolicy::RefuseLate;
+    std::shared_ptr<RequestMemory> requestMemory; ///< Limits the memory of the clients; null for no limit.
     Duration heartbeatInterval = kDefaultHeartbeatInterval; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit = std::chrono::milliseconds(5500); ///< A graceful stop ends after this time, even with pending work.
 };
@@ -70,6 +75,9 @@
     Gateway(const GatewayParts &parts, GatewayOptions options);
     Result<void> listen();
     void receive(const std::string &peer, const wire::PeerMessage &message);
+    /// Name of the route of a call, or its service if it has none.
+    std::string kindOf(const Call &call) const;
+    ParentRequests *parents();
     void onInstanceStarted();
     void onInstanceChanged();
     void applyPolicy();
@@ -85,10 +93,12 @@
     GrantCaller m_grantCaller;
     LocalInstance m_instance;
     BackendRunner m_runner;
-    UrgencyOrder m_order;
+    std::unique_ptr<QueueOrder> m_order;
     ReferenceWork m_referenceWork;
+    ParentRequests m_parents;
     BackendAdmission m_admission;
     AdmissionReport m_admissionReport;
+    RoutingReport m_routingReport;
     RemoteCalls m_calls;
     LeastTimeChooser m_chooser;
     CallRouter m_router;
@@ -100,7 +110,7 @@
     TimePoint m_drainStart;
     TimePoint m_lastBusy;
     EventLoop::Watch m_admissionTimer;
-    EventLoop::Watch m_admissionReportTimer;
+    EventLoop::Watch m_reportTimer;
     EventLoop::Watch m_instanceTimer;
     EventLoop::Watch m_drainTimer;
 };
--- a/src/gateway/peer_server.cpp
+++ b/src/gateway/peer_server.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peer_server.h"
 
+#include <algorithm>
+
 namespace Toucandeck
 {
 
@@ -44,6 +46,11 @@
     }
 }
 
+Duration PeerServer::delayOf(const wire::CallRequest &request, Connection &connection, TimePoint now)
+{
+    return request.sent_ms() == 0 ? Duration::zero() : connection.transitDelay.excess(std::chrono::milliseconds(request.sent_ms()), now);
+}
+
 void PeerServer::startCall(const Channel &channel, const wire::CallRequest &request)
 {
     const auto id = request.call();
@@ -60,12 +67,21 @@
     auto done = [this, channel, id, arrivedAt, service = request.service()](CallResult result) {
         const auto found = m_connections.find(channel);
         if (found != m_connections.end() && found->second.calls.erase(id) != 0) {
-            result.elapsed = m_loop.clock().now() - arrivedAt;
+            result.elapsed = std::max<Duration>(m_loop.clock().now() - arrivedAt, std::chrono::microseconds(1)); // Zero is unknown.
             result.peers = m_reportSource ? m_reportSource(service, channel->peer()) : std::vector<PeerReport>();
             reply(channel, id, result);
         }
     };
-    const auto admissionId = m_admission.submit(fromWire(request, arrivedAt), std::move(done));
+    // The remaining times in the request count from its sending.
+    auto call = fromWire(request, arrivedAt - delayOf(request, connection, arrivedAt));
+    call.entry = channel->peer();
+    if (call.deadline <= arrivedAt) {
+        auto result = notRun(wire::DEADLINE);
+        result.load = m_admission.loadReport();
+        done(std::move(result));
+        return;
+    }
+    const auto admissionId = m_admission.submit(std::move(call), std::move(done));
     auto &calls = m_connections[channel].calls;
     if (const auto it = calls.find(id); it != calls.end()) {
         it->second = admissionId;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -68,7 +68,8 @@
     void expectNoBody(bool noBody);
 
     /// Parses up to the end of the current message. Returns the number of bytes consumed, which is less than the size of @p data if the
-    /// message ends earlier.
+    /// message ends earlier or is invalid. A response is Malformed if its status line is invalid or its status is 101, because no request
+    /// asks for another protocol.
     std::size_t feed(std::string_view data);
 
     /// Handles the end of the stream, which completes a message that is delimited by the end of the connection.
@@ -82,6 +83,12 @@
     /// Memory that the body of the current message occupies.
     std::size_t bodyCapacity() const;
 
+    /// Memory that the current message occupies, in bytes: fields and the buffer of the body.
+    std::size_t memory() const;
+
+    /// Frees the current message; the stream cannot be parsed any further.
+    void discard();
+
     /// True from the first byte of a message until take() returns it.
     bool isInMessage() const;
     /// True once the headers of the current message are complete.
@@ -96,11 +103,15 @@
     static int onField(http_parser *parser, const char *data, std::size_t n);
     static int onValue(http_parser *parser, const char *data, std::size_t n);
     static int onHeadersComplete(http_parser *parser);
+    /// Grows the buffer of the body; not beyond the announced length.
+    void reserveBody(std::size_t n);
     static int onChunkHeader(http_parser *parser);
     static int onBody(http_parser *parser, const char *data, std::size_t n);
     static int onComplete(http_parser *parser);
     static const http_parser_settings &callbacks();
 
+    std::size_t feedPart(std::string_view data);
+    void readStatusLine(std::string_view data);
     /// True if the body has a transfer encoding other than a single "chunked".
     bool hasUnsupportedEncoding() const;
     int countHeaderBytes(std::size_t n);
@@ -115,6 +126,8 @@
     std::size_t m_receivedBytes = 0; ///< Since the start of the exchange, as are the next two.
     std::size_t m_bodyBytes = 0;
     std::size_t m_chunks = 0; ///< Without empty ones.
+    std::string m_statusLine; ///< Start of the status line of the current response.
+    bool m_inStatusLine; ///< The end of the status line has not arrived. False for requests.
     ParsedMessage m_message;
     bool m_inMessage = false;
     bool m_hasHeaders = false;
--- a/src/node/node_settings.cpp
+++ b/src/node/node_settings.cpp
@@ -69,6 +69,30 @@
     return fail(ErrorCode::InvalidArgument, fmt::format("settings: balancing \"{}\" is neither least-time nor capacity", text));
 }
 
+Result<NestedCalls> readNestedCalls(const JsonFields &fields)
+{
+    BOOST_LEAF_AUTO(text, fields.text("nestedCalls", "independent"));
+    if (text == "independent") {
+        return NestedCalls::Independent;
+    }
+    if (text == "protected") {
+        return NestedCalls::Protected;
+    }
+    return fail(ErrorCode::InvalidArgument, fmt::format("settings: nestedCalls \"{}\" is neither independent nor protected", text));
+}
+
+Result<AdmissionPolicy> readAdmission(const JsonFields &fields)
+{
+    BOOST_LEAF_AUTO(text, fields.text("admission", "refuse-late"));
+    if (text == "refuse-late") {
+        return AdmissionPolicy::RefuseLate;
+    }
+    if (text == "serve-late") {
+        return AdmissionPolicy::ServeLate;
+    }
+    return fail(ErrorCode::InvalidArgument, fmt::format("settings: admission \"{}\" is neither refuse-late nor serve-late", text));
+}
+
 Result<std::vector<SocketAddress>> readSeeds(const JsonFields &fields)
 {
     BOOST_LEAF_AUTO(list, fields.value("seeds"));
@@ -94,6 +118,8 @@
     BOOST_LEAF_ASSIGN(out.ready, readAddress(fields, "ready"));
     BOOST_LEAF_ASSIGN(out.retryShare, fields.fraction("retryShare", 0.08));
     BOOST_LEAF_ASSIGN(out.balancing, readBalancing(fields));
+    BOOST_LEAF_ASSIGN(out.nestedCalls, readNestedCalls(fields));
+    BOOST_LEAF_ASSIGN(out.admission, readAdmission(fields));
     BOOST_LEAF_ASSIGN(out.heartbeatInterval, fields.time("heartbeatInterval", kDefaultHeartbeatInterval));
     if (out.heartbeatInterval <= Duration::zero()) {
         return fail(ErrorCode::InvalidArgument, "settings: field \"heartbeatInterval\" must be positive");
@@ -126,6 +152,7 @@
     BOOST_LEAF_ASSIGN(out.failureDomain, fields.text("failureDomain"));
     BOOST_LEAF_ASSIGN(out.peerPort, readPort(fields, "peerPort", 0));
     BOOST_LEAF_ASSIGN(out.metricsPort, readPort(fields, "metricsPort", 0));
+    BOOST_LEAF_ASSIGN(out.memoryLimit, fields.number("memoryLimit", 0));
     BOOST_LEAF_ASSIGN(out.logLevel, readLevel(fields));
     BOOST_LEAF_ASSIGN(out.seeds, readSeeds(fields));
     BOOST_LEAF_ASSIGN(out.control, readAddress(fields, "control"));
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -2,7 +2,9 @@
 
 #include "common/result.h"
 #include "common/time.h"
+#include "gateway/admission_policy.h"
 #include "gateway/balancing.h"
+#include "gateway/nested_calls.h"
 #include "link/socket_address.h"
 #include "log/event.h"
 
@@ -30,6 +32,7 @@
     std::string failureDomain;
     std::uint16_t peerPort = 0; ///< Port for connections between nodes; the same on all nodes.
     std::uint16_t metricsPort = 0; ///< Port of the metrics endpoint; zero disables it.
+    std::size_t memoryLimit = 0; ///< Bytes that the process may occupy; clients get half of them. Zero is no limit.
     std::vector<SocketAddress> seeds; ///< Addresses of some controllers for operators.
     LogLevel logLevel = LogLevel::Info;
 
@@ -40,6 +43,8 @@
     SocketAddress ready; ///< Listens for readiness checks.
     double retryShare = 0; ///< Maximum ratio of retries to requests, over all gateways.
     Balancing balancing = Balancing::LeastTime; ///< Choice among the backend servers of services without keys.
+    NestedCalls nestedCalls = NestedCalls::Independent; ///< Treatment of the calls that requests make.
+    AdmissionPolicy admission = AdmissionPolicy::RefuseLate; ///< Calls that are expected to miss their latency target.
     Duration heartbeatInterval{}; ///< Interval of the backend server's heartbeats.
     Duration shutdownLimit{}; ///< Maximum duration of a graceful shutdown.
 
--- a/test/node/test_node_settings.cpp
+++ b/test/node/test_node_settings.cpp
@@ -49,6 +49,39 @@
     EXPECT_NE(errorOf(text).find("\"heartbeatInterval\" must be positive"), std::string::npos);
 }
 
+TEST(NodeSettings, ReadsTheTreatmentOfNestedCalls)
+{
+    EXPECT_EQ(NodeSettings::parse(kGateway).value().nestedCalls, NestedCalls::Independent);
+    auto text = std::string(kGateway);
+    text.insert(1, R"("nestedCalls":"protected",)");
+    EXPECT_EQ(NodeSettings::parse(text).value().nestedCalls, NestedCalls::Protected);
+    text.replace(text.find("protected"), 9, "sheltered");
+    EXPECT_NE(errorOf(text).find("nestedCalls \"sheltered\""), std::string::npos);
+}
+
+// Guards against deployments that get another admission policy without their operator's choice.
+TEST(NodeSettings, ReadsTheAdmissionPolicy)
+{
+    auto text = std::string(kGateway);
+    EXPECT_EQ(NodeSettings::parse(text).value().admission, AdmissionPolicy::RefuseLate);
+    text.insert(1, R"("admission":"serve-late",)");
+    EXPECT_EQ(NodeSettings::parse(text).value().admission, AdmissionPolicy::ServeLate);
+    text.replace(text.find("serve-late"), 10, "serve");
+    EXPECT_NE(errorOf(text).find("neither refuse-late nor serve-late"), std::string::npos);
+}
+
+TEST(NodeSettings, BalancesByLeastTimeUnlessToldOtherwise)
+{
+    auto text = std::string(kGateway);
+    EXPECT_EQ(NodeSettings::parse(text).value().balancing, Balancing::LeastTime);
+    text.insert(1, R"("balancing":"capacity",)");
+    EXPECT_EQ(NodeSettings::parse(text).value().balancing, Balancing::Capacity);
+    text.replace(text.find("capacity"), 8, "least-time");
+    EXPECT_EQ(NodeSettings::parse(text).value().balancing, Balancing::LeastTime);
+    text.replace(text.find("least-time"), 10, "fastest");
+    EXPECT_NE(errorOf(text).find("balancing \"fastest\" is neither"), std::string::npos);
+}
+
 TEST(NodeSettings, NamesTheFieldThatIsWrong)
 {
     EXPECT_NE(errorOf(without(kGateway, "\"backend\":\"10.0.0.1:81\",")).find("\"backend\" is missing"), std::string::npos);
@@ -68,3 +101,13 @@
         "control":"10.0.0.1:84"})";
     EXPECT_NE(errorOf(text).find("\"dataFolder\" is missing"), std::string::npos);
 }
+
+TEST(NodeSettings, ReadsTheLimitOnMemory)
+{
+    EXPECT_EQ(NodeSettings::parse(kGateway).value().memoryLimit, 0U);
+    auto text = std::string(kGateway);
+    text.insert(1, R"("memoryLimit":160000000,)");
+    EXPECT_EQ(NodeSettings::parse(text).value().memoryLimit, 160'000'000U);
+    text.replace(text.find("160000000"), 9, "\"much\"");
+    EXPECT_NE(errorOf(text).find("\"memoryLimit\""), std::string::npos);
+}
