Satisfy the linter in the process tests of hostile clients

Change: the result of a connect in progress is ignored explicitly; a request is passed by reference. No check is changed.

--- a/test/processes/hostile_crowd.cpp
+++ b/test/processes/hostile_crowd.cpp
@@ -31,7 +31,8 @@
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const auto sa = address.toSockaddr();
-    ::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa));
+    static_cast<void>(
+        ::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa))); // In progress; the first write shows a failure.
     m_clients.push_back({ descriptor, std::move(head), std::move(unit), times, 0, false });
 }
 
--- a/test/processes/process_fleet.cpp
+++ b/test/processes/process_fleet.cpp
@@ -107,7 +107,7 @@
     return putManifest() && servesAnOrdinaryRequest();
 }
 
-std::optional<HttpResponse> ProcessFleet::send(const SocketAddress &address, HttpRequest request)
+std::optional<HttpResponse> ProcessFleet::send(const SocketAddress &address, const HttpRequest &request)
 {
     return OneShotClient(*m_loop, address).send(request, kRequestLimit);
 }
--- a/test/processes/process_fleet.h
+++ b/test/processes/process_fleet.h
@@ -54,7 +54,7 @@
 private:
     std::unique_ptr<Standin::ChildProcess> launch(const std::string &name, const nlohmann::json &settings);
     bool putManifest();
-    std::optional<HttpResponse> send(const SocketAddress &address, HttpRequest request);
+    std::optional<HttpResponse> send(const SocketAddress &address, const HttpRequest &request);
     static bool isController(const std::string &entry);
 
     std::string m_binaryFolder;
