--- a/test/processes/process_fleet.cpp
+++ b/test/processes/process_fleet.cpp
@@ -147,7 +147,7 @@
         HttpRequest request{ "GET", "/x/1", { { "Host", "a.example" } }, {} };
         request.headers.push_back({ "X-Toucandeck-Request-Id", fmt::format("id-{}", ++m_requests) });
         request.headers.push_back({ "X-Toucandeck-Deadline-Ms", "5000" });
-        const auto response = send({ m_gatewayIp, kOutboundPort }, std::move(request));
+        const auto response = send({ m_gatewayIp, kOutboundPort }, request);
         if (response && response->status == 200) {
             return true;
         }
@@ -161,7 +161,7 @@
     HttpRequest request{ "POST", "/x/1", { { "Host", "a.example" } }, std::string(bytes, 'x') };
     request.headers.push_back({ "X-Toucandeck-Request-Id", fmt::format("id-{}", ++m_requests) });
     request.headers.push_back({ "X-Toucandeck-Deadline-Ms", "5000" });
-    const auto response = send({ m_gatewayIp, kOutboundPort }, std::move(request));
+    const auto response = send({ m_gatewayIp, kOutboundPort }, request);
     return response ? response->status : 0;
 }
 
