--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -62,6 +62,22 @@
     return { text.substr(0, colon), static_cast<std::uint16_t>(std::atoi(text.substr(colon + 1).c_str())) };
 }
 
+/// Name and value of a route in the manifest.
+std::string routeItem(const ServicePlan &service, const std::string &type)
+{
+    const auto timeout = quoted(std::to_string(service.timeout.count()) + "ms");
+    return quoted("r-" + service.name + "-" + type) + ":{\"host\":" + quoted(service.name + ".example")
+        + ",\"pathPrefix\":" + quoted("/" + type + "/") + ",\"routeType\":" + quoted(type) + ",\"timeout\":" + timeout
+        + ",\"targetLatency\":" + timeout + ",\"priority\":1,\"service\":" + quoted(service.name) + ",\"maxAttempts\":2}";
+}
+
+/// Name and value of a service in the manifest.
+std::string serviceItem(const ServicePlan &service)
+{
+    return quoted(service.name)
+        + ":{\"healthPath\":\"/health\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,\"coldPeriod\":\"3s\",\"coldPerS\":17.0}";
+}
+
 } // namespace
 
 Process::Process(std::string command, std::string settingsFile, std::string logFile)
@@ -267,15 +283,10 @@
     std::string routes;
     std::string items;
     for (const auto &it : services) {
-        const auto timeout = quoted(std::to_string(it.timeout.count()) + "ms");
         for (const char *type : { "safe", "unsafe" }) {
-            routes += (routes.empty() ? "" : ",") + quoted("r-" + it.name + "-" + type) + ":{\"host\":" + quoted(it.name + ".example")
-                + ",\"pathPrefix\":" + quoted("/" + std::string(type) + "/") + ",\"routeType\":" + quoted(type) + ",\"timeout\":" + timeout
-                + ",\"targetLatency\":" + timeout + ",\"priority\":1,\"service\":" + quoted(it.name) + ",\"maxAttempts\":2}";
+            routes.append(routes.empty() ? "" : ",").append(routeItem(it, type));
         }
-        items += (items.empty() ? "" : ",") + quoted(it.name)
-            + ":{\"healthPath\":\"/"
-              "health\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,\"coldPeriod\":\"3s\",\"coldPerS\":17.0}";
+        items.append(items.empty() ? "" : ",").append(serviceItem(it));
     }
     const auto body = "{\"version\":3,\"routes\":{" + routes + "},\"services\":{" + items
         + "},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}"
--- a/review/harness-2/instance.cpp
+++ b/review/harness-2/instance.cpp
@@ -126,7 +126,13 @@
     m_recorder.write(m_id + " runs " + requestId + ": " + request.method() + " " + request.target() + ", body of "
                      + std::to_string(request.body.size()) + " bytes");
     std::this_thread::sleep_for(m_work);
-    connection.send(responseText("200 OK", requestId, "X-Toucandeck-Response-Seal: seal-" + requestId + "\r\n", "done " + requestId));
+    const auto seal = "X-Toucandeck-Response-Seal: seal-" + requestId + "\r\n";
+    if (m_failing && ++m_answered % 2 == 0) {
+        m_recorder.write(m_id + " fails " + requestId + " with 503, after its work");
+        connection.send(responseText("503 Service Unavailable", requestId, seal, "the ledger did not respond"));
+        return;
+    }
+    connection.send(responseText("200 OK", requestId, seal, "done " + requestId));
 }
 
 void Instance::sendHeartbeats()
@@ -156,6 +162,11 @@
         m_control, requestText("POST", target, { { "Host", "control" }, { "Content-Type", "application/json" } }, body), kHeartbeatTimeout);
 }
 
+void Instance::startFailing()
+{
+    m_failing = true;
+}
+
 bool Instance::deregister()
 {
     const auto answer = callGateway("deregister", {});
--- a/review/harness-2/instance.h
+++ b/review/harness-2/instance.h
@@ -29,6 +29,9 @@
     Instance &operator=(const Instance &) = delete;
 
     void start();
+    /// From now on each second request fails with 503 after it has been worked on, as with a dependency that is not available. The
+    /// response does not say that the request was not run, since that would be false.
+    void startFailing();
     /// Sends the call that it leaves once; true if it was confirmed.
     bool deregister();
     /// Ends at once: requests that it works on get no answer.
@@ -55,6 +58,8 @@
     std::string m_id;
     int m_listener = -1;
     std::atomic<bool> m_stopping = false;
+    std::atomic<bool> m_failing = false;
+    std::atomic<unsigned> m_answered = 0;
     std::uint64_t m_sequence = 0;
     std::mutex m_mutex;
     std::vector<Run> m_runs;
