review/6: requests go on to a service whose weight is 0

Claim: after the weights of a split change from 900 and 100 to 0 and 1, each gateway sends its next requests to the service of weight 0, here all 60 of each of two gateways, from 3 s after the confirmation on.

Takes the place of the case of a request that offers an upgrade, which review/3 already shows.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,6 @@
 out=target/review-2
 mkdir -p "$out"
 common=(review/harness-2/{recorder,http,deployment,instance,scenario}.cpp)
-for it in failing_instance upgrade_body large_bodies short_fields leaving_after_restart; do
+for it in weights failing_instance large_bodies short_fields leaving_after_restart; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "$out/$it" "review/harness-2/$it.cpp" "${common[@]}"
 done
--- a/review/harness-2/deployment.cpp
+++ b/review/harness-2/deployment.cpp
@@ -71,13 +71,6 @@
         + ",\"targetLatency\":" + timeout + ",\"priority\":1,\"service\":" + quoted(service.name) + ",\"maxAttempts\":2}";
 }
 
-/// Name and value of a service in the manifest.
-std::string serviceItem(const ServicePlan &service)
-{
-    return quoted(service.name)
-        + ":{\"healthPath\":\"/health\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,\"coldPeriod\":\"3s\",\"coldPerS\":17.0}";
-}
-
 } // namespace
 
 Process::Process(std::string command, std::string settingsFile, std::string logFile)
@@ -150,6 +143,12 @@
 
 std::uint64_t Process::residentBytes() const
 {
+    constexpr std::size_t kNameBytes = 15; // The kernel keeps no more of a name.
+    std::string name;
+    std::ifstream("/proc/" + std::to_string(m_pid) + "/comm") >> name;
+    if (name != std::filesystem::path(m_command).filename().string().substr(0, kNameBytes)) {
+        return 0; // Until the program is loaded, the process has the memory of this one.
+    }
     std::ifstream in("/proc/" + std::to_string(m_pid) + "/statm");
     std::uint64_t size = 0;
     std::uint64_t resident = 0;
@@ -286,11 +285,13 @@
         for (const char *type : { "safe", "unsafe" }) {
             routes.append(routes.empty() ? "" : ",").append(routeItem(it, type));
         }
-        items.append(items.empty() ? "" : ",").append(serviceItem(it));
+        items.append(items.empty() ? "" : ",").append(serviceItem(it.name));
     }
-    const auto body = "{\"version\":3,\"routes\":{" + routes + "},\"services\":{" + items
-        + "},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"}"
-          ",\"baseVersion\":0}";
+    return putDocument("{\"version\":3,\"routes\":{" + routes + "},\"services\":{" + items + "}" + manifestEnd(0));
+}
+
+bool Deployment::putDocument(const std::string &body)
+{
     const auto request
         = requestText("POST", "/toucandeck/config/put", { { "Host", "control" }, { "Content-Type", "application/json" } }, body);
     for (int i = 0; i < kOrderAttempts; ++i) {
@@ -327,6 +328,19 @@
     return m_gateways;
 }
 
+std::string serviceItem(const std::string &name)
+{
+    return quoted(name)
+        + ":{\"healthPath\":\"/health\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,\"coldPeriod\":\"3s\",\"coldPerS\":17.0}";
+}
+
+std::string manifestEnd(int baseVersion)
+{
+    return ",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,\"headerTimeout\":\"3000ms\",\"idleTimeout\":\"15000ms\"},"
+           "\"baseVersion\":"
+        + std::to_string(baseVersion) + "}";
+}
+
 std::vector<HeaderField> clientHeaders(const std::string &service, const std::string &requestId, Milliseconds deadline)
 {
     return { { "Host", service + ".example" },
--- a/review/harness-2/deployment.h
+++ b/review/harness-2/deployment.h
@@ -68,6 +68,8 @@
     /// Sends a manifest with a `safe` and an `unsafe` route for each service until it is confirmed. The host is NAME.example, the path
     /// prefix is the type of the route.
     bool putManifest(const std::vector<ServicePlan> &services);
+    /// Sends this manifest until it is confirmed.
+    bool putDocument(const std::string &body);
     /// True once all gateways say that they are ready.
     bool waitUntilReady(Milliseconds timeout);
 
@@ -90,6 +92,12 @@
     std::vector<GatewayVm> m_gateways;
 };
 
+/// A service in a manifest, as `"NAME":{...}`.
+std::string serviceItem(const std::string &name);
+
+/// The part of a manifest behind its routes and services, from the comma on.
+std::string manifestEnd(int baseVersion);
+
 /// Headers of a request of a client.
 std::vector<HeaderField> clientHeaders(const std::string &service, const std::string &requestId, Milliseconds deadline);
 
--- a/review/harness-2/large_bodies.cpp
+++ b/review/harness-2/large_bodies.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t kBodyBytes = 48'000'000; ///< The manifest allows 67,108,864.
 constexpr int kRounds = 3;
 constexpr std::size_t kTargets = 2; ///< Services with one instance each.
-constexpr std::size_t kClients = 3; ///< At one machine each.
+constexpr std::size_t kClients = 6; ///< At one machine each.
 constexpr std::uint64_t kMemoryBytes = Deployment::kMemoryMb << 20U;
 constexpr int kEndsOfBrokenMachine = 3;
 constexpr Milliseconds kRestartDelay{ 500 };
@@ -132,9 +132,11 @@
 {
     auto &recorder = scenario.recorder;
     static const std::array<std::string, kTargets> kServices{ "archive", "intake" };
-    Deployment deployment(
-        recorder,
-        { { kServices[0], "zone-0" }, { kServices[1], "zone-1" }, { "front", "zone-1" }, { "front", "zone-2" }, { "front", "zone-3" } });
+    std::vector<std::pair<std::string, std::string>> vms{ { kServices[0], "zone-0" }, { kServices[1], "zone-1" } };
+    for (std::size_t i = 0; i < kClients; ++i) {
+        vms.emplace_back("front", "zone-" + std::to_string(i % 4));
+    }
+    Deployment deployment(recorder, vms);
     std::vector<std::unique_ptr<Instance>> instances;
     for (const auto &it : deployment.gateways()) {
         instances.push_back(std::make_unique<Instance>(it, recorder, Milliseconds(50)));
@@ -156,7 +158,7 @@
                        + std::to_string(limit.peaks()[i] >> 20U) + " MB");
         machines += limit.ends()[i] >= kEndsOfBrokenMachine ? 1 : 0;
     }
-    recorder.write(std::to_string(machines) + " of 10 machines had three ends of their own");
+    recorder.write(std::to_string(machines) + " of 13 machines had three ends of their own");
     return machines >= 2 ? Verdict::Broken : Verdict::Held;
 }
 
--- a/review/harness-2/scenario.cpp
+++ b/review/harness-2/scenario.cpp
@@ -38,19 +38,34 @@
     return static_cast<int>(verdict);
 }
 
-bool bringUp(Deployment &deployment, const std::vector<std::unique_ptr<Instance>> &instances, const std::vector<ServicePlan> &services)
+namespace
+{
+
+bool bringUpWith(Deployment &deployment, const std::vector<std::unique_ptr<Instance>> &instances, const std::function<bool()> &putManifest)
 {
     deployment.start();
     for (const auto &it : instances) {
         it->start();
     }
-    if (!deployment.putManifest(services) || !deployment.waitUntilReady(kReadyTimeout)) {
+    if (!putManifest() || !deployment.waitUntilReady(kReadyTimeout)) {
         return false;
     }
     std::this_thread::sleep_for(kSettlingTime);
     return true;
 }
 
+} // namespace
+
+bool bringUp(Deployment &deployment, const std::vector<std::unique_ptr<Instance>> &instances, const std::vector<ServicePlan> &services)
+{
+    return bringUpWith(deployment, instances, [&] { return deployment.putManifest(services); });
+}
+
+bool bringUp(Deployment &deployment, const std::vector<std::unique_ptr<Instance>> &instances, const std::string &manifest)
+{
+    return bringUpWith(deployment, instances, [&] { return deployment.putDocument(manifest); });
+}
+
 std::string outcomeText(const std::optional<Message> &answer)
 {
     return answer ? std::to_string(answer->status()) : std::string("no answer");
--- a/review/harness-2/scenario.h
+++ b/review/harness-2/scenario.h
@@ -27,6 +27,9 @@
 /// Starts the processes and the instances, sends the manifest and waits until requests can be served.
 bool bringUp(Deployment &deployment, const std::vector<std::unique_ptr<Instance>> &instances, const std::vector<ServicePlan> &services);
 
+/// The same with this manifest.
+bool bringUp(Deployment &deployment, const std::vector<std::unique_ptr<Instance>> &instances, const std::string &manifest);
+
 /// Text of the status, or why there is none.
 std::string outcomeText(const std::optional<Message> &answer);
 
