http: a response that is reset during its upload is not complete

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The client got that part, with the proof, as the complete answer.

Cause: a response without a length ends with its connection. The kernel reports a reset once. With an upload in progress the failed write took ECONNRESET, the read after it found the end of the stream, and both came as one deferred event of libevent whose end of the stream was looked at first, so that the response counted as complete.

Change: RequestWriter writes the requests, the stream only reads. After a failed write the response is still read, and the end of the stream completes it only if the write failed with EPIPE, which means that the peer had ended its stream before the reset (RFC 9112, section 8).

--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -22,19 +22,6 @@
 constexpr seconds kDefaultIdleTimeout{ 4 }; ///< For backend servers that advertise no timeout.
 constexpr std::size_t kMaxExcludedIds = 256; ///< Per connection.
 
-/// Hands the text to the output buffer, which frees it after it has been sent.
-void writeWithoutCopy(bufferevent *stream, std::string text)
-{
-    if (text.empty()) {
-        return;
-    }
-    const auto destroy = [](const void * /*data*/, std::size_t /*size*/, void *owned) { delete static_cast<std::string *>(owned); };
-    auto owned = std::make_unique<std::string>(std::move(text));
-    if (evbuffer_add_reference(bufferevent_get_output(stream), owned->data(), owned->size(), destroy, owned.get()) == 0) {
-        static_cast<void>(owned.release()); // Owned by the output buffer.
-    }
-}
-
 /// Value of N in the header "Keep-Alive: timeout=N".
 std::optional<seconds> advertisedIdleTimeout(const HttpResponse &response)
 {
@@ -92,6 +79,7 @@
     : m_loop(loop)
     , m_echoHeader(std::move(echoHeader))
     , m_memory(memory)
+    , m_writer(loop)
     , m_parser(internal::MessageParser::Kind::Response)
     , m_idleSince(loop.clock().now())
     , m_idleTimeout(kDefaultIdleTimeout)
@@ -174,7 +162,7 @@
     head.reserve(head.size() + request.body.size());
     head += request.body;
     if (m_established) {
-        writeWithoutCopy(m_stream, std::move(head));
+        m_writer.write(std::move(head));
     } else {
         m_unsentRequest = std::move(head);
     }
@@ -184,7 +172,8 @@
 {
     m_established = true;
     m_connectTimer.cancel();
-    writeWithoutCopy(m_stream, std::exchange(m_unsentRequest, {}));
+    m_writer.start(bufferevent_getfd(m_stream));
+    m_writer.write(std::exchange(m_unsentRequest, {}));
     if (m_establishedHandler) {
         std::exchange(m_establishedHandler, nullptr)(true, BackendError::None);
     }
@@ -276,9 +265,7 @@
     result.droppedId = m_droppedId;
     m_keepAlive = m_keepAlive && message.keepAlive;
     // With data after the response, or with part of the request unsent, the next response could be misread.
-    const bool buffersEmpty
-        = evbuffer_get_length(bufferevent_get_input(m_stream)) == 0 && evbuffer_get_length(bufferevent_get_output(m_stream)) == 0;
-    m_keepAlive = m_keepAlive && buffersEmpty;
+    m_keepAlive = m_keepAlive && evbuffer_get_length(bufferevent_get_input(m_stream)) == 0 && m_writer.isFinished();
     m_idleSince = m_loop.clock().now();
     if (const auto timeout = advertisedIdleTimeout(result.response)) {
         m_idleTimeout = *timeout;
@@ -315,7 +302,9 @@
     }
     if ((what & BEV_EVENT_EOF) != 0 && it.m_responseHandler) {
         it.m_keepAlive = false;
-        it.m_parser.feedEof(); // A response without a length ends with the connection.
+        if (!it.m_writer.hasConsumedError()) {
+            it.m_parser.feedEof(); // A response without a length ends with the connection, unless that was reset (RFC 9112, 8).
+        }
         if (auto message = it.m_parser.take()) {
             const auto alive = it.m_alive;
             it.finish(std::move(*message));
@@ -353,6 +342,7 @@
 void BackendConnection::close()
 {
     recordMemory(0);
+    m_writer.stop();
     if (m_stream != nullptr) {
         bufferevent_free(m_stream);
         m_stream = nullptr;
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -5,6 +5,7 @@
 
 #include "link/socket_address.h"
 #include "runtime/event_loop.h"
+#include "runtime/request_writer.h"
 
 #include <cstddef>
 #include <functional>
@@ -117,7 +118,8 @@
     std::string m_echoHeader;
     ResponseMemory *m_memory;
     std::size_t m_recordedMemory = 0; ///< Bytes; zero if no request is in progress.
-    bufferevent *m_stream = nullptr;
+    bufferevent *m_stream = nullptr; ///< Connects and reads; m_writer writes.
+    internal::RequestWriter m_writer;
     internal::MessageParser m_parser;
     bool m_established = false;
     std::string m_unsentRequest; ///< Waits for the connection to be established.
--- a/test/gateway/test_grant_caller.cpp
+++ b/test/gateway/test_grant_caller.cpp
@@ -172,6 +172,17 @@
     EXPECT_EQ(outcome(), GrantOutcome::Unanswered);
 }
 
+TEST_F(GrantCallerTest, AnAnswerWithoutLengthThatIsResetIsNone)
+{
+    connect();
+    grant();
+    const auto id = idOn(0, "/grant");
+    m_accepted[0].write("HTTP/1.1 200 X\r\nId: " + id + "\r\n\r\n{}");
+    run(milliseconds(20));
+    m_accepted[0].reset();
+    EXPECT_EQ(outcome(), GrantOutcome::Unanswered);
+}
+
 // The answer to an earlier call, sent twice.
 TEST_F(GrantCallerTest, ASecondCopyOfAnAnswerIsNotTakenForTheNextOne)
 {
--- a/test/processes/process_fleet.cpp
+++ b/test/processes/process_fleet.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint16_t kBackendPort = 17283;
 constexpr std::uint16_t kReadyPort = 17284;
 constexpr std::uint16_t kMetricsPort = 17285;
+constexpr std::uint16_t kReplacedBackendPort = 17286; ///< Of the stand-in, if a server of the test takes its place.
 
 /// Loopback address that is unique to this process.
 std::string nodeIp(int number)
@@ -45,12 +46,15 @@
     , m_loop(EventLoop::create(m_clock).value())
     , m_controllerIp(nodeIp(1))
     , m_gatewayIp(nodeIp(2))
+    , m_entryIp(nodeIp(3))
+    , m_backendPort(kBackendPort)
 {
     std::filesystem::create_directories(m_folder);
 }
 
 ProcessFleet::~ProcessFleet()
 {
+    m_entryGateway.reset();
     m_gateway.reset();
     m_controller.reset();
     m_backend.reset();
@@ -66,13 +70,40 @@
         .value();
 }
 
+json ProcessFleet::commonSettings() const
+{
+    return { { "peerPort", kPeerPort },
+             { "metricsPort", kMetricsPort },
+             { "logLevel", "warning" },
+             { "seeds", { SocketAddress{ m_controllerIp, kControlPort }.toString() } } };
+}
+
+json ProcessFleet::gatewaySettings(const std::string &ip, const std::string &service) const
+{
+    auto settings = commonSettings();
+    settings.update({ { "process", "gateway" },
+                      { "role", "gateway" },
+                      { "ip", ip },
+                      { "failureDomain", "b" },
+                      { "memoryLimit", kGatewayMemory },
+                      { "service", service },
+                      { "backend", SocketAddress{ ip, kBackendPort }.toString() },
+                      { "outbound", SocketAddress{ ip, kOutboundPort }.toString() },
+                      { "ready", SocketAddress{ ip, kReadyPort }.toString() },
+                      { "shutdownLimit", "6s" },
+                      { "control", SocketAddress{ ip, kControlPort }.toString() } });
+    return settings;
+}
+
+SocketAddress ProcessFleet::replaceBackend()
+{
+    m_backendPort = kReplacedBackendPort;
+    return { m_gatewayIp, kBackendPort };
+}
+
 bool ProcessFleet::start()
 {
-    json settings{ { "peerPort", kPeerPort },
-                   { "metricsPort", kMetricsPort },
-                   { "logLevel", "warning" },
-                   { "seeds", { SocketAddress{ m_controllerIp, kControlPort }.toString() } } };
-    auto controller = settings;
+    auto controller = commonSettings();
     controller.update({ { "process", "controller" },
                         { "role", "controller" },
                         { "ip", m_controllerIp },
@@ -83,22 +114,10 @@
                         { "toleratedLosses", 0 },
                         { "control", SocketAddress{ m_controllerIp, kControlPort }.toString() } });
     m_controller = launch("controller", controller);
-    auto gateway = settings;
-    gateway.update({ { "process", "gateway" },
-                     { "role", "gateway" },
-                     { "ip", m_gatewayIp },
-                     { "failureDomain", "b" },
-                     { "memoryLimit", kGatewayMemory },
-                     { "service", "svc" },
-                     { "backend", SocketAddress{ m_gatewayIp, kBackendPort }.toString() },
-                     { "outbound", SocketAddress{ m_gatewayIp, kOutboundPort }.toString() },
-                     { "ready", SocketAddress{ m_gatewayIp, kReadyPort }.toString() },
-                     { "shutdownLimit", "6s" },
-                     { "control", SocketAddress{ m_gatewayIp, kControlPort }.toString() } });
-    m_gateway = launch("gateway", gateway);
+    m_gateway = launch("gateway", gatewaySettings(m_gatewayIp, "svc"));
     Standin::PlatformBackendOptions options;
-    options.listen = { m_gatewayIp, kBackendPort };
-    options.announced = options.listen;
+    options.listen = { m_gatewayIp, m_backendPort };
+    options.announced = { m_gatewayIp, kBackendPort };
     options.control = { m_gatewayIp, kControlPort };
     options.service = "svc";
     options.failureDomain = "b";
@@ -107,6 +126,12 @@
     return putManifest() && servesAnOrdinaryRequest();
 }
 
+bool ProcessFleet::startEntryGateway()
+{
+    m_entryGateway = launch("entry-gateway", gatewaySettings(m_entryIp, "other"));
+    return servesAnOrdinaryRequest(m_entryIp, *m_entryGateway);
+}
+
 std::optional<HttpResponse> ProcessFleet::send(const SocketAddress &address, const HttpRequest &request)
 {
     return OneShotClient(*m_loop, address).send(request, kRequestLimit);
@@ -125,6 +150,13 @@
                 { "routeType", "safe" },
                 { "timeout", "5s" },
                 { "service", "svc" },
+                { "maxAttempts", 2 } } },
+            { "u",
+              { { "host", "a.example" },
+                { "pathPrefix", "/u/" },
+                { "routeType", "unsafe" },
+                { "timeout", "5s" },
+                { "service", "svc" },
                 { "maxAttempts", 2 } } } } },
         { "services", { { "svc", { { "healthPath", "/health" }, { "sharded", false } } } } },
     };
@@ -141,13 +173,18 @@
 }
 
 bool ProcessFleet::servesAnOrdinaryRequest()
+{
+    return servesAnOrdinaryRequest(m_gatewayIp, *m_gateway);
+}
+
+bool ProcessFleet::servesAnOrdinaryRequest(const std::string &ip, ChildProcess &gateway)
 {
     const auto end = m_clock.now() + kLimit;
-    while (m_clock.now() < end && m_gateway->isRunning()) {
+    while (m_clock.now() < end && gateway.isRunning()) {
         HttpRequest request{ "GET", "/x/1", { { "Host", "a.example" } }, {} };
         request.headers.push_back({ "X-Toucandeck-Request-Id", fmt::format("id-{}", ++m_requests) });
         request.headers.push_back({ "X-Toucandeck-Deadline-Ms", "5000" });
-        const auto response = send({ m_gatewayIp, kOutboundPort }, request);
+        const auto response = send({ ip, kOutboundPort }, request);
         if (response && response->status == 200) {
             return true;
         }
@@ -175,6 +212,7 @@
         { "gateway_metrics", { m_gatewayIp, kMetricsPort }, "/metrics" },
         { "operators", { m_controllerIp, kControlPort }, "/toucandeck/config/put" },
         { "controller_metrics", { m_controllerIp, kMetricsPort }, "/metrics" },
+        { "entry_gateway", { m_entryIp, kOutboundPort }, "/x/1" },
     };
     return *std::find_if(std::begin(all), std::end(all), [&name](const auto &it) { return it.name == name; });
 }
@@ -186,7 +224,7 @@
 
 ChildProcess &ProcessFleet::processOf(const std::string &entry) const
 {
-    return isController(entry) ? *m_controller : *m_gateway;
+    return isController(entry) ? *m_controller : entry == "entry_gateway" ? *m_entryGateway : *m_gateway;
 }
 
 std::size_t ProcessFleet::memoryOf(const std::string &entry)
@@ -199,12 +237,30 @@
     return *m_loop;
 }
 
+std::string ProcessFleet::logFileOf(const std::string &entry) const
+{
+    const auto *name = isController(entry) ? "controller" : entry == "entry_gateway" ? "entry-gateway" : "gateway";
+    return (m_folder / fmt::format("{}.log", name)).string();
+}
+
 std::string ProcessFleet::logOf(const std::string &entry) const
 {
     constexpr std::size_t kShown = 1000;
-    std::ifstream in(m_folder / (isController(entry) ? "controller.log" : "gateway.log"));
+    std::ifstream in(logFileOf(entry));
     const std::string text(std::istreambuf_iterator<char>(in), {});
     return text.substr(text.size() - std::min(text.size(), kShown));
 }
 
+std::vector<std::string> ProcessFleet::logLines(const std::string &entry, const std::string &text) const
+{
+    std::ifstream in(logFileOf(entry));
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(in, line);) {
+        if (line.find(text) != std::string::npos) {
+            lines.push_back(line);
+        }
+    }
+    return lines;
+}
+
 } // namespace Toucandeck
--- a/test/runtime/raw_server.h
+++ b/test/runtime/raw_server.h
@@ -38,6 +38,12 @@
         return n >= 0 || errno == EAGAIN;
     }
 
+    /// Ends the stream to the client with FIN and keeps the connection open for reading.
+    void endStream() const
+    {
+        ::shutdown(m_descriptor, SHUT_WR);
+    }
+
     /// Closes the connection with FIN.
     void finish()
     {
@@ -61,6 +67,12 @@
         m_readable.cancel();
     }
 
+    /// Head of the latest request, without its empty line.
+    const std::string &head() const
+    {
+        return m_head;
+    }
+
     /// Number of request heads received so far.
     std::size_t requests() const
     {
@@ -90,6 +102,7 @@
         }
         m_text.append(buf, static_cast<std::size_t>(n));
         for (auto end = m_text.find("\r\n\r\n"); end != std::string::npos; end = m_text.find("\r\n\r\n")) {
+            m_head = m_text.substr(0, end);
             m_text.erase(0, end + 4);
             ++m_requests;
             m_onRequest(*this);
@@ -99,6 +112,7 @@
     int m_descriptor;
     std::function<void(RawPeer &)> m_onRequest;
     std::string m_text;
+    std::string m_head;
     std::size_t m_requests = 0;
     std::size_t m_sentBytes = 0;
     bool m_closed = false;
--- a/test/runtime/raw_socket.h
+++ b/test/runtime/raw_socket.h
@@ -26,6 +26,11 @@
     /// Connects to a port on loopback.
     /// @param receiveBuffer size of the receive buffer in bytes; zero for the default of the system.
     static RawSocket connectTo(std::uint16_t port, int receiveBuffer = 0)
+    {
+        return connectTo("127.0.0.1", port, receiveBuffer);
+    }
+
+    static RawSocket connectTo(const std::string &ip, std::uint16_t port, int receiveBuffer = 0)
     {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         if (receiveBuffer != 0) {
@@ -34,7 +39,7 @@
         sockaddr_in sa{};
         sa.sin_family = AF_INET;
         sa.sin_port = htons(port);
-        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(::inet_pton(AF_INET, ip.c_str(), &sa.sin_addr), 1);
         EXPECT_EQ(::connect(descriptor, reinterpret_cast<const sockaddr *>(&sa), sizeof(sa)), 0);
         return RawSocket(descriptor);
     }
@@ -64,6 +69,12 @@
         close();
     }
 
+    /// Ends the stream to the peer and keeps the connection open for reading.
+    void endStream() const
+    {
+        ::shutdown(m_descriptor, SHUT_WR);
+    }
+
     void write(const std::string &text) const
     {
         EXPECT_EQ(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
