runtime: a whole answer survives a failed write of its request

Callers saw: "connection failed" and may-have-run, although the server had answered in full before it closed the connection on an upload that it did not read.

Cause: HttpClient ended a request at the first failed write, with the answer still unread in the socket.

Change: it writes with RequestWriter and reads on after a failed write. The end of the stream completes an answer without a length only if no error of the connection was consumed by a write, as in BackendConnection.

--- a/src/runtime/http_client_connection.cpp
+++ b/src/runtime/http_client_connection.cpp
@@ -54,6 +54,7 @@
     , m_bodyBudget(bodyBudget)
     , m_host(std::move(host))
     , m_port(port)
+    , m_writer(loop)
     , m_parser(options.maxHeaderBytes, options.maxBodyBytes)
     , m_idleSince(loop.clock().now())
 {
@@ -105,10 +106,8 @@
 
 void HttpClientConnection::write()
 {
-    // libevent writes as soon as the socket is writable; a failure before the write cannot be distinguished from one after it.
     m_written = true;
-    bufferevent_write(m_stream, m_unsentRequest.data(), m_unsentRequest.size());
-    m_unsentRequest = {};
+    m_writer.write(std::exchange(m_unsentRequest, {}));
 }
 
 void HttpClientConnection::readResponse()
@@ -156,6 +155,7 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         m_established = true;
         m_connectTimeout.cancel();
+        m_writer.start(bufferevent_getfd(m_stream));
         write();
     } else if (!m_done) {
         close();
@@ -170,6 +170,10 @@
 
 void HttpClientConnection::onStreamEnd()
 {
+    if (m_writer.hasConsumedError()) {
+        fail(ErrorCode::Unavailable, "connection reset before the answer was complete");
+        return;
+    }
     m_parser.feedEof();
     if (m_parser.isComplete()) {
         complete();
@@ -194,8 +198,7 @@
 {
     // Data after the response would be read as the next response, and the rest of this request as the next request.
     const auto unread = evbuffer_get_length(bufferevent_get_input(m_stream));
-    const auto unwritten = evbuffer_get_length(bufferevent_get_output(m_stream));
-    if (!m_parser.keepsAlive() || unread > 0 || unwritten > 0) {
+    if (!m_parser.keepsAlive() || unread > 0 || !m_writer.isFinished()) {
         return false;
     }
     // Responses contain no request id, so a repeated refusal could not be distinguished from the response to the next request.
@@ -236,6 +239,7 @@
 {
     m_connectTimeout.cancel();
     m_established = false;
+    m_writer.stop();
     if (m_stream != nullptr) {
         bufferevent_free(std::exchange(m_stream, nullptr));
     }
--- a/src/runtime/http_client_connection.h
+++ b/src/runtime/http_client_connection.h
@@ -4,6 +4,7 @@
 #include "runtime/event_loop.h"
 #include "runtime/http_client.h"
 #include "runtime/http_response_parser.h"
+#include "runtime/request_writer.h"
 
 #include <functional>
 #include <string>
@@ -53,7 +54,8 @@
     ByteBudget &m_bodyBudget;
     std::string m_host;
     std::uint16_t m_port;
-    bufferevent *m_stream = nullptr;
+    bufferevent *m_stream = nullptr; ///< Connects and reads; m_writer writes.
+    RequestWriter m_writer;
     HttpResponseParser m_parser;
     std::size_t m_takenBodyBytes = 0; ///< Taken from m_bodyBudget.
     std::string m_unsentRequest; ///< Request that waits for the connection to be established.
--- a/test/runtime/test_http_answers.cpp
+++ b/test/runtime/test_http_answers.cpp
@@ -4,6 +4,8 @@
 
 #include "runtime/http_client.h"
 
+#include <csignal>
+
 using namespace Toucandeck;
 using namespace std::chrono_literals;
 
@@ -18,6 +20,7 @@
     void SetUp() override
     {
         LoopFixture::SetUp();
+        std::signal(SIGPIPE, SIG_IGN); // As the programs do.
         server = std::make_unique<RawServer>(*loop, [this](RawPeer &it) { onRequest(it); });
         client = std::make_unique<HttpClient>(*loop, options, logger);
     }
@@ -55,6 +58,43 @@
         return request();
     }
 
+    /// How the server ends a connection with a request that it has not read whole.
+    enum class Ending {
+        Open,
+        EndOfStream,
+        EndOfStreamThenReset,
+        Reset,
+    };
+
+    /// Result of a large request of which the server reads the head only.
+    /// @param readFirst the client reads the answer before the connection ends.
+    HttpResult resultOfUnread(const std::string &bytes, Ending ending, bool readFirst)
+    {
+        RawPeer *peer = nullptr;
+        onRequest = [&peer](RawPeer &it) {
+            it.stopReading();
+            peer = &it;
+        };
+        std::optional<HttpResult> result;
+        client->send(server->address(), { "POST", "/", {}, std::string(32U << 20U, 'x') }, 10s, [&result](HttpResult it) {
+            result = std::move(it);
+        });
+        EXPECT_TRUE(runUntil([&peer] { return peer != nullptr; }));
+        loop->runUntil([] { return false; }, 20ms); // Fills the buffers of the sockets.
+        peer->write(bytes);
+        if (readFirst) {
+            loop->runUntil([&result] { return result.has_value(); }, 20ms);
+        }
+        if (ending == Ending::EndOfStream || ending == Ending::EndOfStreamThenReset) {
+            peer->endStream();
+        }
+        if (ending == Ending::Reset || ending == Ending::EndOfStreamThenReset) {
+            peer->reset();
+        }
+        EXPECT_TRUE(runUntil([&result] { return result.has_value(); }));
+        return result.value_or(HttpResult());
+    }
+
     /// Expects that a request answered with @p start and then with @p part again and again ends at a limit.
     void expectLimit(const std::string &start, const std::string &part)
     {
@@ -368,3 +408,39 @@
         expectClosedAndUsable(start);
     }
 }
+
+// Guards against an answer that breaks off while the request is being written and is taken as complete.
+TEST_F(HttpAnswersTest, AnswerToAnUnreadRequestCutByAResetIsNoResponse)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto &answer : { head + "\r\npart", head + "Content-Length: 9\r\n\r\npart", head }) {
+        for (const bool readFirst : { true, false }) {
+            const auto result = resultOfUnread(answer, Ending::Reset, readFirst);
+            EXPECT_FALSE(result.response) << answer << readFirst;
+            EXPECT_EQ(result.verdict, Verdict::MayHaveRun) << answer << readFirst;
+        }
+    }
+}
+
+// A whole answer was lost when the server closed the connection before the request was written.
+TEST_F(HttpAnswersTest, WholeAnswerToAnUnreadRequestIsDelivered)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string body(50'000, 'b');
+    const auto sized = head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    auto unsized = head;
+    unsized.append("\r\n").append(body);
+    const auto expectBody = [&body](const HttpResult &result) {
+        ASSERT_TRUE(result.response) << result.error;
+        EXPECT_EQ(result.response->body, body);
+        EXPECT_FALSE(result.connectionKept);
+    };
+    for (const bool readFirst : { true, false }) {
+        for (const auto ending : { Ending::Open, Ending::EndOfStream, Ending::EndOfStreamThenReset, Ending::Reset }) {
+            expectBody(resultOfUnread(sized, ending, readFirst));
+        }
+        for (const auto ending : { Ending::EndOfStream, Ending::EndOfStreamThenReset }) {
+            expectBody(resultOfUnread(unsized, ending, readFirst));
+        }
+    }
+}
