http: a blank in a header name is rejected

Callers saw: a response in whose head a name held a blank ("X Y: 1", "Connection : close", a blank before the first name) was delivered as the answer, with that line. For "Content-Length : 2" the value cut the body, and the line stood beside the gateway's own length.

Cause: http_parser takes a blank for a part of a name and recognises known names before it; MessageParser relied on it. Names with control bytes were rejected already, as malformed.

Change: MessageParser rejects a name with a blank (RFC 9110, 5.6.2; RFC 9112, 5.1), for the requests of clients too, which it reads as well and which were passed on with such a line; they get 400. The log names the cause malformed_field for blanks and control bytes.

--- a/src/http/backend_connection.cpp
+++ b/src/http/backend_connection.cpp
@@ -42,6 +42,8 @@
     switch (error) {
     case internal::ParseError::Malformed:
         return ResponseFault::Malformed;
+    case internal::ParseError::MalformedField:
+        return ResponseFault::MalformedField;
     case internal::ParseError::HeadersTooLarge:
         return ResponseFault::HeadTooLarge;
     case internal::ParseError::BodyTooLarge:
@@ -59,6 +61,8 @@
         return "none";
     case ResponseFault::Malformed:
         return "malformed";
+    case ResponseFault::MalformedField:
+        return "malformed_field";
     case ResponseFault::TruncatedHead:
         return "truncated_head";
     case ResponseFault::TruncatedBody:
--- a/src/http/backend_connection.h
+++ b/src/http/backend_connection.h
@@ -30,6 +30,7 @@
 enum class ResponseFault {
     None,
     Malformed, ///< Not HTTP, or its length is contradictory or given in an unsupported way.
+    MalformedField, ///< The name of a header is no token, or its value has control bytes.
     TruncatedHead, ///< The connection ended within the status line or headers.
     TruncatedBody, ///< The connection ended within the body.
     HeadTooLarge, ///< Status lines, headers, chunk extensions and trailers exceed their limit.
--- a/src/http/message_parser.cpp
+++ b/src/http/message_parser.cpp
@@ -135,7 +135,16 @@
     if (ec == HPE_OK || ec == HPE_PAUSED || m_error) {
         return;
     }
-    m_error = ec == HPE_HEADER_OVERFLOW ? ParseError::HeadersTooLarge : ParseError::Malformed;
+    switch (ec) {
+    case HPE_HEADER_OVERFLOW:
+        m_error = ParseError::HeadersTooLarge;
+        break;
+    case HPE_INVALID_HEADER_TOKEN:
+        m_error = ParseError::MalformedField;
+        break;
+    default:
+        m_error = ParseError::Malformed;
+    }
 }
 
 std::optional<ParsedMessage> MessageParser::take()
@@ -250,6 +259,10 @@
     if (it.m_hasHeaders) {
         return 0; // Trailer fields are ignored.
     }
+    if (std::string_view(data, n).find(' ') != std::string_view::npos) {
+        it.m_error = ParseError::MalformedField; // http_parser takes a blank for a part of the name (RFC 9112, 5.1).
+        return 1;
+    }
     if (it.m_inValue || it.m_message.headers.empty()) {
         it.m_message.headers.emplace_back();
         it.m_inValue = false;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -28,6 +28,7 @@
 /// Reason why the stream cannot be parsed any further.
 enum class ParseError {
     Malformed,
+    MalformedField, ///< The name of a header is no token, or its value has control bytes.
     HeadersTooLarge,
     BodyTooLarge,
 };
--- a/src/http/pipelined_connection.cpp
+++ b/src/http/pipelined_connection.cpp
@@ -227,6 +227,7 @@
         refuse(413, "the request body is larger than the limit");
         return;
     case ParseError::Malformed:
+    case ParseError::MalformedField:
         refuse(400, "the request is not valid HTTP/1.1");
         return;
     }
--- a/test/gateway/test_grant_caller.cpp
+++ b/test/gateway/test_grant_caller.cpp
@@ -183,6 +183,15 @@
     EXPECT_EQ(outcome(), GrantOutcome::Unanswered);
 }
 
+TEST_F(GrantCallerTest, AnAnswerWithABlankInAHeaderNameIsNone)
+{
+    connect();
+    grant();
+    const auto id = idOn(0, "/grant");
+    m_accepted[0].write("HTTP/1.1 200 X\r\nId: " + id + "\r\nContent-Length : 2\r\n\r\n{}");
+    EXPECT_EQ(outcome(), GrantOutcome::Unanswered);
+}
+
 // The answer to an earlier call, sent twice.
 TEST_F(GrantCallerTest, ASecondCopyOfAnAnswerIsNotTakenForTheNextOne)
 {
--- a/test/http/test_message_parser.cpp
+++ b/test/http/test_message_parser.cpp
@@ -1,6 +1,7 @@
 // Guards against request smuggling, limits that are not enforced, and truncated responses accepted as complete.
 #include "http/message_parser.h"
 
+#include "runtime/header_lines.h"
 #include "runtime/status_lines.h"
 
 #include <gtest/gtest.h>
@@ -30,6 +31,15 @@
     return bodies;
 }
 
+/// Feeds the text in pieces of at most @p piece bytes.
+void feedInPieces(MessageParser &parser, const std::string &text, std::size_t piece)
+{
+    std::size_t n = 1;
+    for (std::size_t at = 0; at < text.size() && n > 0; at += n) {
+        n = parser.feed(std::string_view(text).substr(at, piece));
+    }
+}
+
 } // namespace
 
 TEST(MessageParser, ReadsPipelinedRequestsOneAtATime)
@@ -118,14 +128,48 @@
         for (const std::size_t piece : { std::size_t(1), std::size_t(7), line.text.size() }) {
             MessageParser parser(MessageParser::Kind::Response);
             parser.startExchange();
-            std::size_t at = 0;
-            std::size_t n = 1;
-            while (at < line.text.size() && n > 0) {
-                n = parser.feed(std::string_view(line.text).substr(at, piece));
-                at += n;
-            }
+            feedInPieces(parser, line.text, piece);
             EXPECT_TRUE(parser.error()) << line.reason << " in pieces of " << piece;
             EXPECT_FALSE(parser.take()) << line.reason << " in pieces of " << piece;
         }
     }
 }
+
+// http_parser takes a blank for a part of a name. The response was delivered with that line, or its body with the length in it.
+TEST(MessageParser, RefusesHeaderNamesThatAreNoTokensInWhateverPiecesTheyCome)
+{
+    for (const auto &line : invalidHeaderLines()) {
+        for (const std::string start : { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n" }) {
+            const auto text = start + line.text + "Content-Length: 2\r\n\r\nok";
+            for (const std::size_t piece : { std::size_t(1), std::size_t(7), text.size() }) {
+                MessageParser parser(MessageParser::Kind::Response);
+                feedInPieces(parser, text, piece);
+                parser.feedEof();
+                EXPECT_TRUE(parser.error()) << start << line.reason << " in pieces of " << piece;
+                EXPECT_FALSE(parser.take()) << start << line.reason << " in pieces of " << piece;
+            }
+        }
+    }
+}
+
+// A request with such a name was passed on with it. RFC 9112, 5.1 has it refused.
+TEST(MessageParser, RefusesRequestsWithABlankInAHeaderName)
+{
+    for (const std::string line : { "X Y: 1\r\n", "X : 1\r\n", "Content-Length : 2\r\n" }) {
+        MessageParser parser(MessageParser::Kind::Request);
+        parser.feed("POST / HTTP/1.1\r\nHost: h\r\n" + line + "\r\nok");
+        EXPECT_EQ(parser.error(), ParseError::MalformedField) << line;
+    }
+}
+
+TEST(MessageParser, TakesUnusualHeaderNames)
+{
+    for (const auto &name : unusualHeaderNames()) {
+        MessageParser parser(MessageParser::Kind::Response);
+        parser.feed("HTTP/1.1 200 OK\r\n" + name + ": a b\r\n c\r\nContent-Length: 2\r\n\r\nok");
+        const auto message = parser.take();
+        ASSERT_TRUE(message) << name;
+        EXPECT_EQ(findHeader(message->headers, name), "a b c") << name;
+        EXPECT_EQ(message->body, "ok") << name;
+    }
+}
--- a/test/processes/test_broken_responses.cpp
+++ b/test/processes/test_broken_responses.cpp
@@ -127,8 +127,8 @@
         }
     }
 
-    /// Expects that an upload that the backend server answers in this way gets the response.
-    static void expectDelivered(const FaultyBackend::Script &script)
+    /// Expects that an upload that the backend server answers in this way gets the response, with the header line if one is given.
+    static void expectDelivered(const FaultyBackend::Script &script, int status = 200, const HttpHeader &line = {})
     {
         for (const auto &entry : kEntries) {
             const auto id = nextId();
@@ -137,9 +137,10 @@
             KeptConnection connection(sharedFleet->loop(), sharedFleet->entry(entry).address);
             const auto response = connection.request(path, id, kUploadBytes);
             const auto label = entry + ": " + script.response;
-            EXPECT_EQ(response.status, 200) << label;
+            EXPECT_EQ(response.status, status) << label;
             EXPECT_EQ(response.body, "whole") << label;
             EXPECT_EQ(valueOf(response, "X-Toucandeck-Response-Seal"), "seal-" + id) << label;
+            EXPECT_EQ(valueOf(response, line.name.c_str()), line.value) << label;
             expectOwnAnswer(connection);
         }
     }
@@ -179,3 +180,27 @@
         expectDelivered({ kHead + "\r\nwhole", ending });
     }
 }
+// A gateway delivered the response, with the line or with a body of another length.
+TEST_F(BrokenResponsesTest, AHeaderNameWithABlank)
+{
+    for (const std::string line : { "X Y: 1\r\n", "X : 1\r\n", "Content-Length : 2\r\n", "Connection : close\r\n" }) {
+        expectRejected({ kHead + line + "\r\npart", Ending::HalfClose }, "malformed_field");
+    }
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    expectRejected({ status + " X: 1\r\n" + kHead.substr(status.size()) + "Content-Length: 4\r\n\r\npart" }, "malformed_field");
+}
+
+TEST_F(BrokenResponsesTest, AHeaderNameWithAControlByte)
+{
+    for (const char byte : { '\0', '\x01', '\t', '\x0b', '\x1b', '\x7f' }) {
+        const auto line = std::string("X") + byte + "Y: 1\r\n";
+        expectRejected({ kHead + line + "Content-Length: 4\r\n\r\npart" }, "malformed_field");
+    }
+}
+
+TEST_F(BrokenResponsesTest, UnusualHeaderNamesAreDelivered)
+{
+    const HttpHeader line{ "!#$%&'*+-.^_`|~09aZ", "v w" };
+    expectDelivered({ FaultyBackend::soundResponse("200 OK", line.name + ": " + line.value + "\r\n") }, 200, line);
+    expectDelivered({ FaultyBackend::soundResponse("200 OK", "x: a\r\n b\r\n") }, 200, { "X", "a b" });
+}
--- a/test/runtime/test_http_response_parser.cpp
+++ b/test/runtime/test_http_response_parser.cpp
@@ -1,6 +1,7 @@
 // Guards against responses whose parsing depends on how the stream is cut into segments.
 #include "runtime/http_response_parser.h"
 
+#include "header_lines.h"
 #include "status_lines.h"
 
 #include <gtest/gtest.h>
@@ -89,3 +90,25 @@
         }
     }
 }
+
+// Guards against a header name with a blank or a control byte that is passed on, or whose length counts for the body.
+TEST(HttpResponseParser, RefusesHeaderNamesThatAreNoTokens)
+{
+    for (const auto &line : invalidHeaderLines()) {
+        for (const std::size_t segment : { std::size_t(1), std::size_t(7), std::size_t(1000) }) {
+            const auto result = outcome("HTTP/1.1 200 OK\r\n" + line.text + "Content-Length: 2\r\n\r\nok", segment);
+            EXPECT_EQ(result, "malformed answer") << line.reason << " in segments of " << segment;
+        }
+    }
+}
+
+TEST(HttpResponseParser, TakesUnusualHeaderNames)
+{
+    for (const auto &name : unusualHeaderNames()) {
+        HttpResponseParser parser(kMaxHeaderBytes, kMaxBodyBytes);
+        parser.begin(false);
+        parser.feed("HTTP/1.1 200 OK\r\n" + name + ": a b\r\n c\r\nContent-Length: 2\r\n\r\nok");
+        ASSERT_TRUE(parser.isComplete()) << name << parser.error();
+        EXPECT_EQ(parser.take().header(name), "a b c") << name;
+    }
+}
