test: share how a stand-in ends its connection

The four tests of early responses had their own list of endings; they use ConnectionEnding. The stand-in for toucandeckd is a class of its own (AnsweringStandIn) in place of one long test, whose checks are now EarlyAnswerTest.*, the upload of BrokenResponsesTest one function. No check changed; a sound response with a length followed by a reset was added to BrokenResponsesTest.SoundResponsesThatComeEarly.

--- a/test/http/test_early_response.cpp
+++ b/test/http/test_early_response.cpp
@@ -2,9 +2,12 @@
 // that is whole must be delivered.
 #include "backend_fixture.h"
 
+#include "runtime/connection_ending.h"
+
 #include <csignal>
 
 using namespace Toucandeck;
+using Ending = ConnectionEnding;
 using std::chrono::milliseconds;
 
 namespace
@@ -16,14 +19,6 @@
 const std::string kHead = "HTTP/1.1 200 OK\r\nX-Id: one\r\nX-Seal: s\r\n";
 const std::string kUnsized = kHead + "\r\n0123456789";
 
-/// How the backend server ends the connection, with the upload unread.
-enum class Ending {
-    Reset,
-    HalfClose,
-    HalfCloseThenReset,
-    Open,
-};
-
 class EarlyResponseTest : public BackendFixture
 {
 protected:
@@ -48,21 +43,11 @@
         if (readFirst) {
             m_loop->runUntil([&result] { return result.has_value(); }, milliseconds(20));
         }
-        end(ending);
+        endConnection(*m_accepted, ending);
         EXPECT_TRUE(runUntil([&result] { return result.has_value(); }));
         return result.value_or(BackendResult{});
     }
 
-    void end(Ending ending)
-    {
-        if (ending == Ending::HalfClose || ending == Ending::HalfCloseThenReset) {
-            m_accepted->endStream();
-        }
-        if (ending == Ending::Reset || ending == Ending::HalfCloseThenReset) {
-            m_accepted->reset();
-        }
-    }
-
     std::unique_ptr<BackendConnection> m_connection;
 };
 
@@ -92,7 +77,7 @@
 
 TEST_F(EarlyResponseTest, AResponseWithoutLengthIsCompleteAtTheEndOfTheStream)
 {
-    for (const auto ending : { Ending::HalfClose, Ending::HalfCloseThenReset }) {
+    for (const auto ending : { Ending::EndOfStream, Ending::EndOfStreamThenReset }) {
         for (const bool readFirst : { true, false }) {
             const auto result = resultOf(kUnsized, ending, readFirst);
             EXPECT_EQ(result.error, BackendError::None) << readFirst;
@@ -106,7 +91,7 @@
 {
     const std::string body(100'000, 'b');
     const auto text = kHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    for (const auto ending : { Ending::Open, Ending::HalfClose, Ending::HalfCloseThenReset, Ending::Reset }) {
+    for (const auto ending : { Ending::Open, Ending::EndOfStream, Ending::EndOfStreamThenReset, Ending::Reset }) {
         for (const bool readFirst : { true, false }) {
             const auto result = resultOf(text, ending, readFirst);
             EXPECT_EQ(result.error, BackendError::None) << readFirst;
--- a/test/processes/faulty_backend.cpp
+++ b/test/processes/faulty_backend.cpp
@@ -65,25 +65,13 @@
     const auto path = textAfter(head, " ", " ");
     ++m_requests[path];
     const auto found = m_scripts.find(path);
-    const auto script = found == m_scripts.end() ? Script{ soundResponse(), Ending::ReadOn } : found->second;
+    const auto script = found == m_scripts.end() ? Script{ soundResponse(), ConnectionEnding::Open, true } : found->second;
     peer.write(withId(script.response, textAfter(head + "\r\n", kIdName, "\r\n")));
-    end(peer, script.ending);
-}
-
-void FaultyBackend::end(RawPeer &peer, Ending ending)
-{
-    if (ending == Ending::ReadOn) {
+    if (script.readsOn) {
         return;
     }
     peer.stopReading();
-    m_endings.push_back(m_loop.after(kEndDelay, [&peer, ending] {
-        if (ending == Ending::HalfClose || ending == Ending::HalfCloseThenReset) {
-            peer.endStream();
-        }
-        if (ending == Ending::Reset || ending == Ending::HalfCloseThenReset) {
-            peer.reset();
-        }
-    }));
+    m_endings.push_back(m_loop.after(kEndDelay, [&peer, ending = script.ending] { endConnection(peer, ending); }));
 }
 
 } // namespace Toucandeck
--- a/test/processes/faulty_backend.h
+++ b/test/processes/faulty_backend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "link/listener.h"
+#include "runtime/connection_ending.h"
 #include "runtime/raw_server.h"
 
 #include <map>
@@ -15,19 +16,11 @@
 class FaultyBackend
 {
 public:
-    /// What it does with the connection after the response has been sent.
-    enum class Ending {
-        Open, ///< Keeps it open and reads no further.
-        ReadOn, ///< Keeps it open and reads the rest of the request.
-        Reset,
-        HalfClose, ///< Ends its stream in order and reads no further.
-        HalfCloseThenReset,
-    };
-
     struct Script
     {
         std::string response; ///< "{id}" stands for the id of the request.
-        Ending ending = Ending::Open;
+        ConnectionEnding ending = ConnectionEnding::Open;
+        bool readsOn = false; ///< Reads the rest of the request.
     };
 
     FaultyBackend(EventLoop &loop, const SocketAddress &address);
@@ -43,7 +36,6 @@
 
 private:
     void respond(RawPeer &peer);
-    void end(RawPeer &peer, Ending ending);
 
     EventLoop &m_loop;
     std::map<std::string, Script> m_scripts;
--- a/test/processes/test_broken_responses.cpp
+++ b/test/processes/test_broken_responses.cpp
@@ -12,7 +12,7 @@
 #include <gtest/gtest.h>
 
 using namespace Toucandeck;
-using Ending = FaultyBackend::Ending;
+using Ending = ConnectionEnding;
 
 namespace
 {
@@ -105,26 +105,42 @@
         EXPECT_EQ(valueOf(response, "X-Toucandeck-Response-Seal"), "seal-" + id);
     }
 
+    /// An upload through a gateway and its response.
+    struct Upload
+    {
+        std::string label; ///< For messages of failed checks.
+        std::string id;
+        std::string path;
+        std::unique_ptr<KeptConnection> connection;
+        internal::ParsedMessage response;
+    };
+
+    /// Sends an upload that the backend server answers in this way.
+    static Upload upload(const std::string &entry, const FaultyBackend::Script &script)
+    {
+        const auto id = nextId();
+        const auto path = "/u/" + id;
+        sharedBackend->answer(path, script);
+        auto connection = std::make_unique<KeptConnection>(sharedFleet->loop(), sharedFleet->entry(entry).address);
+        auto response = connection->request(path, id, kUploadBytes);
+        return { entry + ": " + script.response, id, path, std::move(connection), std::move(response) };
+    }
+
     /// Expects that an upload that the backend server answers in this way fails without a promise, runs once, and leaves the connection of
     /// its client usable; and that the log names the cause.
     static void expectRejected(const FaultyBackend::Script &script, const std::string &cause)
     {
         for (const auto &entry : kEntries) {
-            const auto id = nextId();
-            const auto path = "/u/" + id;
-            sharedBackend->answer(path, script);
-            KeptConnection connection(sharedFleet->loop(), sharedFleet->entry(entry).address);
-            const auto response = connection.request(path, id, kUploadBytes);
-            const auto label = entry + ": " + script.response;
-            EXPECT_EQ(response.status, 502) << label;
-            EXPECT_EQ(valueOf(response, "X-Toucandeck-Response-Seal"), "") << label;
-            EXPECT_EQ(valueOf(response, "X-Toucandeck-Not-Executed"), "") << label;
-            EXPECT_EQ(response.body.find("part"), std::string::npos) << label;
-            expectOwnAnswer(connection);
-            EXPECT_EQ(sharedBackend->requestsTo(path), 1U) << label;
-            const auto lines = sharedFleet->logLines("route", '"' + id + '"');
+            const auto it = upload(entry, script);
+            EXPECT_EQ(it.response.status, 502) << it.label;
+            EXPECT_EQ(valueOf(it.response, "X-Toucandeck-Response-Seal"), "") << it.label;
+            EXPECT_EQ(valueOf(it.response, "X-Toucandeck-Not-Executed"), "") << it.label;
+            EXPECT_EQ(it.response.body.find("part"), std::string::npos) << it.label;
+            expectOwnAnswer(*it.connection);
+            EXPECT_EQ(sharedBackend->requestsTo(it.path), 1U) << it.label;
+            const auto lines = sharedFleet->logLines("route", '"' + it.id + '"');
             const auto namesCause = [&cause](const std::string &line) { return line.find('"' + cause + '"') != std::string::npos; };
-            EXPECT_TRUE(std::any_of(lines.begin(), lines.end(), namesCause)) << label;
+            EXPECT_TRUE(std::any_of(lines.begin(), lines.end(), namesCause)) << it.label;
         }
     }
 
@@ -132,17 +148,12 @@
     static void expectDelivered(const FaultyBackend::Script &script, int status = 200, const HttpHeader &line = {})
     {
         for (const auto &entry : kEntries) {
-            const auto id = nextId();
-            const auto path = "/u/" + id;
-            sharedBackend->answer(path, script);
-            KeptConnection connection(sharedFleet->loop(), sharedFleet->entry(entry).address);
-            const auto response = connection.request(path, id, kUploadBytes);
-            const auto label = entry + ": " + script.response;
-            EXPECT_EQ(response.status, status) << label;
-            EXPECT_EQ(response.body, "whole") << label;
-            EXPECT_EQ(valueOf(response, "X-Toucandeck-Response-Seal"), "seal-" + id) << label;
-            EXPECT_EQ(valueOf(response, line.name.c_str()), line.value) << label;
-            expectOwnAnswer(connection);
+            const auto it = upload(entry, script);
+            EXPECT_EQ(it.response.status, status) << it.label;
+            EXPECT_EQ(it.response.body, "whole") << it.label;
+            EXPECT_EQ(valueOf(it.response, "X-Toucandeck-Response-Seal"), "seal-" + it.id) << it.label;
+            EXPECT_EQ(valueOf(it.response, line.name.c_str()), line.value) << it.label;
+            expectOwnAnswer(*it.connection);
         }
     }
 
@@ -168,16 +179,17 @@
 TEST_F(BrokenResponsesTest, SoundResponsesThatComeEarly)
 {
     const auto sound = FaultyBackend::soundResponse();
-    for (const auto ending : { Ending::Open, Ending::ReadOn, Ending::HalfClose, Ending::HalfCloseThenReset }) {
+    for (const auto ending : { Ending::Open, Ending::EndOfStream, Ending::EndOfStreamThenReset, Ending::Reset }) {
         expectDelivered({ sound, ending });
     }
+    expectDelivered({ sound, Ending::Open, true });
     expectDelivered({ kHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", Ending::Open });
     expectDelivered({ "HTTP/1.1 100 Continue\r\n\r\n" + sound, Ending::Open });
 }
 
 TEST_F(BrokenResponsesTest, AResponseWithoutLengthThatEndsInOrder)
 {
-    for (const auto ending : { Ending::HalfClose, Ending::HalfCloseThenReset }) {
+    for (const auto ending : { Ending::EndOfStream, Ending::EndOfStreamThenReset }) {
         expectDelivered({ kHead + "\r\nwhole", ending });
     }
 }
@@ -185,7 +197,7 @@
 TEST_F(BrokenResponsesTest, AHeaderNameWithABlank)
 {
     for (const std::string line : { "X Y: 1\r\n", "X : 1\r\n", "Content-Length : 2\r\n", "Connection : close\r\n" }) {
-        expectRejected({ kHead + line + "\r\npart", Ending::HalfClose }, "malformed_field");
+        expectRejected({ kHead + line + "\r\npart", Ending::EndOfStream }, "malformed_field");
     }
     const std::string status = "HTTP/1.1 200 OK\r\n";
     expectRejected({ status + " X: 1\r\n" + kHead.substr(status.size()) + "Content-Length: 4\r\n\r\npart" }, "malformed_field");
--- a/test/processes/test_path.cpp
+++ b/test/processes/test_path.cpp
@@ -1,11 +1,10 @@
 // Guards against a path that works in parts but not through separate processes: bad input, resends, traces, graceful shutdown.
 // No assertion depends on how long something took; limits only end a run that would never succeed.
+#include "answering_stand_in.h"
 #include "audit.h"
 #include "load_generator.h"
 #include "local_cluster.h"
 
-#include "runtime/raw_server.h"
-
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -290,90 +289,85 @@
     EXPECT_TRUE(sharedCluster->restart(router));
 }
 
-// A stand-in of the test takes the place of the backend servers of clue-svc. It answers a POST before it has read it and ends the
-// connection.
-TEST_F(PathTest, OfAnswersDuringAnUploadOnlyWholeOnesAreDelivered)
+class EarlyAnswerTest : public PathTest
 {
-    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
-    std::string answer;
-    bool resets = true;
-    std::size_t posts = 0;
-    EventLoop::Watch end;
-    RawServer backend(*sharedLoop, [&](RawPeer &it) {
-        if (!it.head().starts_with("POST")) {
-            it.write(whole);
-            return;
+protected:
+    EarlyAnswerTest()
+    {
+        for (const auto &it : m_instances) {
+            changeLimit("router-" + it, "max_body_bytes", 8 << 20);
+        }
+        for (const auto &it : m_instances) {
+            EXPECT_TRUE(sharedLoop->runUntil([&] { return isServed(it); }, kHangLimit)) << it;
         }
-        ++posts;
-        it.stopReading();
-        it.write(answer);
-        end = sharedLoop->after(100ms, [&] { resets ? it.reset() : it.endStream(); }); // Lets the router read the answer first.
-    });
-    const std::vector<std::string> instances{ "clue-svc-1", "clue-svc-2" };
-    HttpClient client(*sharedLoop, HttpClientOptions(), sharedLogger);
-    for (const auto &it : instances) {
-        sharedCluster->kill(it);
-        changeLimit("router-" + it, "max_body_bytes", 8 << 20);
     }
-    const auto announcer = sharedLoop->every(300ms, [&] {
-        for (const auto &it : instances) {
-            const json announcement{
-                { "service", "clue-svc" }, { "instance", it }, { "address", backend.address() }, { "slots", 9 }, { "connections", 100 },
-                { "fenced", true },        { "cold", false }
-            };
-            client.send(sharedCluster->routerAddress(it),
-                        { "POST", "/toucandeck/announce", {}, announcement.dump() },
-                        1s,
-                        [](const HttpResult &) {});
+
+    ~EarlyAnswerTest() override
+    {
+        for (const auto &it : m_instances) {
+            EXPECT_TRUE(sharedCluster->restart(it));
         }
-    });
-    const auto send = [&](const std::string &instance, const HttpRequest &request) {
+    }
+
+    /// Sends a request to the router of the instance, on the connection of the request before.
+    HttpResult send(const std::string &instance, const std::string &method, const std::string &body = {})
+    {
         std::optional<HttpResult> result;
-        client.send(sharedCluster->routerAddress(instance), request, kCallTimeout, [&result](HttpResult it) { result = std::move(it); });
+        m_client.send(sharedCluster->routerAddress(instance), { method, "/clue-svc/team-1", {}, body }, kCallTimeout, [&](HttpResult it) {
+            result = std::move(it);
+        });
         EXPECT_TRUE(sharedLoop->runUntil([&result] { return result.has_value(); }, kHangLimit));
         return result.value_or(HttpResult());
-    };
-    const HttpRequest get{ "GET", "/clue-svc/team-1", {}, {} };
-    const HttpRequest upload{ "POST", "/clue-svc/team-1", {}, std::string(kUploadBytes, 'x') };
-    const auto isServed = [&](const std::string &instance) {
-        const auto result = send(instance, get);
+    }
+
+    /// True if a GET through the router of the instance gets its own answer.
+    bool isServed(const std::string &instance)
+    {
+        const auto result = send(instance, "GET");
         return result.response && result.response->body == "whole";
-    };
-    for (const auto &it : instances) {
-        ASSERT_TRUE(sharedLoop->runUntil([&] { return isServed(it); }, kHangLimit)) << it;
     }
-    const std::string head = "HTTP/1.1 200 OK\r\n";
-    for (const auto &it : { head + "\r\nstub-part",
-                            head + "Content-Length: 20\r\n\r\nstub-part",
-                            std::string("HTTP/1.1 000 None\r\nContent-Length: 9\r\n\r\nstub-part"),
-                            head + "X Y: 1\r\nContent-Length: 9\r\n\r\nstub-part",
-                            head + "Content-Length : 9\r\n\r\nstub-part",
-                            head + "X\x01Y: 1\r\nContent-Length: 9\r\n\r\nstub-part" }) {
-        answer = it;
-        for (const auto &instance : instances) {
-            const auto before = posts;
-            const auto result = send(instance, upload);
-            ASSERT_TRUE(result.response) << it << result.error;
-            EXPECT_EQ(result.response->status, 502) << it;
-            EXPECT_EQ(result.response->header("Toucandeck-Verdict"), "may-have-run") << it;
-            EXPECT_EQ(result.response->body.find("stub"), std::string::npos) << it;
-            EXPECT_EQ(posts, before + 1) << it;
-            EXPECT_TRUE(result.connectionKept) << it;
-            EXPECT_TRUE(isServed(instance)) << it;
+
+    const std::vector<std::string> m_instances{ "clue-svc-1", "clue-svc-2" }; ///< One of them owns the key.
+    const std::string m_upload = std::string(kUploadBytes, 'x');
+    const std::string m_head = "HTTP/1.1 200 OK\r\n";
+    AnsweringStandIn m_backends{ *sharedLoop, *sharedCluster, "clue-svc", m_instances };
+    HttpClient m_client{ *sharedLoop, HttpClientOptions(), sharedLogger };
+};
+
+// Guards against answers that are delivered although they are broken.
+TEST_F(EarlyAnswerTest, BrokenAnswersAreNotDelivered)
+{
+    for (const auto &answer : { m_head + "\r\nstub-part",
+                                m_head + "Content-Length: 20\r\n\r\nstub-part",
+                                std::string("HTTP/1.1 000 None\r\nContent-Length: 9\r\n\r\nstub-part"),
+                                m_head + "X Y: 1\r\nContent-Length: 9\r\n\r\nstub-part",
+                                m_head + "Content-Length : 9\r\n\r\nstub-part",
+                                m_head + "X\x01Y: 1\r\nContent-Length: 9\r\n\r\nstub-part" }) {
+        m_backends.answerPosts(answer, ConnectionEnding::Reset);
+        for (const auto &it : m_instances) {
+            const auto before = m_backends.posts();
+            const auto result = send(it, "POST", m_upload);
+            ASSERT_TRUE(result.response) << answer << result.error;
+            EXPECT_EQ(result.response->status, 502) << answer;
+            EXPECT_EQ(result.response->header("Toucandeck-Verdict"), "may-have-run") << answer;
+            EXPECT_EQ(result.response->body.find("stub"), std::string::npos) << answer;
+            EXPECT_EQ(m_backends.posts(), before + 1) << answer;
+            EXPECT_TRUE(result.connectionKept) << answer;
+            EXPECT_TRUE(isServed(it)) << answer;
         }
     }
-    resets = false;
-    for (const auto &it : { whole, head + "\r\nwhole" }) {
-        answer = it;
-        for (const auto &instance : instances) {
-            const auto result = send(instance, upload);
-            ASSERT_TRUE(result.response) << it << result.error;
-            EXPECT_EQ(result.response->status, 200) << it;
-            EXPECT_EQ(result.response->body, "whole") << it;
-            EXPECT_EQ(result.response->header("Toucandeck-Verdict"), "ran") << it;
+}
+
+TEST_F(EarlyAnswerTest, WholeAnswersAreDelivered)
+{
+    for (const auto &answer : { std::string(AnsweringStandIn::kWholeAnswer), m_head + "\r\nwhole" }) {
+        m_backends.answerPosts(answer, ConnectionEnding::EndOfStream);
+        for (const auto &it : m_instances) {
+            const auto result = send(it, "POST", m_upload);
+            ASSERT_TRUE(result.response) << answer << result.error;
+            EXPECT_EQ(result.response->status, 200) << answer;
+            EXPECT_EQ(result.response->body, "whole") << answer;
+            EXPECT_EQ(result.response->header("Toucandeck-Verdict"), "ran") << answer;
         }
     }
-    for (const auto &it : instances) {
-        EXPECT_TRUE(sharedCluster->restart(it));
-    }
 }
--- a/test/runtime/test_http_answers.cpp
+++ b/test/runtime/test_http_answers.cpp
@@ -1,5 +1,6 @@
 // Guards against answers of a faulty backend server that are attributed to another request, taken as complete though they are not, or read
 // without limit.
+#include "connection_ending.h"
 #include "raw_server.h"
 
 #include "runtime/http_client.h"
@@ -7,6 +8,7 @@
 #include <csignal>
 
 using namespace Toucandeck;
+using Ending = ConnectionEnding;
 using namespace std::chrono_literals;
 
 namespace
@@ -58,14 +60,6 @@
         return request();
     }
 
-    /// How the server ends a connection with a request that it has not read whole.
-    enum class Ending {
-        Open,
-        EndOfStream,
-        EndOfStreamThenReset,
-        Reset,
-    };
-
     /// Result of a large request of which the server reads the head only.
     /// @param readFirst the client reads the answer before the connection ends.
     HttpResult resultOfUnread(const std::string &bytes, Ending ending, bool readFirst)
@@ -85,12 +79,7 @@
         if (readFirst) {
             loop->runUntil([&result] { return result.has_value(); }, 20ms);
         }
-        if (ending == Ending::EndOfStream || ending == Ending::EndOfStreamThenReset) {
-            peer->endStream();
-        }
-        if (ending == Ending::Reset || ending == Ending::EndOfStreamThenReset) {
-            peer->reset();
-        }
+        endConnection(*peer, ending);
         EXPECT_TRUE(runUntil([&result] { return result.has_value(); }));
         return result.value_or(HttpResult());
     }
