--- a/src/runtime/http_client_connection.cpp
+++ b/src/runtime/http_client_connection.cpp
@@ -106,7 +106,7 @@
 
 void HttpClientConnection::write()
 {
-    m_written = true;
+    m_written = true; // A write that fails may follow one that has sent a part.
     m_writer.write(std::exchange(m_unsentRequest, {}));
 }
 
--- a/test/processes/test_broken_responses.cpp
+++ b/test/processes/test_broken_responses.cpp
@@ -193,6 +193,7 @@
         expectDelivered({ kHead + "\r\nwhole", ending });
     }
 }
+
 // A gateway delivered the response, with the line or with a body of another length.
 TEST_F(BrokenResponsesTest, AHeaderNameWithABlank)
 {
@@ -217,6 +218,7 @@
     expectDelivered({ FaultyBackend::soundResponse("200 OK", line.name + ": " + line.value + "\r\n") }, 200, line);
     expectDelivered({ FaultyBackend::soundResponse("200 OK", "x: a\r\n b\r\n") }, 200, { "X", "a b" });
 }
+
 TEST_F(BrokenResponsesTest, AStatusThatIsNone)
 {
     for (const std::string status : { "000 None", "000", "099 Low", "600 High", "0200 OK" }) {
