gateway: log the service that was selected for a request

The lines request_answered, request_refused and request_failed name the route, but not which of its services was selected: for a split route it could not be told whether the selection or the view of the gateways was old after a change of the manifest.

--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -182,6 +182,7 @@
     const auto &route = *pending.route;
     Call call;
     call.service = m_split.next(route);
+    pending.service = call.service;
     call.requestId = pending.requestId;
     call.request = { request.method, request.target, forwardedHeaders(request), {} };
     call.rank = route.rank;
@@ -331,6 +332,7 @@
     m_parts.logger.write(GatewayEvents::kRequestAnswered,
                          { field("request", it->requestId),
                            field("route", it->route->name),
+                           field("service", it->service),
                            field("status", result.result.response.status),
                            field("gateway", result.gateway),
                            field("instance", result.result.instance),
@@ -359,6 +361,7 @@
     m_parts.logger.write(GatewayEvents::kRequestRefused,
                          { field("request", it->requestId),
                            field("route", it->route->name),
+                           field("service", it->service),
                            field("reason", wire::CallReason_Name(result.result.reason)),
                            field("gateway", result.gateway),
                            field("attempts", result.attempts),
@@ -386,6 +389,7 @@
     m_parts.logger.write(GatewayEvents::kRequestFailed,
                          { field("request", it->requestId),
                            field("route", it->route->name),
+                           field("service", it->service),
                            field("status", status),
                            field("reason", wire::CallReason_Name(result.result.reason)),
                            field("gateway", result.gateway),
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -54,6 +54,7 @@
         std::shared_ptr<HttpExchange> exchange;
         const Route *route = nullptr;
         std::shared_ptr<const LoadedManifest> manifest; ///< Owns the route.
+        std::string service; ///< Target of the route that was selected for the request.
         std::string requestId;
         TimePoint receivedAt;
         TimePoint deadline;
