manifest: the shares of a split follow its weights at once

Cause: the gateway kept credits by the name of the route over a change of the manifest, in the unit of the old sum of weights and by position in the list of targets. With the new sum each request took 1 from hundreds, and nothing excluded a target of weight 0.

Change: WeightedRoundRobin keeps a phase for each target, a fraction of one selection that means the same for all weights, by the name of the service. It never selects a target of weight 0, starts at random phases and forgets routes that are not in the manifest.

--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -76,6 +76,7 @@
 ClientRequestHandler::ClientRequestHandler(const ClientRequestHandlerParts &parts, std::function<std::string()> callerService)
     : m_parts(parts)
     , m_callerService(std::move(callerService))
+    , m_split(parts.random)
     , m_retryDetector(parts.loop.clock())
     , m_latency(parts.metrics.histogram("toucandeck_request_seconds", "Time to the answer, by the client", Metrics::latencyBuckets()))
 {
@@ -453,6 +454,16 @@
     return m_heldRetries;
 }
 
+std::size_t ClientRequestHandler::splitCount() const
+{
+    return m_split.size();
+}
+
+void ClientRequestHandler::onManifestChanged(const Manifest &manifest)
+{
+    m_split.retain(manifest);
+}
+
 void ClientRequestHandler::refuseNewRequests()
 {
     m_refusesNewRequests = true;
--- a/src/gateway/client_request_handler.h
+++ b/src/gateway/client_request_handler.h
@@ -6,6 +6,7 @@
 #include "gateway/parent_requests.h"
 #include "gateway/retry_detector.h"
 #include "http/pipelined_server.h"
+#include "manifest/weighted_round_robin.h"
 #include "runtime/metrics.h"
 
 #include <memory>
@@ -40,6 +41,9 @@
     /// All requests get their final answer by this time, also those in progress: the gateway ends soon after it.
     void setAnswerLimit(TimePoint limit);
 
+    /// Forgets what is kept for routes that are not in the manifest.
+    void onManifestChanged(const Manifest &manifest);
+
     /// Refuses all new requests from now on, since the gateway would stop before their answer.
     void refuseNewRequests();
 
@@ -47,6 +51,8 @@
     std::size_t pendingCount() const;
     /// Number of retries that came before their time and waited.
     std::uint64_t heldRetries() const;
+    /// Number of split routes whose shares are kept.
+    std::size_t splitCount() const;
 
 private:
     struct PendingRequest
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,10 +91,7 @@
     if (parents() != nullptr) {
         m_admission.setStartGate([this](const Call &call, CallDone &done) { return m_parents.enter(call, done); });
     }
-    m_view.setChangeHandler([this] {
-        applyPolicy();
-        m_router.onViewChanged();
-    });
+    m_view.setChangeHandler([this] { onViewChanged(); });
     m_reportTimer = parts.loop.every(kReportInterval, [this] {
         m_admissionReport.write(m_admission);
         m_routingReport.write(m_router);
@@ -172,6 +169,22 @@
     m_parts.loop.runSoon([this] { processAdmissionQueue(); });
 }
 
+void Gateway::onViewChanged()
+{
+    const auto manifest = m_view.manifest();
+    if (manifest && manifest->manifest.version != m_manifestVersion) {
+        m_manifestVersion = manifest->manifest.version;
+        onManifestChanged(manifest->manifest);
+    }
+    applyPolicy();
+    m_router.onViewChanged();
+}
+
+void Gateway::onManifestChanged(const Manifest &manifest)
+{
+    m_requestHandler.onManifestChanged(manifest);
+}
+
 void Gateway::applyPolicy()
 {
     InstancePolicy policy;
@@ -301,6 +314,11 @@
     metrics.gauge("toucandeck_grant_oldest_unanswered_seconds", "Age of the oldest unanswered grant that may be in force")
         .Set(std::chrono::duration<double>(grants.oldestUnanswered()).count());
     metrics.gauge("toucandeck_manifest_version", "Version of the manifest in force").Set(static_cast<double>(m_view.manifestVersion()));
+    const auto setKept = [&metrics](const char *kind, std::size_t n) {
+        metrics.gauge("toucandeck_kept_names", "Names of the manifest under which the gateway keeps a state", { { "kind", kind } })
+            .Set(static_cast<double>(n));
+    };
+    setKept("split", m_requestHandler.splitCount());
     metrics.gauge("toucandeck_view_age_seconds", "Time since the last update from a controller")
         .Set(std::chrono::duration<double>(m_view.age()).count());
     metrics.gauge("toucandeck_controller_connected", "1 while a leading controller answers").Set(m_fleet.isConnected() ? 1 : 0);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -80,6 +80,9 @@
     ParentRequests *parents();
     void onInstanceStarted();
     void onInstanceChanged();
+    void onViewChanged();
+    /// Has the parts forget what they keep by names that the manifest does not contain.
+    void onManifestChanged(const Manifest &manifest);
     void applyPolicy();
     void processAdmissionQueue();
     void checkInstance();
@@ -107,6 +110,7 @@
     std::unique_ptr<PeerServer> m_peers;
     std::unique_ptr<PipelinedServer> m_outbound;
     std::function<void()> m_drainHandler;
+    std::uint64_t m_manifestVersion = 0; ///< Of the latest manifest that the parts were told of.
     TimePoint m_drainStart;
     TimePoint m_lastBusy;
     EventLoop::Watch m_admissionTimer;
--- a/src/manifest/route_table.cpp
+++ b/src/manifest/route_table.cpp
@@ -38,22 +38,4 @@
     return it == routes.end() ? nullptr : *it;
 }
 
-const std::string &WeightedRoundRobin::next(const Route &route)
-{
-    const auto &targets = route.targets;
-    if (targets.size() == 1) {
-        return targets.front().service;
-    }
-    auto &credits = m_credits[route.name];
-    credits.resize(targets.size(), 0);
-    double sum = 0;
-    for (std::size_t i = 0; i < targets.size(); ++i) {
-        credits[i] += targets[i].weight;
-        sum += targets[i].weight;
-    }
-    const auto best = std::max_element(credits.begin(), credits.end());
-    *best -= sum;
-    return targets[static_cast<std::size_t>(best - credits.begin())].service;
-}
-
 } // namespace Toucandeck
--- a/src/manifest/route_table.h
+++ b/src/manifest/route_table.h
@@ -24,16 +24,4 @@
     std::unordered_map<std::string, std::vector<const Route *>> m_byHost; ///< Sorted by descending length of the prefix.
 };
 
-/// Smooth weighted round robin over the targets of each route: each target receives its share over short intervals too, not only on
-/// average.
-class WeightedRoundRobin
-{
-public:
-    /// Selects the service for the next request of the route.
-    const std::string &next(const Route &route);
-
-private:
-    std::unordered_map<std::string, std::vector<double>> m_credits; ///< By route name; one value per target.
-};
-
 } // namespace Toucandeck
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -156,13 +156,15 @@
         return body.dump();
     }
 
-    std::optional<HttpResponse> request(const std::string &gateway, const std::string &target, int key)
+    std::optional<HttpResponse> request(const std::string &gateway, const std::string &target, std::optional<int> key = std::nullopt)
     {
         HttpRequest request{ "GET", target, {}, {} };
         request.headers = { { "Host", "a.example" },
                             { "X-Toucandeck-Request-Id", "id-" + std::to_string(++m_requests) },
-                            { "X-Toucandeck-Deadline-Ms", "5000" },
-                            { "X-Toucandeck-Shard-Key", std::to_string(key) } };
+                            { "X-Toucandeck-Deadline-Ms", "5000" } };
+        if (key) {
+            request.headers.push_back({ "X-Toucandeck-Shard-Key", std::to_string(*key) });
+        }
         return OneShotClient(*m_loop, { gateway, kOutboundPort }).send(request, kLimit);
     }
 
@@ -198,6 +200,26 @@
         return value;
     }
 
+    /// True once the gateway has served a request.
+    bool serves(const std::string &gateway)
+    {
+        const auto end = m_clock.now() + kLimit;
+        while (m_clock.now() < end) {
+            const auto response = request(gateway, "/x/1");
+            if (response && response->status == 200) {
+                return true;
+            }
+            m_loop->runUntil([] { return false; }, milliseconds(100));
+        }
+        return false;
+    }
+
+    bool metricsContain(const std::string &line)
+    {
+        m_gateways.front()->updateMetrics();
+        return m_metrics.text().find(line) != std::string::npos;
+    }
+
     bool allHoldKeys()
     {
         return std::all_of(m_backends.begin(), m_backends.end(), [](const auto &it) { return it->heldRows() > 0; });
@@ -243,6 +265,44 @@
     EXPECT_EQ(request(nodeIp(11), "/none/1", 0)->status, 404);
 }
 
+// Failure: after a change of the weights requests still went to a service of weight 0, and what was kept for routes that are gone stayed.
+TEST_F(FleetPathTest, AChangedSplitIsInForceWithTheNextRequestAndADroppedOneIsForgotten)
+{
+    const auto split = [](std::uint64_t version, const std::string &route, int svc, int other) {
+        auto body = nlohmann::json::parse(manifest(version, version - 1, false));
+        body["routes"]["r"].erase("service");
+        body["routes"]["r"]["weightedSplit"]
+            = { { { "service", "svc" }, { "weight", svc } }, { { "service", "other" }, { "weight", other } } };
+        body["services"]["other"] = body["services"]["svc"];
+        body["routes"][route] = std::exchange(body["routes"]["r"], nullptr);
+        if (route != "r") {
+            body["routes"].erase("r");
+        }
+        return body.dump();
+    };
+    const auto change = [&](std::uint64_t version, const std::string &route, int svc, int other) {
+        ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", split(version, route, svc, other)), 200);
+        const auto isInForce = [&] { return metricsContain("toucandeck_manifest_version " + std::to_string(version)); };
+        ASSERT_TRUE(m_loop->runUntil(isInForce, kLimit));
+    };
+    const std::string kept = "toucandeck_kept_names{kind=\"split\"} ";
+    change(1, "r", 900, 100);
+    ASSERT_TRUE(serves(nodeIp(11)));
+    const auto before = m_audit.runs().size();
+    for (int i = 0; i < 106; ++i) {
+        request(nodeIp(11), "/x/1");
+    }
+    EXPECT_NEAR(static_cast<double>(m_audit.runs().size() - before), 95.4, 1); // There is no backend server of the other service.
+    change(2, "r", 0, 1);
+    for (int i = 0; i < 20; ++i) {
+        ASSERT_EQ(request(nodeIp(11), "/x/1")->status, 503);
+    }
+    EXPECT_TRUE(metricsContain(kept + "1")) << m_metrics.text();
+    change(3, "renamed", 1, 0);
+    EXPECT_TRUE(metricsContain(kept + "0")) << m_metrics.text();
+    EXPECT_EQ(request(nodeIp(11), "/x/1")->status, 200);
+}
+
 // Guards against a gateway or controller that ends because it cannot quote such bytes in its answer or cannot read them from its log.
 TEST_F(FleetPathTest, RefusesBodiesAndPathsThatAreNotUtf8)
 {
