gateway: forget what was kept under names that left the manifest

Operators saw: memory that grows with each name that a manifest ever contained, and after 4,096 names of routes no limit on requests whose nested calls are refused.

Cause: retry budgets, mean loads and the usual work of services, and the limits and times of kinds of requests were kept for ever.

Change: a new manifest has them forget names that it does not contain, as long as no request is pending. toucandeck_kept_names shows their numbers.

--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -384,6 +384,22 @@
     }
 }
 
+void CallRouter::retainServices(const std::function<bool(const std::string &service)> &isKnown)
+{
+    std::set<std::string> called;
+    for (const auto &[id, it] : m_routedCalls) {
+        called.insert(it->call.service);
+    }
+    const auto isKept = [&](const std::string &service) { return isKnown(service) || called.count(service) != 0; };
+    std::erase_if(m_budgets, [&isKept](const auto &it) { return !isKept(it.first); });
+    m_loads.retainServices(isKept);
+}
+
+std::size_t CallRouter::serviceCount() const
+{
+    return std::max(m_budgets.size(), m_loads.serviceCount());
+}
+
 void CallRouter::finish(std::uint64_t id, const RoutedCallPtr &it, CallResult result)
 {
     if (it->silent && result.outcome != wire::ANSWERED) {
--- a/src/gateway/call_router.h
+++ b/src/gateway/call_router.h
@@ -70,6 +70,11 @@
     /// Handles a change of the view: retries the calls that wait for the holder of their key.
     void onViewChanged();
 
+    /// Forgets the services for which @p isKnown is false, as far as no call to them is pending.
+    void retainServices(const std::function<bool(const std::string &service)> &isKnown);
+    /// Number of services of which something is kept.
+    std::size_t serviceCount() const;
+
     std::size_t pendingCount() const;
     /// Number of retries of nested calls that were refused by all gateways asked before.
     std::uint64_t retriedNestedCalls() const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -182,7 +182,11 @@
 
 void Gateway::onManifestChanged(const Manifest &manifest)
 {
+    const auto isService = [&manifest](const std::string &service) { return manifest.services.count(service) != 0; };
     m_requestHandler.onManifestChanged(manifest);
+    m_router.retainServices(isService);
+    m_referenceWork.retain(isService);
+    m_parents.retain([&](const std::string &kind) { return manifest.routes.count(kind) != 0 || isService(kind); });
 }
 
 void Gateway::applyPolicy()
@@ -319,6 +323,10 @@
             .Set(static_cast<double>(n));
     };
     setKept("split", m_requestHandler.splitCount());
+    setKept("service", m_router.serviceCount());
+    setKept("reference_work", m_referenceWork.size());
+    setKept("nested_call_limit", m_parents.gate().size());
+    setKept("nested_call_time", m_parents.times().size());
     metrics.gauge("toucandeck_view_age_seconds", "Time since the last update from a controller")
         .Set(std::chrono::duration<double>(m_view.age()).count());
     metrics.gauge("toucandeck_controller_connected", "1 while a leading controller answers").Set(m_fleet.isConnected() ? 1 : 0);
--- a/src/gateway/gateway_loads.cpp
+++ b/src/gateway/gateway_loads.cpp
@@ -282,4 +282,14 @@
     return load.reportedAt != TimePoint() && m_clock.now() - load.reportedAt <= kReportAge;
 }
 
+void GatewayLoads::retainServices(const std::function<bool(const std::string &service)> &isKnown)
+{
+    std::erase_if(m_serviceLoads, [&isKnown](const auto &it) { return !isKnown(it.first); });
+}
+
+std::size_t GatewayLoads::serviceCount() const
+{
+    return m_serviceLoads.size();
+}
+
 } // namespace Toucandeck
--- a/src/gateway/gateway_loads.h
+++ b/src/gateway/gateway_loads.h
@@ -49,6 +49,9 @@
     void onPeerReport(const std::string &service, const PeerReport &peer);
     /// Removes what is known of the gateways for which @p isGone is true, unless a call is pending there.
     void forgetIf(const std::function<bool(const std::string &ip)> &isGone);
+    /// Forgets the means of the services for which @p isKnown is false.
+    void retainServices(const std::function<bool(const std::string &service)> &isKnown);
+    std::size_t serviceCount() const;
     /// Records how long a call and its reply were on the links.
     void recordTransit(const std::string &ip, Duration transitTime);
     /// Sets the service of the backend server beside a gateway, to which its reports contribute.
--- a/src/gateway/nested_call_gate.cpp
+++ b/src/gateway/nested_call_gate.cpp
@@ -122,4 +122,14 @@
     return m_refusedRequests;
 }
 
+void NestedCallGate::retain(const std::function<bool(const std::string &kind)> &isKnown)
+{
+    std::erase_if(m_kinds, [&isKnown](const auto &it) { return it.second.pending == 0 && !isKnown(it.first); });
+}
+
+std::size_t NestedCallGate::size() const
+{
+    return m_kinds.size();
+}
+
 } // namespace Toucandeck
--- a/src/gateway/nested_call_gate.h
+++ b/src/gateway/nested_call_gate.h
@@ -3,6 +3,7 @@
 #include "common/clock.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -39,6 +40,10 @@
     Duration retryAfter(const std::string &kind) const;
     std::uint64_t refusedRequests() const;
 
+    /// Forgets the kinds for which @p isKnown is false, unless requests of them are pending.
+    void retain(const std::function<bool(const std::string &kind)> &isKnown);
+    std::size_t size() const;
+
 private:
     struct Kind
     {
--- a/src/gateway/parent_requests.cpp
+++ b/src/gateway/parent_requests.cpp
@@ -100,4 +100,15 @@
     return m_gate;
 }
 
+const ParentTimes &ParentRequests::times() const
+{
+    return m_times;
+}
+
+void ParentRequests::retain(const std::function<bool(const std::string &kind)> &isKnown)
+{
+    m_gate.retain(isKnown);
+    m_times.retain(isKnown);
+}
+
 } // namespace Toucandeck
--- a/src/gateway/parent_requests.h
+++ b/src/gateway/parent_requests.h
@@ -41,7 +41,11 @@
     void passOn(std::string_view parentId, Call &nested) const;
     void onNestedCallEnded(std::string_view parentId, NestedCallEnd end);
 
+    /// Forgets the kinds for which @p isKnown is false.
+    void retain(const std::function<bool(const std::string &kind)> &isKnown);
+
     const NestedCallGate &gate() const;
+    const ParentTimes &times() const;
 
 private:
     /// A call from its arrival to its end.
--- a/src/gateway/parent_times.cpp
+++ b/src/gateway/parent_times.cpp
@@ -35,4 +35,14 @@
     return std::min(found->second, left / kMaxShareDivisor);
 }
 
+void ParentTimes::retain(const std::function<bool(const std::string &kind)> &isKnown)
+{
+    std::erase_if(m_means, [&isKnown](const auto &it) { return !isKnown(it.first.first); });
+}
+
+std::size_t ParentTimes::size() const
+{
+    return m_means.size();
+}
+
 } // namespace Toucandeck
--- a/src/gateway/parent_times.h
+++ b/src/gateway/parent_times.h
@@ -3,6 +3,7 @@
 #include "common/time.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -22,6 +23,10 @@
     /// time until the deadline of the request. Zero if nothing is known.
     Duration reserve(const std::string &kind, std::size_t index, Duration left) const;
 
+    /// Forgets the kinds for which @p isKnown is false.
+    void retain(const std::function<bool(const std::string &kind)> &isKnown);
+    std::size_t size() const;
+
 private:
     std::map<std::pair<std::string, std::size_t>, Duration> m_means;
 };
--- a/src/gateway/reference_work.cpp
+++ b/src/gateway/reference_work.cpp
@@ -37,4 +37,14 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second.workSeconds / found->second.calls));
 }
 
+void ReferenceWork::retain(const std::function<bool(const std::string &service)> &isKnown)
+{
+    std::erase_if(m_sums, [&isKnown](const auto &it) { return !isKnown(it.first.first); });
+}
+
+std::size_t ReferenceWork::size() const
+{
+    return m_sums.size();
+}
+
 } // namespace Toucandeck
--- a/src/gateway/reference_work.h
+++ b/src/gateway/reference_work.h
@@ -2,6 +2,7 @@
 
 #include "gateway/call.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -21,6 +22,10 @@
     /// Usual work of calls of this service and kind; none until enough of them were answered.
     std::optional<Duration> usual(const Call &call) const;
 
+    /// Forgets the services for which @p isKnown is false.
+    void retain(const std::function<bool(const std::string &service)> &isKnown);
+    std::size_t size() const;
+
 private:
     /// Sums over the answered calls, the older ones with less weight.
     struct Sums
--- a/test/gateway/test_call_router.cpp
+++ b/test/gateway/test_call_router.cpp
@@ -176,6 +176,20 @@
     EXPECT_LT(*usual, milliseconds(120));
 }
 
+// Failure: what a gateway keeps for each service grew with each name that a manifest ever contained.
+TEST_F(CallRouterTest, ForgetsServicesThatAreGoneOnceNoCallIsPending)
+{
+    const auto isGone = [](const std::string &) { return false; };
+    route(true, 2);
+    m_router.retainServices(isGone);
+    EXPECT_EQ(m_router.serviceCount(), 1U);
+    m_port.reply(wire::MAY_HAVE_RUN, wire::LINK_LOST, true);
+    m_port.reply(wire::ANSWERED, wire::NONE, true);
+    ASSERT_TRUE(m_result);
+    m_router.retainServices(isGone);
+    EXPECT_EQ(m_router.serviceCount(), 0U);
+}
+
 TEST_F(CallRouterTest, NeverRetriesWhatMayHaveRunUnlessItIsIdempotent)
 {
     route(false, 3);
