platform: refuse a weight of 2^32 or more

A manifest with such a weight was accepted and the weight cut to 32 bits, so that a multiple of 2^32 counted as 0.

ManifestJson.RefusesAWeightThatIsTooLarge fails without the check.

--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -113,6 +113,13 @@
     EXPECT_EQ(codec.handover(response), "7a21");
 }
 
+// Failure: a weight that is a multiple of 2^32 was accepted and taken for 0.
+TEST(ManifestJson, RefusesAWeightThatIsTooLarge)
+{
+    EXPECT_TRUE(readsManifest(replaced(kManifest, "\"weight\":90", "\"weight\":4294967295")));
+    EXPECT_FALSE(readsManifest(replaced(kManifest, "\"weight\":90", "\"weight\":4294967296")));
+}
+
 TEST(ManifestJson, WritesWhatWasSent)
 {
     const auto change = ManifestJson::readPut(kManifest).value();
