gateway: only the statement of a backend server says that a request has not run

Callers saw: a 503 of a backend server that had run a request which may run only once.

Cause: BackendRunner took any response without the header Not-Executed as the answer, whatever its status; a 421 without it was taken as not run and the request sent to a second backend server.

Change: meaningOf() decides by the status, the statement and whether the request may be repeated. For 408, 421, 429 and 503 without the statement a request that may run once gets 502 and no second backend server; one that may be repeated gets the response unchanged. The entry gateway checks too, for gateways of an earlier version. Log: response_rejected with the cause unconfirmed_refusal.

--- a/src/gateway/backend_runner.cpp
+++ b/src/gateway/backend_runner.cpp
@@ -1,6 +1,7 @@
 #include "gateway/backend_runner.h"
 
 #include "gateway/events.h"
+#include "routing/response_meaning.h"
 
 #include <algorithm>
 #include <charconv>
@@ -21,8 +22,6 @@
 constexpr std::size_t kMaxResponseMemory = 32U << 20U; ///< Bytes, of all responses in progress.
 constexpr milliseconds kMinDeadline{ 1 };
 
-constexpr int kMisdirectedRequest = 421; ///< The request was sent to another instance than expected and was not run.
-
 bool isSuccess(int status)
 {
     return status >= 200 && status < 300;
@@ -90,9 +89,11 @@
     }
     auto *it = connection.get();
     m_busyConnections[id] = std::move(connection);
-    it->send(backendRequest(call), call.requestId, [this, id, requestId = call.requestId, done = std::move(done)](BackendResult result) {
-        finish(id, requestId, std::move(result), done);
-    });
+    it->send(backendRequest(call),
+             call.requestId,
+             [this, id, request = SentRequest{ call.requestId, call.idempotent }, done = std::move(done)](BackendResult result) {
+                 finish(id, request, std::move(result), done);
+             });
 }
 
 HttpRequest BackendRunner::backendRequest(const Call &call) const
@@ -106,16 +107,16 @@
     return request;
 }
 
-void BackendRunner::finish(std::uint64_t id, const std::string &requestId, BackendResult result, const CallDone &done)
+void BackendRunner::finish(std::uint64_t id, const SentRequest &request, BackendResult result, const CallDone &done)
 {
     const auto found = m_busyConnections.find(id);
     auto connection = std::move(found->second);
     m_busyConnections.erase(found);
     const bool refused = result.error == BackendError::Refused;
-    logDropped(requestId, result);
+    logDropped(request.id, result);
     const bool namesRequest = result.response.header(m_headers.requestId).has_value();
-    auto interpreted = interpret(requestId, std::move(result));
-    release(std::move(connection), requestId, interpreted, namesRequest);
+    auto interpreted = interpret(request, std::move(result));
+    release(std::move(connection), request.id, interpreted, namesRequest);
     const auto callback = done;
     callback(std::move(interpreted));
     if (refused && m_connectionRefusedHandler) {
@@ -128,8 +129,9 @@
     if (result.reason == wire::REFUSED_BY_INSTANCE) {
         connection->excludeRequestId(requestId);
     }
+    const bool sound = result.outcome != wire::MAY_HAVE_RUN || result.reason == wire::UNCONFIRMED_REFUSAL;
     // Without an id, the next response on the connection could not be told from a late copy of this one.
-    if (connection->isReusable() && namesRequest && result.outcome != wire::MAY_HAVE_RUN) {
+    if (connection->isReusable() && namesRequest && sound) {
         m_idleConnections.push_front(std::move(connection));
     } else {
         // Destroyed later, since the connection's own code is calling this function.
@@ -149,12 +151,12 @@
                      field("count", result.droppedResponses) });
 }
 
-CallResult BackendRunner::interpret(const std::string &requestId, BackendResult result) const
+CallResult BackendRunner::interpret(const SentRequest &request, BackendResult result) const
 {
     CallResult out;
     switch (result.error) {
     case BackendError::None:
-        out = interpretAnswer(requestId, std::move(result));
+        out = interpretAnswer(request, std::move(result));
         break;
     case BackendError::Refused:
     case BackendError::ConnectFailed:
@@ -166,14 +168,15 @@
         out.reachedBackend = true;
         break;
     case BackendError::InvalidResponse:
-        out = rejectAnswer(requestId, result.response, toString(result.fault));
+        out = rejectAnswer(request.id, result.response, toString(result.fault));
         break;
     }
     out.instance = m_instance;
     return out;
 }
 
-CallResult BackendRunner::rejectAnswer(const std::string &requestId, const HttpResponse &response, const char *cause) const
+CallResult
+BackendRunner::rejectAnswer(const std::string &requestId, const HttpResponse &response, const char *cause, wire::CallReason reason) const
 {
     m_logger.write(GatewayEvents::kResponseRejected,
                    { field("request", requestId),
@@ -183,19 +186,20 @@
                      field("named", response.header(m_headers.requestId).value_or("")) });
     CallResult out;
     out.outcome = wire::MAY_HAVE_RUN;
-    out.reason = wire::BAD_ANSWER;
+    out.reason = reason;
     out.reachedBackend = true;
     return out;
 }
 
-CallResult BackendRunner::interpretAnswer(const std::string &requestId, BackendResult result) const
+CallResult BackendRunner::interpretAnswer(const SentRequest &request, BackendResult result) const
 {
     auto &response = result.response;
     CallResult out;
     out.reachedBackend = true;
-    if (response.header(m_headers.notExecuted) || response.status == kMisdirectedRequest) {
+    const auto meaning = meaningOf(response.status, response.header(m_headers.notExecuted).has_value(), request.idempotent);
+    if (meaning == ResponseMeaning::NotRun) {
         if (!result.identified) {
-            return rejectAnswer(requestId, response, "refusal_of_unknown_request");
+            return rejectAnswer(request.id, response, "refusal_of_unknown_request");
         }
         out.outcome = wire::NOT_RUN;
         out.reason = wire::REFUSED_BY_INSTANCE;
@@ -203,14 +207,17 @@
         return out;
     }
     const auto echoed = response.header(m_headers.requestId);
-    if (echoed && *echoed != requestId) {
-        return rejectAnswer(requestId, response, "other_request");
+    if (echoed && *echoed != request.id) {
+        return rejectAnswer(request.id, response, "other_request");
     }
     if (!result.identified) {
-        return rejectAnswer(requestId, response, "unknown_request");
+        return rejectAnswer(request.id, response, "unknown_request");
     }
     if (isSuccess(response.status) && !response.header(m_headers.answerSeal)) {
-        return rejectAnswer(requestId, response, "no_seal");
+        return rejectAnswer(request.id, response, "no_seal");
+    }
+    if (meaning == ResponseMeaning::MayHaveRun) {
+        return rejectAnswer(request.id, response, "unconfirmed_refusal", wire::UNCONFIRMED_REFUSAL);
     }
     out.outcome = wire::ANSWERED;
     out.slownessPercent = readSlowness(response.header(m_headers.serverLoad));
--- a/src/gateway/backend_runner.h
+++ b/src/gateway/backend_runner.h
@@ -41,17 +41,28 @@
 private:
     using Connection = std::unique_ptr<BackendConnection>;
 
+    /// What is needed of a request to interpret its response.
+    struct SentRequest
+    {
+        std::string id;
+        bool idempotent = false;
+    };
+
     /// An idle connection that may carry the request; none if there is no such connection.
     Connection takeIdle(const std::string &requestId);
     HttpRequest backendRequest(const Call &call) const;
-    CallResult interpret(const std::string &requestId, BackendResult result) const;
-    CallResult interpretAnswer(const std::string &requestId, BackendResult result) const;
-    CallResult rejectAnswer(const std::string &requestId, const HttpResponse &response, const char *cause) const;
+    CallResult interpret(const SentRequest &request, BackendResult result) const;
+    CallResult interpretAnswer(const SentRequest &request, BackendResult result) const;
+    /// Result of a call whose response the client must not get, with a line in the log.
+    CallResult rejectAnswer(const std::string &requestId,
+                            const HttpResponse &response,
+                            const char *cause,
+                            wire::CallReason reason = wire::BAD_ANSWER) const;
     void logDropped(const std::string &requestId, const BackendResult &result) const;
     /// Keeps the connection for later calls if it can carry them; closes it otherwise.
     /// @param namesRequest the response had the id of its request.
     void release(Connection connection, const std::string &requestId, const CallResult &result, bool namesRequest);
-    void finish(std::uint64_t id, const std::string &requestId, BackendResult result, const CallDone &done);
+    void finish(std::uint64_t id, const SentRequest &request, BackendResult result, const CallDone &done);
 
     EventLoop &m_loop;
     Logger &m_logger;
--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -1,6 +1,7 @@
 #include "gateway/client_request_handler.h"
 
 #include "gateway/events.h"
+#include "routing/response_meaning.h"
 
 #include <algorithm>
 #include <charconv>
@@ -263,6 +264,12 @@
     onNestedResult(*it, result);
     switch (result.result.outcome) {
     case wire::ANSWERED:
+        // Gateways of an earlier version pass on such a response.
+        if (meaningOf(result.result.response.status, false, it->route->kind == RequestKind::Idempotent) == ResponseMeaning::MayHaveRun) {
+            result.result.reason = wire::UNCONFIRMED_REFUSAL;
+            failRequest(it, result, 502);
+            return;
+        }
         answer(it, std::move(result));
         return;
     case wire::NOT_RUN:
--- a/test/gateway/test_backend_runner.cpp
+++ b/test/gateway/test_backend_runner.cpp
@@ -31,6 +31,7 @@
     {
         auto call = callNamed(id, m_clock);
         call.deadline = m_clock.now() + m_timeLimit;
+        call.idempotent = m_idempotent;
         call.request.method = "POST";
         call.request.target = "/" + std::to_string(++m_lastCall);
         call.request.body = body;
@@ -99,6 +100,7 @@
     std::optional<CallResult> m_result;
     std::uint64_t m_lastCall = 0;
     Duration m_timeLimit = seconds(60); ///< Of the calls.
+    bool m_idempotent = false; ///< Of the calls.
 };
 
 } // namespace
@@ -123,6 +125,31 @@
     EXPECT_EQ(result.outcome, wire::MAY_HAVE_RUN);
 }
 
+// Failure: a status that promises "not run" reached the client of a request that had run, and a 421 sent it to a second backend server.
+TEST_F(BackendRunnerTest, AStatusThatPromisesNotRunWithoutTheStatementMayHaveRun)
+{
+    for (const std::string status : { "408", "421", "429", "503" }) {
+        const auto id = "id-" + status;
+        const auto carrier = run(id);
+        const auto result = answer(carrier, "HTTP/1.1 " + status + " No\r\n" + idLine(id) + "Content-Length: 0\r\n\r\n");
+        EXPECT_EQ(result.outcome, wire::MAY_HAVE_RUN) << status;
+        EXPECT_EQ(result.reason, wire::UNCONFIRMED_REFUSAL) << status;
+        EXPECT_EQ(logged("response_rejected", "cause"), "unconfirmed_refusal") << status;
+        EXPECT_EQ(carrier, 0U) << status; // The response was sound, so its connection carries the next request.
+    }
+}
+
+TEST_F(BackendRunnerTest, AStatusThatPromisesNotRunIsTheAnswerToARequestThatMayBeRepeated)
+{
+    m_idempotent = true;
+    for (const int status : { 408, 421, 429, 503 }) {
+        const auto id = "id-" + std::to_string(status);
+        const auto result = answer(run(id), "HTTP/1.1 " + std::to_string(status) + " No\r\n" + idLine(id) + "Content-Length: 0\r\n\r\n");
+        EXPECT_EQ(result.outcome, wire::ANSWERED) << status;
+        EXPECT_EQ(result.response.status, status);
+    }
+}
+
 // The refusal of a request, written once more, was taken for the refusal of its second attempt on the same connection.
 TEST_F(BackendRunnerTest, ARefusedRequestIsSentAgainOnAnotherConnection)
 {
--- a/test/gateway/test_client_request_handler.cpp
+++ b/test/gateway/test_client_request_handler.cpp
@@ -114,6 +114,14 @@
         m_port.m_done(std::move(result));
     }
 
+    void answerWith(int status)
+    {
+        CallResult result;
+        result.outcome = wire::ANSWERED;
+        result.response.status = status;
+        m_port.m_done(std::move(result));
+    }
+
     void refuse()
     {
         m_port.m_done(notRun(wire::OVERLOADED));
@@ -188,6 +196,23 @@
     EXPECT_FALSE(send("/answers/1", milliseconds(2300)).clientRetry);
 }
 
+// Failure: a client that was told "not run" by the backend server's 503, although its request had run, sent it again.
+TEST_F(ClientRequestHandlerTest, AGatewayOfAnEarlierVersionCannotHaveAClientToldThatItsRequestHasNotRun)
+{
+    int failed = 0;
+    for (const int status : { 408, 421, 429, 503 }) {
+        send("/answers/1", milliseconds(2600));
+        answerWith(status);
+        const auto line = "toucandeck_requests_total{outcome=\"failed\"} " + std::to_string(++failed);
+        EXPECT_NE(m_metrics.text().find(line), std::string::npos) << status << m_metrics.text();
+    }
+    for (const int status : { 400, 404, 500, 502, 504 }) {
+        send("/answers/1", milliseconds(2600));
+        answerWith(status);
+    }
+    EXPECT_NE(m_metrics.text().find("toucandeck_requests_total{outcome=\"answered\"} 5"), std::string::npos);
+}
+
 TEST_F(ClientRequestHandlerTest, ANestedCallTellsHowManyOfItsSiblingsWereAnswered)
 {
     m_admission.submit(callNamed("parent", m_clock), [](const CallResult &) {});
--- a/test/processes/test_broken_responses.cpp
+++ b/test/processes/test_broken_responses.cpp
@@ -226,6 +226,30 @@
     }
 }
 
+// The client of a request that had run was told that it had not, and sent it again.
+TEST_F(BrokenResponsesTest, AStatusThatPromisesNotRunWithoutTheStatement)
+{
+    for (const std::string status : { "408", "421", "429", "503" }) {
+        const auto head = "HTTP/1.1 " + status + " No" + kHead.substr(kHead.find("\r\n"));
+        expectRejected({ head + "Content-Length: 4\r\n\r\npart", Ending::Open }, "unconfirmed_refusal");
+    }
+}
+
+TEST_F(BrokenResponsesTest, ARequestThatMayBeRepeatedGetsTheStatusOfItsBackendServer)
+{
+    for (const int status : { 408, 421, 429, 500, 503 }) {
+        for (const auto &entry : kEntries) {
+            const auto id = nextId();
+            sharedBackend->answer("/x/" + id, { FaultyBackend::soundResponse(std::to_string(status) + " No"), Ending::Open, true });
+            KeptConnection connection(sharedFleet->loop(), sharedFleet->entry(entry).address);
+            const auto response = connection.request("/x/" + id, id, 0);
+            EXPECT_EQ(response.status, status) << entry;
+            EXPECT_EQ(response.body, "whole") << entry;
+            EXPECT_EQ(valueOf(response, "X-Toucandeck-Response-Seal"), "seal-" + id) << entry;
+        }
+    }
+}
+
 TEST_F(BrokenResponsesTest, UnusualStatusesAreDelivered)
 {
     for (const int status : unusualStatuses()) {
