gateway: a refusal after an attempt that failed with 500 is no "not run"

Callers saw: 503, which promises that a request has not run, although its first attempt had run at a backend server and failed with 500; the second attempt was refused by all gateways.

Cause: only attempts without an answer were remembered as possible runs.

CallRouterTest.ARefusalAfterAnAttemptThatFailedMayHaveRun is the test; the client gets 502 now.

--- a/src/gateway/call_router.cpp
+++ b/src/gateway/call_router.cpp
@@ -235,6 +235,7 @@
     switch (result.outcome) {
     case wire::ANSWERED:
         if (result.response.status == 500 && takeRetry(*it)) {
+            it->mayHaveRun = true;
             onFailure(id, it, std::move(result));
             return;
         }
--- a/test/gateway/test_call_router.cpp
+++ b/test/gateway/test_call_router.cpp
@@ -198,6 +198,18 @@
     EXPECT_EQ(m_result->result.outcome, wire::MAY_HAVE_RUN);
 }
 
+// Failure: after an attempt that had run and failed with 500, a refusal of the next one was reported as "not run".
+TEST_F(CallRouterTest, ARefusalAfterAnAttemptThatFailedMayHaveRun)
+{
+    route(true, 2);
+    m_port.reply(wire::ANSWERED, wire::NONE, true, 500);
+    ASSERT_EQ(m_port.m_sentTo.size(), 2U);
+    while (!m_result) {
+        m_port.reply(wire::NOT_RUN, wire::OVERLOADED, false);
+    }
+    EXPECT_EQ(m_result->result.outcome, wire::MAY_HAVE_RUN);
+}
+
 TEST_F(CallRouterTest, RetriesAnIdempotentRequestElsewhere)
 {
     route(true, 2);
