toucandeckd: a 408 or 421 of a backend server promises nothing it did not state

Callers saw: the 408 or 421 of a backend server that may have run a request which is not idempotent, with the verdict "ran". Both statuses tell HTTP clients that the request was not processed. 429 and 503 were replaced by 502 already.

Change: RequestExecutor uses meaningOf(), as the gateway does. RequestRouter turns not-run into may-have-run after an earlier attempt that may have run on each path to the answer, not only after the last retry.

Evidence: EarlyAnswerTest.AStatusThatPromisesNotRunNeedsTheVerdict failed with the program before (408 and 421 passed on, verdict ran) and passed in 3 of 3 runs after.

--- a/src/daemon/request_executor_completion.cpp
+++ b/src/daemon/request_executor_completion.cpp
@@ -1,5 +1,7 @@
 #include "daemon/request_work.h"
 
+#include "routing/request_headers.h"
+#include "routing/response_meaning.h"
 #include "state/view.h"
 
 #include <algorithm>
@@ -89,13 +91,14 @@
     auto &response = *result.response;
     const bool shed = response.status == 429 || response.status == 503;
     releaseSlot(work, shed ? AnswerKind::Shed : AnswerKind::Ok, result.connectionKept);
-    // A backend server may state the verdict. Without one, a shed request may have been started.
+    // A backend server may state the verdict. Without one, a request that got a status that promises "not run" may have been started.
     const auto statedVerdict = verdictFromString(response.header("Toucandeck-Verdict").value_or(""));
-    const auto verdict = statedVerdict.value_or(shed ? Verdict::MayHaveRun : Verdict::Ran);
+    const bool repeatable = isIdempotent(work->request.method()) && !shed; // 429 and 503 guarantee not-run for all methods.
+    const auto meaning = meaningOf(response.status, statedVerdict == Verdict::NotRun, repeatable);
+    const auto verdict = statedVerdict.value_or(meaning == ResponseMeaning::MayHaveRun ? Verdict::MayHaveRun : Verdict::Ran);
     wire::ForwardReply reply;
     reply.set_verdict(internal::toWire(verdict));
-    // 429 and 503 guarantee the verdict not-run; any other verdict needs another status.
-    reply.set_status(static_cast<std::uint32_t>(shed && verdict != Verdict::NotRun ? 502 : response.status));
+    reply.set_status(static_cast<std::uint32_t>(meaning == ResponseMeaning::MayHaveRun ? 502 : response.status));
     if (verdict == Verdict::NotRun && !shed) {
         reply.set_status(503);
     }
--- a/src/daemon/request_router_completion.cpp
+++ b/src/daemon/request_router_completion.cpp
@@ -88,11 +88,7 @@
         call->retryTimer = m_parts.loop.after(*delay, [this, call] { tryAttempt(call); });
         return;
     }
-    auto last = reply;
-    if (call->mayHaveRun && internal::fromWire(reply.verdict()) == Verdict::NotRun) {
-        last = internal::refusal(Verdict::MayHaveRun, 502, "the outcome of an earlier attempt is unknown");
-    }
-    answer(call, last);
+    answer(call, reply);
 }
 
 void RequestRouter::cancelAttempt(std::uint64_t id)
@@ -153,6 +149,10 @@
         return;
     }
     const auto verdict = internal::fromWire(reply.verdict());
+    if (verdict == Verdict::NotRun && call->mayHaveRun) {
+        answer(call, internal::refusal(Verdict::MayHaveRun, 502, "the outcome of an earlier attempt is unknown"));
+        return;
+    }
     m_answerCounters.at(verdict)->Increment();
     m_requestSeconds.Observe(std::chrono::duration<double>(m_parts.loop.clock().now() - call->receiveTime).count());
     call->span.tag("verdict", std::string(toString(verdict)));
--- a/test/processes/test_path.cpp
+++ b/test/processes/test_path.cpp
@@ -371,3 +371,29 @@
         }
     }
 }
+
+// Guards against a caller that is told that its request has not run, by the status or the verdict, although the backend server has not
+// stated it.
+TEST_F(EarlyAnswerTest, AStatusThatPromisesNotRunNeedsTheVerdict)
+{
+    for (const std::string status : { "408", "421", "429", "503" }) {
+        for (const auto &it : m_instances) {
+            m_backends.answerPosts("HTTP/1.1 " + status + " No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+                                   ConnectionEnding::EndOfStream);
+            const auto before = m_backends.posts();
+            const auto answered = send(it, "POST", "x");
+            ASSERT_TRUE(answered.response) << status << answered.error;
+            EXPECT_EQ(answered.response->status, 502) << status;
+            EXPECT_EQ(answered.response->header("Toucandeck-Verdict"), "may-have-run") << status;
+            EXPECT_EQ(m_backends.posts(), before + 1) << status;
+
+            m_backends.answerPosts("HTTP/1.1 " + status
+                                       + " No\r\nConnection: close\r\nToucandeck-Verdict: not-run\r\nContent-Length: 0\r\n\r\n",
+                                   ConnectionEnding::EndOfStream);
+            const auto refused = send(it, "POST", "x");
+            ASSERT_TRUE(refused.response) << status << refused.error;
+            EXPECT_EQ(refused.response->status, status == "429" ? 429 : 503) << status;
+            EXPECT_EQ(refused.response->header("Toucandeck-Verdict"), "not-run") << status;
+        }
+    }
+}
