--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -70,6 +70,9 @@
 inline constexpr Event kReleaseCalled{
     10227, LogLevel::Info, "release_called", "A call that takes keys back from the backend server has ended."
 };
+inline constexpr Event kInstanceDeregistration{
+    10228, LogLevel::Info, "instance_deregistration", "A backend server gave notice that it stops; it is the current one or another."
+};
 inline constexpr Event kManifestInForce{ 10230, LogLevel::Info, "manifest_in_force", "A manifest is in force at this gateway." };
 inline constexpr Event kManifestUnreadable{
     10231,
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -175,6 +175,8 @@
 
 void LocalInstance::deregister(const std::string &instance)
 {
+    m_logger.write(GatewayEvents::kInstanceDeregistration,
+                   { field("instance", instance), field("current", m_current ? m_current->name : std::string()) });
     if (m_current && m_current->instance == instance) {
         startLeaving();
     }
