gateway: a notice that a backend server stops holds before its first heartbeat

Cause: a notice for a process that the gateway did not know yet did nothing and was confirmed all the same; the next heartbeat put the process into use. A notice for a known process was confirmed before anybody but the gateway's memory had it.

Change: a notice counts for the processes with this id that started before it, or up to the start that it names. LeavingProcesses keeps several ids for each router, at the gateway, the leader and in the replicated log. Gateways beside controllers of an earlier version confirm with their next acknowledgement. Log: instance_deregistration, departure_answered.

The test of a draining heartbeat expected its answer at once; it expects none before the record and the same answer after it.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -163,7 +163,7 @@
 {
     auto &entry = m_routers[announce.router()];
     if (entry.revision == 0) {
-        entry.record.mutable_instance()->set_leaving(m_group.state().leavingBeside(announce.router()));
+        m_group.state().leavingBeside(announce.router()).addTo(*entry.record.mutable_instance());
     }
     wire::RouterRecord record;
     record.set_router(announce.router());
@@ -192,20 +192,33 @@
 
 void FleetController::proposeLeaving(const std::string &router, RouterEntry &entry)
 {
-    const auto leaving = entry.record.instance().leaving();
-    if (leaving.empty() || leaving == m_group.state().leavingBeside(router) || leaving == entry.proposedLeaving) {
-        return;
-    }
-    entry.proposedLeaving = leaving;
-    wire::FleetCommand command;
-    command.mutable_set_leaving()->set_router(router);
-    command.mutable_set_leaving()->set_incarnation(leaving);
-    m_group.propose(command, [this, router, leaving](std::optional<CommandOutcome> outcome) {
-        const auto it = m_routers.find(router);
-        if (!outcome && it != m_routers.end() && it->second.proposedLeaving == leaving) {
-            it->second.proposedLeaving.clear(); // The next announcement proposes it again.
+    const LeavingProcesses leaving(entry.record.instance());
+    const auto &recorded = m_group.state().leavingBeside(router);
+    for (const auto &incarnation : leaving.names()) {
+        if (recorded.covers(incarnation) || !entry.proposedLeaving.insert(incarnation).second) {
+            continue;
         }
-    });
+        wire::FleetCommand command;
+        command.mutable_set_leaving()->set_router(router);
+        command.mutable_set_leaving()->set_incarnation(incarnation);
+        m_group.propose(command, [this, router, incarnation](std::optional<CommandOutcome>) {
+            if (const auto it = m_routers.find(router); it != m_routers.end()) {
+                it->second.proposedLeaving.erase(incarnation); // If it failed, the next announcement proposes it again.
+            }
+        });
+    }
+}
+
+bool FleetController::fillDepartures(Session &session, wire::FleetUpdate &update) const
+{
+    const auto &recorded = m_group.state().leavingBeside(session.router).names();
+    if (session.areDeparturesSent && session.departures == recorded) {
+        return false;
+    }
+    session.areDeparturesSent = true;
+    session.departures = recorded;
+    update.mutable_departures()->mutable_incarnations()->Add(recorded.begin(), recorded.end());
+    return true;
 }
 
 void FleetController::onClosed(const std::shared_ptr<MessageChannel> &channel)
@@ -331,6 +344,7 @@
     const auto &state = m_group.state();
     bool changed = fillRouters(session, update);
     changed = fillManifest(session, update) || changed;
+    changed = fillDepartures(session, update) || changed;
     if (!session.areEvacuationsSent || session.evacuationRevision != state.evacuationRevision()) {
         session.areEvacuationsSent = true;
         session.evacuationRevision = state.evacuationRevision();
@@ -398,7 +412,9 @@
     }
     for (const auto &[ip, entry] : m_routers) {
         if (whole || entry.revision > session.listRevision) {
-            *update.add_routers() = entry.record;
+            auto *it = update.add_routers();
+            *it = entry.record;
+            it->mutable_instance()->clear_leaving_processes(); // Each router is sent its own as departures.
         }
     }
     if (whole) {
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Toucandeck
 {
@@ -35,7 +36,7 @@
         std::uint64_t revision = 0; ///< List revision of the last change of the record.
         TimePoint lastAnnounce;
         bool isSilent = false;
-        std::string proposedLeaving; ///< Leaving incarnation in the latest command that was proposed and has not failed.
+        std::set<std::string> proposedLeaving; ///< Leaving incarnations in commands that were proposed and have not ended.
     };
 
     /// State that one router was sent on its current connection.
@@ -53,6 +54,8 @@
         std::map<std::string, std::uint64_t> tableRevisions;
         std::uint64_t listRevision = 0;
         bool isListSent = false;
+        bool areDeparturesSent = false;
+        std::vector<std::string> departures;
     };
 
     void refuse(const std::shared_ptr<MessageChannel> &channel);
@@ -73,6 +76,8 @@
     /// True if all routers in contact have reported this manifest version or a later one.
     bool isManifestApplied(std::uint64_t version) const;
     bool fillManifest(Session &session, wire::FleetUpdate &update);
+    /// Adds which processes beside the router are recorded to leave, if that has changed.
+    bool fillDepartures(Session &session, wire::FleetUpdate &update) const;
     bool fillTables(Session &session, wire::FleetUpdate &update) const;
     std::vector<KeyHolder> keyHolders() const;
 
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -139,10 +139,11 @@
     if (leaving.router().empty() || leaving.incarnation().empty()) {
         return CommandOutcome::Conflict;
     }
-    if (leavingBeside(leaving.router()) == leaving.incarnation()) {
+    auto &departures = m_leaving[leaving.router()];
+    if (!departures.processes.add(leaving.incarnation())) {
         return CommandOutcome::Repeated;
     }
-    m_leaving[leaving.router()] = { leaving.incarnation(), index.value };
+    departures.revision = index.value;
     if (m_leaving.size() > kMaxLeavingInstances) {
         m_leaving.erase(std::min_element(
             m_leaving.begin(), m_leaving.end(), [](const auto &a, const auto &b) { return a.second.revision < b.second.revision; }));
@@ -171,11 +172,13 @@
             *it->add_rows() = toWire(row);
         }
     }
-    for (const auto &[router, leaving] : m_leaving) {
-        auto *it = out.add_leaving();
-        it->set_router(router);
-        it->set_incarnation(leaving.incarnation);
-        it->set_revision(leaving.revision);
+    for (const auto &[router, departures] : m_leaving) {
+        for (const auto &incarnation : departures.processes.names()) {
+            auto *it = out.add_leaving();
+            it->set_router(router);
+            it->set_incarnation(incarnation);
+            it->set_revision(departures.revision);
+        }
     }
     return out.SerializeAsString();
 }
@@ -209,7 +212,9 @@
     m_evacuationRevision = in.evacuation_revision();
     m_leaving.clear();
     for (const auto &it : in.leaving()) {
-        m_leaving[it.router()] = { it.incarnation(), it.revision() };
+        auto &departures = m_leaving[it.router()];
+        departures.processes.add(it.incarnation());
+        departures.revision = it.revision();
     }
     return {};
 }
@@ -244,11 +249,11 @@
     return m_tables;
 }
 
-const std::string &FleetState::leavingBeside(const std::string &router) const
+const LeavingProcesses &FleetState::leavingBeside(const std::string &router) const
 {
-    static const std::string none;
+    static const LeavingProcesses none;
     const auto it = m_leaving.find(router);
-    return it == m_leaving.end() ? none : it->second.incarnation;
+    return it == m_leaving.end() ? none : it->second.processes;
 }
 
 } // namespace Toucandeck
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -2,6 +2,7 @@
 
 #include "consensus/state_machine.h"
 #include "fleet/key_rows.h"
+#include "fleet/leaving_processes.h"
 
 #include <deque>
 #include <functional>
@@ -52,15 +53,15 @@
 
     const std::map<std::string, KeyTable> &tables() const;
 
-    /// Latest incarnation that is known to leave beside the router; empty if there is none.
-    const std::string &leavingBeside(const std::string &router) const;
+    /// Processes that are known to leave beside the router.
+    const LeavingProcesses &leavingBeside(const std::string &router) const;
 
 private:
-    /// Incarnation of a backend server that leaves.
-    struct LeavingInstance
+    /// Processes that leave beside one router.
+    struct Departures
     {
-        std::string incarnation;
-        std::uint64_t revision = 0; ///< Log index of the command.
+        LeavingProcesses processes;
+        std::uint64_t revision = 0; ///< Log index of the latest command.
     };
 
     CommandOutcome applyChange(const wire::ChangeManifest &change);
@@ -77,7 +78,7 @@
     std::set<std::string> m_evacuated;
     std::uint64_t m_evacuationRevision = 0;
     std::map<std::string, KeyTable> m_tables;
-    std::map<std::string, LeavingInstance> m_leaving; ///< By the IP address of the router.
+    std::map<std::string, Departures> m_leaving; ///< By the IP address of the router.
 };
 
 } // namespace Toucandeck
--- a/src/fleet/incarnation.cpp
+++ b/src/fleet/incarnation.cpp
@@ -53,6 +53,11 @@
     return orderA && orderB && *orderA > *orderB;
 }
 
+bool haveSameId(std::string_view a, std::string_view b)
+{
+    return a.substr(0, a.rfind('@')) == b.substr(0, b.rfind('@'));
+}
+
 bool isSameProcess(std::string_view a, std::string_view b)
 {
     return processOf(a) == processOf(b);
--- a/src/fleet/incarnation.h
+++ b/src/fleet/incarnation.h
@@ -16,6 +16,9 @@
 /// process at a time, so @p b is then known to have terminated. False for names that cannot be parsed.
 bool isLaterIncarnation(std::string_view a, std::string_view b);
 
+/// True if both names are of backend servers with the same id.
+bool haveSameId(std::string_view a, std::string_view b);
+
 /// True if both names are of the same process, however often its termination was presumed.
 bool isSameProcess(std::string_view a, std::string_view b);
 
--- a/src/fleet/recorded_instance.cpp
+++ b/src/fleet/recorded_instance.cpp
@@ -1,32 +1,19 @@
 #include "fleet/recorded_instance.h"
 
-#include "fleet/incarnation.h"
+#include "fleet/leaving_processes.h"
 
 namespace Toucandeck
 {
 
-namespace
-{
-
-std::string leavingIncarnation(const wire::InstanceReport &recorded, const wire::InstanceReport &announced)
-{
-    if (announced.state() == wire::DRAINING) {
-        return announced.incarnation();
-    }
-    if (!announced.leaving().empty()) {
-        return announced.leaving();
-    }
-    return recorded.state() == wire::DRAINING ? recorded.incarnation() : recorded.leaving();
-}
-
-} // namespace
-
 wire::InstanceReport recordedInstance(const wire::InstanceReport &recorded, const wire::InstanceReport &announced)
 {
     auto result = announced;
+    LeavingProcesses leaving(recorded);
+    leaving.add(LeavingProcesses(announced));
     result.clear_ended();
-    result.set_leaving(leavingIncarnation(recorded, announced));
-    if (announced.state() == wire::READY && isSameProcess(announced.incarnation(), result.leaving())) {
+    result.clear_leaving_processes();
+    leaving.addTo(result);
+    if (announced.state() == wire::READY && leaving.covers(announced.incarnation())) {
         result.set_state(wire::DRAINING);
     }
     return result;
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -73,6 +73,10 @@
 inline constexpr Event kInstanceDeregistration{
     10228, LogLevel::Info, "instance_deregistration", "A backend server gave notice that it stops; it is the current one or another."
 };
+inline constexpr Event kDepartureAnswered{ 10229,
+                                           LogLevel::Info,
+                                           "departure_answered",
+                                           "A notice of a backend server that it stops was confirmed, or could not be recorded in time." };
 inline constexpr Event kManifestInForce{ 10230, LogLevel::Info, "manifest_in_force", "A manifest is in force at this gateway." };
 inline constexpr Event kManifestUnreadable{
     10231,
--- a/src/gateway/fleet_client.cpp
+++ b/src/gateway/fleet_client.cpp
@@ -77,6 +77,7 @@
         m_links.closeConnection(m_controller);
     }
     m_selectedAt = m_loop.clock().now();
+    m_reportsDepartures = false;
     m_controller = all.empty() ? std::string() : all[m_nextCandidate++ % all.size()];
 }
 
@@ -156,6 +157,7 @@
         }
         if (!leader.empty() && leader != peer) {
             m_controller = leader;
+            m_reportsDepartures = false;
             m_selectedAt = m_loop.clock().now();
             scheduleAnnouncement();
         }
@@ -184,8 +186,15 @@
             m_instance.applyRecord(it.instance());
         }
     }
+    if (update.has_departures()) {
+        m_reportsDepartures = true;
+        m_instance.applyDepartures(update.departures());
+    }
     if (update.acknowledged() != 0) {
         m_instance.onAnnouncementAcknowledged(update.acknowledged());
+        if (!m_reportsDepartures) {
+            m_instance.assumeDeparturesRecorded(); // A controller of an earlier version.
+        }
     }
     if (update.has_lease()) {
         if (const auto at = sendTimeOf(update.lease().sequence())) {
--- a/src/gateway/fleet_client.h
+++ b/src/gateway/fleet_client.h
@@ -67,6 +67,7 @@
     TimePoint m_lastAnnouncement;
     TimePoint m_selectedAt; ///< When the current controller was selected.
     bool m_connected = false;
+    bool m_reportsDepartures = false; ///< The controller in use reports which departures it has recorded, first of all.
     bool m_leaving = false;
     bool m_announcementScheduled = false;
     EventLoop::Watch m_timer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -131,15 +131,15 @@
     }
 }
 
-void Gateway::handleHeartbeat(const Heartbeat &it, LocalInstance::AnswerHandler answer)
+void Gateway::handleHeartbeat(const Heartbeat &it, LocalInstance::AnswerHandler answer, std::function<void()> unconfirmed)
 {
-    m_instance.handleHeartbeat(it, std::move(answer));
+    m_instance.handleHeartbeat(it, std::move(answer), std::move(unconfirmed));
     processAdmissionQueue();
 }
 
-void Gateway::deregister(const std::string &instance)
+void Gateway::deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done)
 {
-    m_instance.deregister(instance);
+    m_instance.deregister(instance, startUnixMs, std::move(done));
 }
 
 std::string Gateway::kindOf(const Call &call) const
@@ -327,6 +327,8 @@
     setKept("reference_work", m_referenceWork.size());
     setKept("nested_call_limit", m_parents.gate().size());
     setKept("nested_call_time", m_parents.times().size());
+    metrics.gauge("toucandeck_departures_pending", "Notices of backend servers that they stop which are not confirmed yet")
+        .Set(static_cast<double>(m_instance.departures().pendingCount()));
     metrics.gauge("toucandeck_view_age_seconds", "Time since the last update from a controller")
         .Set(std::chrono::duration<double>(m_view.age()).count());
     metrics.gauge("toucandeck_controller_connected", "1 while a leading controller answers").Set(m_fleet.isConnected() ? 1 : 0);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -53,9 +53,10 @@
     static Result<std::unique_ptr<Gateway>> create(const GatewayParts &parts, GatewayOptions options);
     ~Gateway();
 
-    /// @param answer is called once, perhaps after a delay; see LocalInstance::handleHeartbeat().
-    void handleHeartbeat(const Heartbeat &it, LocalInstance::AnswerHandler answer);
-    void deregister(const std::string &instance);
+    /// One of @p answer and @p unconfirmed is called, perhaps after a delay; see LocalInstance::handleHeartbeat().
+    void handleHeartbeat(const Heartbeat &it, LocalInstance::AnswerHandler answer, std::function<void()> unconfirmed = nullptr);
+    /// @copydoc LocalInstance::deregister()
+    void deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done);
 
     /// True if clients may send requests to this gateway.
     bool isReady() const;
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -34,6 +34,7 @@
     , m_address(std::move(address))
     , m_maxHeartbeatAge(heartbeatInterval + kHeartbeatTransitTime)
     , m_maxAnswerDelay(std::min<Duration>(kMaxAnswerDelay, std::chrono::duration_cast<Duration>(heartbeatInterval * kAnswerDelayShare)))
+    , m_departures(loop)
     , m_pendingReleases(logger)
     , m_createdAt(loop.clock().now())
     , m_callGrants(loop.clock(), logger, grantPort)
@@ -78,7 +79,7 @@
     return m_current && m_isServiceKnown && it.service != m_current->service && !m_isServiceKnown(it.service);
 }
 
-void LocalInstance::handleHeartbeat(const Heartbeat &it, AnswerHandler answer)
+void LocalInstance::handleHeartbeat(const Heartbeat &it, AnswerHandler answer, std::function<void()> unconfirmed)
 {
     if (it.address != m_address || namesUnknownService(it) || isStale(it)) {
         m_logger.write(GatewayEvents::kHeartbeatIgnored,
@@ -88,7 +89,11 @@
                          field("born_ms", it.startUnixMs),
                          field("sequence", it.sequence),
                          field("current", m_current ? m_current->name : std::string()) });
-        answer(std::nullopt);
+        if (it.draining && it.address == m_address) {
+            answerDeparting(departingIncarnation(it.instance, it.startUnixMs), std::move(answer), std::move(unconfirmed));
+        } else {
+            answer(std::nullopt);
+        }
         return;
     }
     answerPending();
@@ -104,6 +109,10 @@
         m_grantPort.onHeartbeat(m_current->lastHeartbeat);
         updateCallGrants();
     }
+    if (it.draining) {
+        answerDeparting(m_current->name, std::move(answer), std::move(unconfirmed));
+        return;
+    }
     if (!mayDelayAnswer(it)) {
         sendAnswer(answer);
         return;
@@ -124,7 +133,7 @@
     m_current->instance = it.instance;
     m_current->startUnixMs = it.startUnixMs;
     m_current->name = incarnationName(it.instance, it.startUnixMs, m_presumedTerminations);
-    m_current->deregistered = isSameProcess(m_current->name, m_leavingIncarnation);
+    m_current->deregistered = m_leavingProcesses.covers(m_current->name);
     m_leasedRows.clear();
     m_leaseExpiry = {};
     m_sentRows.clear();
@@ -156,7 +165,7 @@
     m_current->coldUntil = now + it.coldRemaining;
     m_connectionRefusals = 0;
     if (draining) {
-        m_leavingIncarnation = m_current->name;
+        m_leavingProcesses.add(m_current->name);
     }
     m_pendingReleases.record(
         m_current->name, it, m_reportedHolds, m_sentRows, [this](KeyRange range) { return m_callGrants.unansweredEnd(range); });
@@ -173,22 +182,85 @@
     }
 }
 
-void LocalInstance::deregister(const std::string &instance)
+std::string LocalInstance::departingIncarnation(const std::string &instance, std::optional<std::int64_t> startUnixMs) const
 {
-    m_logger.write(GatewayEvents::kInstanceDeregistration,
-                   { field("instance", instance), field("current", m_current ? m_current->name : std::string()) });
-    if (m_current && m_current->instance == instance) {
-        startLeaving();
+    if (m_current && m_current->instance == instance && startUnixMs.value_or(m_current->startUnixMs) == m_current->startUnixMs) {
+        return m_current->name;
+    }
+    const auto now = m_loop.clock().wallNow().time_since_epoch();
+    return incarnationName(instance, startUnixMs.value_or(std::chrono::duration_cast<milliseconds>(now).count()), 0);
+}
+
+void LocalInstance::deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done)
+{
+    const auto incarnation = departingIncarnation(instance, startUnixMs);
+    m_logger.write(
+        GatewayEvents::kInstanceDeregistration,
+        { field("instance", instance), field("incarnation", incarnation), field("current", m_current ? m_current->name : std::string()) });
+    if (m_leavingProcesses.add(incarnation) && m_changeHandler) {
+        m_changeHandler();
+    }
+    leaveIfKnown();
+    confirmDeparture(incarnation, std::move(done));
+}
+
+void LocalInstance::confirmDeparture(const std::string &incarnation, Departures::Done done)
+{
+    if (m_departures.isRecorded(incarnation)) {
+        done(true);
+        return;
+    }
+    const auto receivedAt = m_loop.clock().now();
+    m_departures.confirm(incarnation, [this, incarnation, receivedAt, done = std::move(done)](bool isRecorded) {
+        const auto took = std::chrono::duration_cast<milliseconds>(m_loop.clock().now() - receivedAt);
+        m_logger.write(GatewayEvents::kDepartureAnswered,
+                       { field("incarnation", incarnation), field("recorded", isRecorded), field("took_ms", took.count()) });
+        done(isRecorded);
+    });
+}
+
+void LocalInstance::answerDeparting(const std::string &incarnation, AnswerHandler answer, std::function<void()> unconfirmed)
+{
+    if (m_leavingProcesses.add(incarnation) && m_changeHandler) {
+        m_changeHandler();
     }
+    leaveIfKnown();
+    confirmDeparture(incarnation, [this, incarnation, answer = std::move(answer), unconfirmed = std::move(unconfirmed)](bool isRecorded) {
+        if (!isRecorded && unconfirmed) {
+            unconfirmed();
+        } else if (m_current && m_current->name == incarnation) {
+            sendAnswer(answer);
+        } else {
+            answer(std::nullopt);
+        }
+    });
 }
 
 void LocalInstance::applyRecord(const wire::InstanceReport &record)
 {
-    const auto &leaving = record.state() == wire::DRAINING ? record.incarnation() : record.leaving();
-    if (m_leavingIncarnation.empty() || isLaterIncarnation(leaving, m_leavingIncarnation)) {
-        m_leavingIncarnation = leaving;
+    m_leavingProcesses.add(LeavingProcesses(record));
+    leaveIfKnown();
+}
+
+void LocalInstance::applyDepartures(const wire::RecordedDepartures &departures)
+{
+    for (const auto &it : departures.incarnations()) {
+        m_leavingProcesses.add(it);
     }
-    if (m_current && isSameProcess(m_current->name, leaving) && !m_current->draining) {
+    leaveIfKnown();
+    m_departures.setRecorded(departures);
+}
+
+void LocalInstance::assumeDeparturesRecorded()
+{
+    wire::RecordedDepartures departures;
+    departures.mutable_incarnations()->Add(m_leavingProcesses.names().begin(), m_leavingProcesses.names().end());
+    m_departures.setRecorded(departures);
+}
+
+void LocalInstance::leaveIfKnown()
+{
+    if (m_current && !m_current->draining && m_leavingProcesses.covers(m_current->name)) {
         startLeaving();
     }
 }
@@ -200,7 +272,7 @@
     }
     m_current->deregistered = true;
     m_current->draining = true;
-    m_leavingIncarnation = m_current->name;
+    m_leavingProcesses.add(m_current->name);
     m_logger.write(GatewayEvents::kInstanceState, { field("incarnation", m_current->name), field("state", "deregistered") });
     answerPending();
     updateCallGrants();
@@ -355,11 +427,16 @@
     }
 }
 
+const Departures &LocalInstance::departures() const
+{
+    return m_departures;
+}
+
 wire::InstanceReport LocalInstance::report() const
 {
     wire::InstanceReport report;
     report.set_ended(m_terminatedIncarnation);
-    report.set_leaving(m_leavingIncarnation);
+    m_leavingProcesses.addTo(report);
     report.set_state(wire::ABSENT);
     if (!m_current) {
         return report;
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -3,6 +3,7 @@
 #include "gateway/backend_admission.h"
 #include "gateway/call_grants.h"
 #include "gateway/demand_sampler.h"
+#include "gateway/departures.h"
 #include "gateway/heartbeat.h"
 #include "gateway/pending_releases.h"
 
@@ -49,9 +50,14 @@
     void setServiceCheck(std::function<bool(const std::string &service)> isKnown);
 
     /// Handles a heartbeat. The answer may be delayed, so that changes of the keys reach the backend server at once.
-    void handleHeartbeat(const Heartbeat &it, AnswerHandler answer);
-    /// Handles the backend server's notice that it stops: it is draining from now on.
-    void deregister(const std::string &instance);
+    /// @param unconfirmed called in place of @p answer if the heartbeat says that the process drains and this could not be recorded in
+    /// time.
+    void handleHeartbeat(const Heartbeat &it, AnswerHandler answer, std::function<void()> unconfirmed = nullptr);
+    /// Handles the notice of a backend server that it stops: its process is draining from now on, also if its first heartbeat comes later.
+    /// @param startUnixMs start of its process; if it is not known, the notice is for the current process with this id, or for all that
+    /// started before now.
+    /// @param done called once the notice is recorded, or could not be recorded in time.
+    void deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done);
     /// Handles a refused connection to the backend server's address; after several of them its process counts as terminated.
     void onConnectionRefused();
 
@@ -63,6 +69,10 @@
     void applyLease(const wire::LeaseGrant &lease, TimePoint sentAt);
     /// Handles the controllers' record of the backend server, which may know from an earlier process of this gateway that one leaves.
     void applyRecord(const wire::InstanceReport &record);
+    /// Handles the list of the departures that are in the replicated log.
+    void applyDepartures(const wire::RecordedDepartures &departures);
+    /// Handles the answer of a controller that does not report which departures it has recorded.
+    void assumeDeparturesRecorded();
     /// Handles the controllers' confirmation that they recorded the released keys of all announcements up to this one.
     void onAnnouncementAcknowledged(std::uint64_t sequence);
 
@@ -91,6 +101,7 @@
     /// Sets the speed relative to its service's, in thousandths; zero is unknown.
     void setSpeed(std::uint32_t permille);
 
+    const Departures &departures() const;
     const CallGrants &callGrants() const;
     /// Sends the calls about keys that are due, for services whose keys are granted by calls.
     void updateCallGrants();
@@ -111,6 +122,13 @@
     };
 
     void startLeaving();
+    /// Has the current process leave if it is known to.
+    void leaveIfKnown();
+    /// Name for the process that gives notice.
+    std::string departingIncarnation(const std::string &instance, std::optional<std::int64_t> startUnixMs) const;
+    void confirmDeparture(const std::string &incarnation, Departures::Done done);
+    /// Answers the heartbeat of a process that drains once this is recorded.
+    void answerDeparting(const std::string &incarnation, AnswerHandler answer, std::function<void()> unconfirmed);
     bool isStale(const Heartbeat &it) const;
     /// True if the heartbeat would replace the service of the backend server with an unknown one.
     bool namesUnknownService(const Heartbeat &it) const;
@@ -137,7 +155,8 @@
     std::function<bool(const std::string &service)> m_isServiceKnown;
     std::optional<Incarnation> m_current;
     std::optional<Incarnation> m_previous; ///< Last incarnation that was presumed terminated; its late heartbeats are ignored.
-    std::string m_leavingIncarnation; ///< Latest one that is known to leave; its process is never used again.
+    LeavingProcesses m_leavingProcesses; ///< Never used again.
+    Departures m_departures;
     std::string m_terminatedIncarnation; ///< Last incarnation whose process has terminated.
     int m_connectionRefusals = 0; ///< Consecutive.
     TimePoint m_firstRefusal;
--- a/test/fleet/test_fleet_state.cpp
+++ b/test/fleet/test_fleet_state.cpp
@@ -165,12 +165,15 @@
     EXPECT_EQ(leave("10.0.0.1", "a@1"), CommandOutcome::Applied);
     EXPECT_EQ(leave("10.0.0.1", "a@1"), CommandOutcome::Repeated);
     EXPECT_EQ(leave("10.0.0.1", "a@2"), CommandOutcome::Applied);
+    EXPECT_EQ(leave("10.0.0.1", "a@1"), CommandOutcome::Repeated);
+    EXPECT_EQ(leave("10.0.0.1", "b@1"), CommandOutcome::Applied);
     EXPECT_EQ(leave("", "a@2"), CommandOutcome::Conflict);
     EXPECT_EQ(leave("10.0.0.2", ""), CommandOutcome::Conflict);
     FleetState restored;
     ASSERT_TRUE(restored.restore(m_state.snapshot()));
-    EXPECT_EQ(restored.leavingBeside("10.0.0.1"), "a@2");
-    EXPECT_EQ(restored.leavingBeside("10.0.0.2"), "");
+    EXPECT_EQ(restored.leavingBeside("10.0.0.1").latest(), "a@2");
+    EXPECT_TRUE(restored.leavingBeside("10.0.0.1").covers("b@1"));
+    EXPECT_EQ(restored.leavingBeside("10.0.0.2").latest(), "");
     EXPECT_EQ(restored.snapshot(), m_state.snapshot());
 }
 
@@ -183,8 +186,8 @@
         command.mutable_set_leaving()->set_incarnation("a@1");
         apply(command);
     }
-    EXPECT_EQ(m_state.leavingBeside("router-0"), "");
-    EXPECT_EQ(m_state.leavingBeside("router-" + std::to_string(kMany - 1)), "a@1");
+    EXPECT_EQ(m_state.leavingBeside("router-0").latest(), "");
+    EXPECT_EQ(m_state.leavingBeside("router-" + std::to_string(kMany - 1)).latest(), "a@1");
 }
 
 TEST_F(FleetStateTest, RefusesASnapshotThatCannotBeRead)
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -46,6 +46,21 @@
         return m_answer;
     }
 
+    /// The controllers have recorded that these incarnations leave.
+    void record(const std::vector<std::string> &incarnations)
+    {
+        wire::RecordedDepartures departures;
+        departures.mutable_incarnations()->Add(incarnations.begin(), incarnations.end());
+        m_instance.applyDepartures(departures);
+    }
+
+    /// Gives notice for a process with this id.
+    void deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs = std::nullopt)
+    {
+        m_confirmation.reset();
+        m_instance.deregister(instance, startUnixMs, [this](bool isRecorded) { m_confirmation = isRecorded; });
+    }
+
     void
     lease(std::uint32_t from, std::uint32_t to, std::uint64_t fencingToken, milliseconds duration = seconds(5), std::uint64_t sequence = 0)
     {
@@ -75,6 +90,7 @@
     FakeGrantPort m_grantPort;
     LocalInstance m_instance;
     std::optional<std::optional<HeartbeatAnswer>> m_answer;
+    std::optional<bool> m_confirmation; ///< Of the latest notice.
 };
 
 } // namespace
@@ -200,9 +216,14 @@
     auto it = beat(1, 2);
     it.holds = { { { 0, 99 }, 7 } };
     it.draining = true;
-    const auto answer = send(it);
-    ASSERT_TRUE(answer && *answer);
-    EXPECT_TRUE((*answer)->rows.empty());
+    EXPECT_FALSE(send(it)); // It is told that it may end only once the controllers have recorded that it leaves.
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+    record({ "i@1" });
+    ASSERT_TRUE(m_answer && *m_answer);
+    EXPECT_TRUE((*m_answer)->rows.empty());
+    it.sequence = 3;
+    ASSERT_TRUE(send(it));
+    EXPECT_TRUE((*m_answer)->rows.empty());
     EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
 }
 
@@ -210,7 +231,7 @@
 {
     send(beat(1, 1));
     lease(0, 99, 7);
-    m_instance.deregister("i");
+    deregister("i");
     EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
     send(beat(1, 2));
     EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
@@ -478,7 +499,7 @@
 TEST_F(LocalInstanceTest, ABackendServerThatLeavesIsNotUsedAgainAfterItWasPresumedTerminated)
 {
     send(beat(1, 1));
-    m_instance.deregister("i");
+    deregister("i");
     m_instance.onConnectionRefused();
     m_clock.advance(milliseconds(100));
     m_instance.onConnectionRefused();
@@ -493,7 +514,7 @@
 TEST_F(LocalInstanceTest, AnOldRecordDoesNotDisplaceThatALaterProcessLeaves)
 {
     send(beat(2, 1));
-    m_instance.deregister("i");
+    deregister("i");
     wire::InstanceReport record;
     record.set_leaving("i@1");
     m_instance.applyRecord(record);
@@ -518,3 +539,158 @@
     m_clock.advance(seconds(4)); // It is warm.
     EXPECT_EQ(refusalOf(50), wire::NONE);
 }
+
+namespace
+{
+
+/// A gateway that was restarted: it knows no process of the backend server yet.
+class DepartureTest : public LocalInstanceTest
+{
+protected:
+    std::int64_t unixMs() const
+    {
+        return std::chrono::duration_cast<milliseconds>(m_clock.wallNow().time_since_epoch()).count();
+    }
+
+    Heartbeat beatOf(const std::string &instance, std::int64_t born, std::uint64_t sequence = 1) const
+    {
+        auto it = beat(born, sequence);
+        it.instance = instance;
+        return it;
+    }
+
+    wire::InstanceState stateAfter(const Heartbeat &it)
+    {
+        send(it);
+        return m_instance.report().state();
+    }
+
+    /// What the gateway would tell the controllers about all departures.
+    std::vector<std::string> announced() const
+    {
+        const auto report = m_instance.report();
+        return { report.leaving_processes().begin(), report.leaving_processes().end() };
+    }
+
+    /// Replaces the gateway by a later process, which the controllers tell what they have recorded.
+    std::unique_ptr<LocalInstance> restarted()
+    {
+        auto next = std::make_unique<LocalInstance>(*m_loop, m_logger, m_grantPort, "10.0.0.1:80", milliseconds(870));
+        wire::RecordedDepartures departures;
+        for (const auto &it : announced()) {
+            departures.add_incarnations(it);
+        }
+        next->applyDepartures(departures);
+        return next;
+    }
+};
+
+} // namespace
+
+// Failure: the first call that a restarted gateway got was the notice of a process that it did not know yet. It confirmed and forgot it,
+// and the next heartbeat put the process back into use (review/9, DRAIN).
+TEST_F(DepartureTest, ANoticeBeforeTheFirstHeartbeatHolds)
+{
+    const auto born = unixMs() - 60'000;
+    deregister("i");
+    EXPECT_EQ(stateAfter(beatOf("i", born, 15)), wire::DRAINING);
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+    EXPECT_EQ(stateAfter(beatOf("i", born, 14)), wire::DRAINING);
+}
+
+TEST_F(DepartureTest, ANoticeHoldsAfterAnotherRestart)
+{
+    const auto born = unixMs() - 60'000;
+    deregister("i");
+    const auto second = restarted();
+    second->handleHeartbeat(beatOf("i", born, 3), [](const auto &) {});
+    EXPECT_EQ(second->report().state(), wire::DRAINING);
+}
+
+TEST_F(DepartureTest, ASuccessorAtTheAddressIsUsed)
+{
+    const auto born = unixMs() - 60'000;
+    deregister("i");
+    send(beatOf("i", born, 15));
+    m_clock.advance(milliseconds(500));
+    EXPECT_EQ(stateAfter(beatOf("i", unixMs())), wire::READY);
+    EXPECT_EQ(stateAfter(beatOf("i", born, 16)), wire::READY); // Late, of the process that left.
+    const auto second = restarted();
+    second->handleHeartbeat(beatOf("i", unixMs()), [](const auto &) {});
+    EXPECT_EQ(second->report().state(), wire::READY);
+    const auto third = restarted();
+    third->handleHeartbeat(beatOf("other", born), [](const auto &) {});
+    EXPECT_EQ(third->report().state(), wire::READY);
+}
+
+// A late notice of a predecessor must not end the use of the process at its address, nor displace that this one leaves later.
+TEST_F(DepartureTest, ALateNoticeOfAnotherProcessChangesNothingForTheCurrentOne)
+{
+    const auto born = unixMs() - 1000;
+    send(beatOf("new", born));
+    deregister("old");
+    EXPECT_EQ(m_instance.report().state(), wire::READY);
+    deregister("new", born - 5000); // An earlier process with its id.
+    EXPECT_EQ(m_instance.report().state(), wire::READY);
+    deregister("new");
+    EXPECT_EQ(m_instance.report().state(), wire::DRAINING);
+    const auto second = restarted();
+    second->handleHeartbeat(beatOf("new", born, 2), [](const auto &) {});
+    EXPECT_EQ(second->report().state(), wire::DRAINING);
+    const auto third = restarted();
+    third->handleHeartbeat(beatOf("old", born - 9000, 7), [](const auto &) {});
+    EXPECT_EQ(third->report().state(), wire::DRAINING);
+}
+
+// Failure: a departure was confirmed while only the memory of the gateway had it, and a restart lost it.
+TEST_F(DepartureTest, ANoticeIsConfirmedOnceItIsRecorded)
+{
+    send(beat(1, 1));
+    deregister("i");
+    EXPECT_EQ(refusalOf(50), wire::INSTANCE_DRAINING);
+    EXPECT_FALSE(m_confirmation);
+    record({});
+    EXPECT_FALSE(m_confirmation);
+    record({ "i@1" });
+    EXPECT_EQ(m_confirmation, true);
+    deregister("i");
+    EXPECT_EQ(m_confirmation, true); // Repeated.
+}
+
+TEST_F(DepartureTest, ANoticeThatIsNotRecordedInTimeIsNotConfirmed)
+{
+    deregister("i");
+    EXPECT_EQ(m_instance.departures().pendingCount(), 1U);
+    m_clock.advance(Departures::kTimeout);
+    EXPECT_TRUE(m_loop->runUntil([this] { return m_confirmation.has_value(); }, seconds(5)));
+    EXPECT_EQ(m_confirmation, false);
+    EXPECT_EQ(m_instance.departures().pendingCount(), 0U);
+    deregister("i");
+    record(announced());
+    EXPECT_EQ(m_confirmation, true);
+}
+
+// A heartbeat that says "draining" and is repeated with its number, or comes late, is no confirmation either.
+TEST_F(DepartureTest, AnIgnoredHeartbeatOfADrainingProcessWaitsForTheRecord)
+{
+    m_instance.setPolicy({}); // Without keys, no answer is delayed for another reason.
+    send(beat(1, 2));
+    auto draining = beat(1, 2);
+    draining.draining = true;
+    EXPECT_FALSE(send(draining));
+    EXPECT_EQ(m_instance.report().state(), wire::DRAINING);
+    bool unconfirmed = false;
+    m_instance.handleHeartbeat(
+        draining, [](const auto &) {}, [&] { unconfirmed = true; });
+    m_clock.advance(Departures::kTimeout);
+    EXPECT_TRUE(m_loop->runUntil([&] { return unconfirmed; }, seconds(5)));
+    record({ "i@1" });
+    EXPECT_TRUE(send(draining));
+}
+
+TEST_F(DepartureTest, AControllerThatReportsNoDeparturesIsTakenAtItsAcknowledgement)
+{
+    deregister("i");
+    m_instance.assumeDeparturesRecorded();
+    EXPECT_EQ(m_confirmation, true);
+}
--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -113,6 +113,16 @@
     EXPECT_EQ(codec.handover(response), "7a21");
 }
 
+// A notice whose body cannot be read is a notice all the same.
+TEST(HeartbeatJson, ReadsTheStartOfAProcessThatLeaves)
+{
+    EXPECT_EQ(readDepartureStart(R"({"born":1777424534000})"), 1'777'424'534'000);
+    for (const char *it :
+         { "", "{}", "x", "[]", R"({"born":"1"})", R"({"born":-1})", R"({"born":1e300})", R"({"born":18446744073709551615})" }) {
+        EXPECT_EQ(readDepartureStart(it), std::nullopt) << it;
+    }
+}
+
 // Failure: a weight that is a multiple of 2^32 was accepted and taken for 0.
 TEST(ManifestJson, RefusesAWeightThatIsTooLarge)
 {
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -371,8 +371,8 @@
     beat.address = SocketAddress{ ip, kBackendPort }.toString();
     beat.slots = 9;
     m_gateways.front()->handleHeartbeat(beat, [](const auto &) {});
-    m_gateways.front()->deregister("left");
-    const auto knows = [&](const auto &it) { return it->group().state().leavingBeside(ip) == "left@4000000000000"; };
+    m_gateways.front()->deregister("left", std::nullopt, [](bool) {});
+    const auto knows = [&](const auto &it) { return it->group().state().leavingBeside(ip).latest() == "left@4000000000000"; };
     ASSERT_TRUE(m_loop->runUntil([&] { return std::all_of(m_controllers.begin(), m_controllers.end(), knows); }, kLimit));
 
     m_servers.erase(m_servers.begin() + 3); // It refers to the gateway.
@@ -392,6 +392,72 @@
     EXPECT_EQ(lastSeen(ip, "recorded_state", mark), "DRAINING");
 }
 
+// Failure: a restarted gateway confirmed the notice of a backend server that it did not know yet, and used it again (review/9, DRAIN).
+TEST_F(FleetPathTest, ANoticeBeforeTheFirstHeartbeatIsConfirmedOnceItOutlivesTheGateway)
+{
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200);
+    const auto ip = nodeIp(11);
+    m_backends.front()->crash();
+    Heartbeat beat;
+    beat.instance = "left";
+    beat.startUnixMs = std::chrono::duration_cast<milliseconds>(m_clock.wallNow().time_since_epoch()).count() - 60'000;
+    beat.sequence = 7;
+    beat.service = "svc";
+    beat.address = SocketAddress{ ip, kBackendPort }.toString();
+    beat.slots = 9;
+    const auto restart = [&] {
+        const auto mark = m_logger.entries().size();
+        m_servers.erase(m_servers.begin() + 3); // It refers to the gateway.
+        m_gateways.erase(m_gateways.begin());
+        startGateway(ip, { nodeIp(1), nodeIp(2), nodeIp(3) });
+        std::rotate(m_gateways.begin(), m_gateways.end() - 1, m_gateways.end());
+        std::rotate(m_servers.begin() + 3, m_servers.end() - 1, m_servers.end());
+        ASSERT_TRUE(m_loop->runUntil([&] { return lastSeen(ip, "state", mark) == "ABSENT"; }, kLimit));
+    };
+    restart();
+    const auto response = OneShotClient(*m_loop, { ip, kInstancePort })
+                              .send({ "POST", "/toucandeck/instances/left/deregister", { { "Host", "x" } }, {} }, kLimit);
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->status, 200);
+    EXPECT_TRUE(std::any_of(m_controllers.begin(), m_controllers.end(), [&](const auto &it) {
+        return it->group().state().leavingBeside(ip).covers("left@" + std::to_string(beat.startUnixMs));
+    }));
+    for (int i = 0; i < 2; ++i) {
+        const auto mark = m_logger.entries().size();
+        m_gateways.front()->handleHeartbeat(beat, [](const auto &) {});
+        ASSERT_TRUE(m_loop->runUntil([&] { return !lastSeen(ip, "incarnation", mark).empty(); }, kLimit));
+        EXPECT_EQ(lastSeen(ip, "recorded_state", mark), "DRAINING") << i;
+        restart();
+    }
+    const auto mark = m_logger.entries().size();
+    beat.instance = "successor";
+    m_gateways.front()->handleHeartbeat(beat, [](const auto &) {});
+    ASSERT_TRUE(m_loop->runUntil([&] { return lastSeen(ip, "recorded_state", mark) == "READY"; }, kLimit));
+}
+
+TEST_F(FleetPathTest, ANoticeIsNotConfirmedWhileNoControllerCanRecordIt)
+{
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, false)), 200);
+    const auto deregister = [this] {
+        const auto target = "/toucandeck/instances/" + m_backends.front()->instance() + "/deregister";
+        const auto response
+            = OneShotClient(*m_loop, { nodeIp(11), kInstancePort }).send({ "POST", target, { { "Host", "x" } }, {} }, kLimit);
+        return response ? response->status : 0;
+    };
+    m_servers.erase(m_servers.begin(), m_servers.begin() + 2); // They refer to the controllers.
+    m_controllers.erase(m_controllers.begin(), m_controllers.begin() + 2);
+    EXPECT_EQ(deregister(), 503);
+    const std::vector<std::string> ips{ nodeIp(1), nodeIp(2), nodeIp(3) };
+    startController(ips[0], ips);
+    startController(ips[1], ips);
+    const auto end = m_clock.now() + kLimit;
+    int status = 503;
+    while (status == 503 && m_clock.now() < end) {
+        status = deregister();
+    }
+    EXPECT_EQ(status, 200);
+}
+
 // The operators' page traces a request by its id, so each of these log lines must exist and name the next process to inspect.
 TEST_F(FleetPathTest, TheLinesAboutAnAnsweredRequestNameItsGatewayAndBackendServer)
 {
