fleet: forget the decisions of services that are no longer keyed

The leading controller kept a state for each name that a keyed service ever had. Each round of decisions forgets those that are not keyed services of the manifest and have no decision in progress; key tables stay, for their fencing tokens.

KeyCoordinator.ForgetsServicesThatAreNoLongerKeyed counts 1 service after each of 5,000 changes.

--- a/src/fleet/key_coordinator.cpp
+++ b/src/fleet/key_coordinator.cpp
@@ -135,6 +135,21 @@
         }
         tickService(service, announced);
     }
+    forgetServices(keyedServices);
+}
+
+void KeyCoordinator::forgetServices(const std::vector<std::string> &keyedServices)
+{
+    std::erase_if(m_services, [&keyedServices](const auto &it) {
+        const auto &[service, state] = it;
+        const bool isInUse = state.pendingProposal || !state.pendingReleases.empty() || !state.releasedRanges.empty();
+        return !isInUse && std::find(keyedServices.begin(), keyedServices.end(), service) == keyedServices.end();
+    });
+}
+
+std::size_t KeyCoordinator::serviceCount() const
+{
+    return m_services.size();
 }
 
 void KeyCoordinator::tickService(const std::string &service, const Holders &announced)
--- a/src/fleet/key_coordinator.h
+++ b/src/fleet/key_coordinator.h
@@ -76,6 +76,9 @@
     /// Number of key ranges that holders were asked to release and that have no new holder yet.
     std::size_t pendingReleaseCount() const;
 
+    /// Number of services of which decisions in progress are known.
+    std::size_t serviceCount() const;
+
     /// Incarnations whose grants have changed since the last call; their updates should be sent at once.
     std::set<std::string> takeChangedHolders();
 
@@ -146,6 +149,8 @@
     /// True if keys of the incarnation may be assigned to another holder without their release.
     bool isReassignable(const std::string &incarnation, const Holders &announced) const;
     void tickService(const std::string &service, const Holders &announced);
+    /// Forgets services that are no longer keyed, unless decisions about their keys are in progress.
+    void forgetServices(const std::vector<std::string> &keyedServices);
     void recordDemand(ServiceState &state, const Holders &announced) const;
     static std::vector<DemandPoint> allDemand(const ServiceState &state);
     static KeyLoads loadsOf(const ServiceState &state, const Holders &eligible, const KeyRows &rows);
--- a/test/fleet/test_key_coordinator.cpp
+++ b/test/fleet/test_key_coordinator.cpp
@@ -392,3 +392,13 @@
     it.tick();
     EXPECT_EQ(it.at(kKeyCount - 1).holder, "a@1");
 }
+
+// Failure: the leading controller kept a state for each name that a keyed service ever had in a manifest.
+TEST(KeyCoordinator, ForgetsServicesThatAreNoLongerKeyed)
+{
+    Fixture fixture;
+    for (int i = 0; i < 5000; ++i) {
+        fixture.m_coordinator.tick({ "keyed-" + std::to_string(i) }, {});
+        ASSERT_EQ(fixture.m_coordinator.serviceCount(), 1U);
+    }
+}
