fleet: of many departures the one added last is kept

With 8 ids recorded, a notice of a process that started before all of them was forgotten at once, so that it could never be confirmed.

--- a/src/fleet/leaving_processes.cpp
+++ b/src/fleet/leaving_processes.cpp
@@ -7,6 +7,16 @@
 namespace Toucandeck
 {
 
+namespace
+{
+
+bool startedBefore(const std::string &a, const std::string &b)
+{
+    return isLaterIncarnation(b, a);
+}
+
+} // namespace
+
 LeavingProcesses::LeavingProcesses(const wire::InstanceReport &report)
 {
     for (const auto &it : report.leaving_processes()) {
@@ -24,11 +34,10 @@
         return false;
     }
     std::erase_if(m_names, [&incarnation](const auto &it) { return haveSameId(it, incarnation); });
-    m_names.push_back(incarnation);
-    if (m_names.size() > kMaxIds) {
-        m_names.erase(
-            std::min_element(m_names.begin(), m_names.end(), [](const auto &a, const auto &b) { return isLaterIncarnation(b, a); }));
+    if (m_names.size() == kMaxIds) {
+        m_names.erase(std::min_element(m_names.begin(), m_names.end(), startedBefore));
     }
+    m_names.push_back(incarnation);
     return true;
 }
 
@@ -48,7 +57,7 @@
 
 std::string LeavingProcesses::latest() const
 {
-    const auto it = std::max_element(m_names.begin(), m_names.end(), [](const auto &a, const auto &b) { return isLaterIncarnation(b, a); });
+    const auto it = std::max_element(m_names.begin(), m_names.end(), startedBefore);
     return it == m_names.end() ? std::string() : *it;
 }
 
--- a/src/fleet/leaving_processes.h
+++ b/src/fleet/leaving_processes.h
@@ -18,7 +18,7 @@
 class LeavingProcesses
 {
 public:
-    /// Maximum number of ids; the processes that started first are forgotten.
+    /// Maximum number of ids. If another one is added, the process that started first is forgotten.
     static constexpr std::size_t kMaxIds = 8;
 
     LeavingProcesses() = default;
--- a/test/fleet/test_leaving_processes.cpp
+++ b/test/fleet/test_leaving_processes.cpp
@@ -50,6 +50,9 @@
     EXPECT_EQ(leaving.names().size(), LeavingProcesses::kMaxIds);
     EXPECT_TRUE(leaving.covers("i4999@4999"));
     EXPECT_FALSE(leaving.covers("i100@100"));
+    leaving.add("old@1"); // Its notice waits for the record.
+    EXPECT_TRUE(leaving.covers("old@1"));
+    EXPECT_EQ(leaving.names().size(), LeavingProcesses::kMaxIds);
 }
 
 TEST(LeavingProcesses, TheRecordKeepsAllThatAGatewayAnnounced)
