--- a/src/common/time.h
+++ b/src/common/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace Toucandeck
 {
@@ -14,4 +15,10 @@
 /// Point on the wall clock, in milliseconds since the Unix epoch. May jump.
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+/// Whole milliseconds, for log lines and text.
+inline std::int64_t wholeMs(Duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
 } // namespace Toucandeck
--- a/src/gateway/backend_admission.cpp
+++ b/src/gateway/backend_admission.cpp
@@ -43,11 +43,6 @@
     return delay <= workInPeriod ? duration_cast<Duration>(delay * slowness) : kSlownessPeriod + delay - workInPeriod;
 }
 
-milliseconds inMs(Duration it)
-{
-    return duration_cast<milliseconds>(it);
-}
-
 } // namespace
 
 BackendAdmission::BackendAdmission(const Clock &clock,
@@ -365,9 +360,9 @@
                      field("outcome", wire::CallOutcome_Name(result.outcome)),
                      field("reason", wire::CallReason_Name(result.reason)),
                      field("status", result.response.status),
-                     field("waited_ms", inMs(running.queueingDelay).count()),
-                     field("worked_ms", inMs(serviceTime).count()),
-                     field("own_work_ms", inMs(result.work).count()),
+                     field("waited_ms", wholeMs(running.queueingDelay)),
+                     field("worked_ms", wholeMs(serviceTime)),
+                     field("own_work_ms", wholeMs(result.work)),
                      field("speed_permille", speedPermille()),
                      field("slowness_percent", static_cast<int>(result.slownessPercent)),
                      field("running", m_running.size()),
@@ -417,9 +412,9 @@
                      field("instance", m_backendStatus.instance()),
                      field("origin", toString(originOf(call.call))),
                      field("reason", wire::CallReason_Name(reason)),
-                     field("waited_ms", inMs(m_clock.now() - call.enqueuedAt).count()),
-                     field("expected_wait_ms", inMs(wait).count()),
-                     field("left_ms", inMs(call.call.deadline - m_clock.now()).count()),
+                     field("waited_ms", wholeMs(m_clock.now() - call.enqueuedAt)),
+                     field("expected_wait_ms", wholeMs(wait)),
+                     field("left_ms", wholeMs(call.call.deadline - m_clock.now())),
                      field("running", m_running.size()),
                      field("waiting", m_queue.size()),
                      field("cold", m_backendStatus.isCold()) });
@@ -448,110 +443,4 @@
     processQueue();
 }
 
-std::unordered_map<std::uint64_t, BackendAdmission::RunningCall>::const_iterator
-BackendAdmission::findRunning(std::string_view requestId) const
-{
-    return std::find_if(m_running.begin(), m_running.end(), [requestId](const auto &it) { return it.second.call.requestId == requestId; });
-}
-
-bool BackendAdmission::isRunning(std::string_view requestId) const
-{
-    return findRunning(requestId) != m_running.end();
-}
-
-std::uint32_t BackendAdmission::answeredCalls(std::string_view requestId) const
-{
-    const auto it = findRunning(requestId);
-    return it == m_running.end() ? 0 : it->second.answeredCalls;
-}
-
-void BackendAdmission::onNestedCallAnswered(std::string_view requestId)
-{
-    if (const auto it = findRunning(requestId); it != m_running.end()) {
-        ++m_running.at(it->first).answeredCalls;
-    }
-}
-
-void BackendAdmission::onNestedCallStarted(std::string_view requestId)
-{
-    const auto found = findRunning(requestId);
-    if (found == m_running.end()) {
-        return;
-    }
-    auto &running = m_running.at(found->first);
-    if (running.pendingNestedCalls++ == 0) {
-        running.nestedSince = m_clock.now();
-    }
-}
-
-void BackendAdmission::onNestedCallEnded(std::string_view requestId)
-{
-    const auto found = findRunning(requestId);
-    if (found == m_running.end() || found->second.pendingNestedCalls == 0) {
-        return;
-    }
-    auto &running = m_running.at(found->first);
-    if (--running.pendingNestedCalls == 0) {
-        running.nestedTime += m_clock.now() - running.nestedSince;
-    }
-}
-
-wire::LoadReport BackendAdmission::loadReport() const
-{
-    wire::LoadReport load;
-    load.set_running(static_cast<std::uint32_t>(m_running.size()));
-    load.set_waiting(static_cast<std::uint32_t>(m_queue.size()));
-    load.set_slots(m_backendStatus.slots());
-    load.set_work_us(static_cast<std::uint32_t>(duration_cast<std::chrono::microseconds>(m_serviceTimes.mean()).count()));
-    load.set_failed_permille(static_cast<std::uint32_t>(m_failedShare * 1000));
-    load.set_cold(m_backendStatus.isCold());
-    load.set_slowness_permille(static_cast<std::uint32_t>(m_slowness.relative(m_clock.now()) * 1000));
-    load.set_speed_permille(speedPermille());
-    if (m_policy == AdmissionPolicy::ServeLate) {
-        load.set_wait_us(static_cast<std::uint32_t>(duration_cast<std::chrono::microseconds>(usualWait()).count()));
-    }
-    return load;
-}
-
-std::size_t BackendAdmission::runningCount() const
-{
-    return m_running.size();
-}
-
-std::size_t BackendAdmission::runningCount(CallOrigin origin) const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_running.begin(), m_running.end(), [origin](const auto &it) { return originOf(it.second.call) == origin; }));
-}
-
-std::size_t BackendAdmission::waitingCount() const
-{
-    return m_queue.size();
-}
-
-std::size_t BackendAdmission::waitingCount(CallOrigin origin) const
-{
-    return m_queue.count(origin);
-}
-
-const AdmissionTally &BackendAdmission::tally() const
-{
-    return m_tally;
-}
-
-Duration BackendAdmission::meanServiceTime() const
-{
-    return m_serviceTimes.mean();
-}
-
-std::uint32_t BackendAdmission::speedPermille() const
-{
-    return m_speed.permille(m_clock.now());
-}
-
-std::uint32_t BackendAdmission::longTermSpeedPermille() const
-{
-    return m_longTermSpeed.permille(m_clock.now());
-}
-
 } // namespace Toucandeck
