--- a/test/manifest/test_manifest.cpp
+++ b/test/manifest/test_manifest.cpp
@@ -157,6 +157,31 @@
     EXPECT_NEAR(excess("c"), 0, 2);
 }
 
+TEST_F(SplitTest, RandomChangesSendNoRequestToAServiceOfWeightZero)
+{
+    SeededRandom random(51);
+    for (int change = 0; change < 5000; ++change) {
+        std::vector<RouteTarget> targets{ { "always", 1 } };
+        for (const std::string name : { "a", "b", "c", "d" }) {
+            const auto weight = random.below(3) == 0 ? 0 : static_cast<std::uint32_t>(random.below(1000));
+            const auto at = targets.begin() + static_cast<std::ptrdiff_t>(random.below(targets.size() + 1));
+            if (random.below(3) != 0) {
+                targets.insert(at, { name, weight });
+            }
+        }
+        setTargets(targets);
+        const auto before = m_selected;
+        send(static_cast<int>(random.below(30)));
+        for (const auto &it : targets) {
+            const auto found = before.find(it.service);
+            ASSERT_TRUE(it.weight != 0 || m_selected[it.service] == (found == before.end() ? 0 : found->second)) << change;
+        }
+    }
+    for (const auto *it : { "a", "b", "c", "d", "always" }) {
+        EXPECT_NEAR(excess(it) / m_due[it], 0, 0.05) << it;
+    }
+}
+
 TEST_F(SplitTest, SharesHoldWhileTheRouteGoesAndComesBack)
 {
     setTargets({ { "a", 90 }, { "b", 10 } });
