gateway: a heartbeat for an unknown service says nothing about a departure

The heartbeat of another writer that says "draining" would have ended the use of the process that it names; found by reading. DepartureTest.AHeartbeatOfAnotherWriterEndsNoUse.

--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -89,7 +89,7 @@
                          field("born_ms", it.startUnixMs),
                          field("sequence", it.sequence),
                          field("current", m_current ? m_current->name : std::string()) });
-        if (it.draining && it.address == m_address) {
+        if (it.draining && it.address == m_address && !namesUnknownService(it)) {
             answerDeparting(departingIncarnation(it.instance, it.startUnixMs), std::move(answer), std::move(unconfirmed));
         } else {
             answer(std::nullopt);
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -688,6 +688,21 @@
     EXPECT_TRUE(send(draining));
 }
 
+TEST_F(DepartureTest, AHeartbeatOfAnotherWriterEndsNoUse)
+{
+    m_instance.setServiceCheck([](const std::string &service) { return service == "svc"; });
+    send(beat(1, 2));
+    auto other = beat(1, 3);
+    other.draining = true;
+    other.service = "unknown";
+    EXPECT_TRUE(send(other));
+    EXPECT_EQ(m_instance.report().state(), wire::READY);
+    other.service = "svc";
+    other.address = "10.0.0.2:80";
+    EXPECT_TRUE(send(other));
+    EXPECT_EQ(m_instance.report().state(), wire::READY);
+}
+
 TEST_F(DepartureTest, AControllerThatReportsNoDeparturesIsTakenAtItsAcknowledgement)
 {
     deregister("i");
