--- a/src/gateway/client_request_handler.cpp
+++ b/src/gateway/client_request_handler.cpp
@@ -17,6 +17,7 @@
 /// The gateway that runs a call replies by the deadline; a request without a reply fails this long after it.
 constexpr milliseconds kAnswerGrace{ 120 };
 constexpr std::chrono::hours kMaxClientWait{ 1 }; ///< Larger numbers in a request are taken as this, so that times do not overflow.
+
 std::optional<std::uint64_t> readNumber(std::optional<std::string_view> text)
 {
     std::uint64_t n = 0;
--- a/src/gateway/local_instance_departures.cpp
+++ b/src/gateway/local_instance_departures.cpp
@@ -39,9 +39,9 @@
     }
     const auto receivedAt = m_loop.clock().now();
     m_departures.confirm(incarnation, [this, incarnation, receivedAt, done = std::move(done)](bool isRecorded) {
-        const auto took = std::chrono::duration_cast<milliseconds>(m_loop.clock().now() - receivedAt);
+        const auto took = m_loop.clock().now() - receivedAt;
         m_logger.write(GatewayEvents::kDepartureAnswered,
-                       { field("incarnation", incarnation), field("recorded", isRecorded), field("took_ms", took.count()) });
+                       { field("incarnation", incarnation), field("recorded", isRecorded), field("took_ms", wholeMs(took)) });
         done(isRecorded);
     });
 }
