review: case 14, clients that do not read their answers take a gateway over its memory

Claim (Fault): 100 clients at each of two gateways ask for an answer of 4 MB and do not read it. The account of clients' memory counts what is left to send, while the buffer keeps each answer whole, so the gateways grow past the 260 MB of their machines and are killed.

--- a/review/harness-3/case_memory.cpp
+++ b/review/harness-3/case_memory.cpp
@@ -1,6 +1,5 @@
 #include "case.h"
-
-#include <csignal>
+#include "memory_limit.h"
 
 using namespace Review;
 
@@ -13,93 +12,10 @@
 constexpr int kRounds = 3;
 constexpr unsigned kMemoryMb = 260; ///< Of a sidecar machine of the site.
 constexpr std::size_t kCrowdedGateways = 2; ///< Those beside the instances that the uploads go to.
-constexpr int kEndsPerMachine = 3;
 constexpr Milliseconds kUploadLimit{ 8000 };
 constexpr Milliseconds kReadyLimit{ 10000 };
 constexpr Milliseconds kSettleTime{ 3000 };
 
-/// Resident memory of a process in MiB; zero if it has ended.
-std::uint64_t memoryMb(pid_t pid)
-{
-    std::ifstream in("/proc/" + std::to_string(pid) + "/status");
-    std::string line;
-    while (std::getline(in, line)) {
-        if (line.rfind("VmRSS:", 0) == 0) {
-            return std::strtoull(line.c_str() + 6, nullptr, 10) / 1024;
-        }
-    }
-    return 0;
-}
-
-/// The platform's limit: "A process that uses more than `memoryMb` is killed" and is started again.
-class MemoryLimit
-{
-public:
-    MemoryLimit(Deployment &deployment, Record &record)
-        : m_deployment(deployment)
-        , m_record(record)
-        , m_ends(deployment.gateways())
-        , m_thread([this] { run(); })
-    {
-    }
-
-    ~MemoryLimit()
-    {
-        stop();
-    }
-
-    MemoryLimit(const MemoryLimit &) = delete;
-    MemoryLimit &operator=(const MemoryLimit &) = delete;
-
-    void stop()
-    {
-        m_stopped = true;
-        if (m_thread.joinable()) {
-            m_thread.join();
-        }
-    }
-
-    int ends(std::size_t i) const
-    {
-        return m_ends[i];
-    }
-
-    std::uint64_t peakMb() const
-    {
-        return m_peakMb;
-    }
-
-private:
-    void run()
-    {
-        while (!m_stopped) {
-            for (std::size_t i = 0; i < m_ends.size(); ++i) {
-                check(i);
-            }
-            std::this_thread::sleep_for(Milliseconds(2));
-        }
-    }
-
-    void check(std::size_t i)
-    {
-        const auto used = memoryMb(m_deployment.gatewayPid(i));
-        m_peakMb = std::max(m_peakMb, used);
-        if (used > kMemoryMb) {
-            m_record.write("gateway-" + std::to_string(i) + " uses " + std::to_string(used) + " MB of " + std::to_string(kMemoryMb)
-                           + " MB and is killed");
-            ++m_ends[i];
-            m_deployment.restartGateway(i);
-        }
-    }
-
-    Deployment &m_deployment;
-    Record &m_record;
-    std::vector<int> m_ends;
-    std::uint64_t m_peakMb = 0;
-    std::atomic<bool> m_stopped{ false };
-    std::thread m_thread;
-};
-
 void upload(const Address &address, const std::string &id, const std::string &host, std::size_t bytes, Record &record)
 {
     const auto answer = exchange(address,
@@ -146,7 +62,7 @@
         return run.finish(kCouldNotRun, "the deployment did not get ready");
     }
     const std::size_t bytes = run.hasTrouble() ? kBodyBytes : kSmallBytes;
-    MemoryLimit limit(deployment, record);
+    MemoryLimit limit(deployment, record, kMemoryMb);
     for (int round = 0; round < kRounds; ++round) {
         for (const std::string service : { "ledger", "archive" }) {
             awaitReady(deployment);
@@ -162,13 +78,5 @@
         }
     }
     limit.stop();
-    std::size_t machines = 0;
-    std::string counts;
-    for (std::size_t i = 0; i < deployment.gateways(); ++i) {
-        machines += limit.ends(i) >= kEndsPerMachine ? 1 : 0;
-        counts += " " + std::to_string(limit.ends(i));
-    }
-    const auto verdict = "ends of the gateways by memory:" + counts + "; most memory of a gateway " + std::to_string(limit.peakMb())
-        + " MB of " + std::to_string(kMemoryMb) + " MB";
-    return run.finish(machines >= 2 ? kBroken : kHeld, verdict);
+    return run.finish(limit.isRuleBroken() ? kBroken : kHeld, limit.verdict());
 }
--- a/review/harness-3/deployment.cpp
+++ b/review/harness-3/deployment.cpp
@@ -221,6 +221,7 @@
         options.service = m_options.services[i];
         options.zone = "zone-" + std::to_string(i % m_controllers.size());
         options.heartbeat = m_options.heartbeat;
+        options.reportBytes = m_options.reportBytes;
         m_instances.push_back(std::make_unique<Instance>(options, m_record));
         if (!startGateway(i) || !m_instances.back()->start()) {
             return false;
--- a/review/harness-3/deployment.h
+++ b/review/harness-3/deployment.h
@@ -19,6 +19,7 @@
     std::size_t controllers = 3;
     Milliseconds heartbeat{ 1500 };
     unsigned memoryMb = 260; ///< Of a machine.
+    std::size_t reportBytes = 0; ///< Size of large answers of the instances.
 };
 
 /// A small deployment: real controllers and gateways as separate processes with loopback addresses of their own, each gateway with a
--- a/review/harness-3/instance.cpp
+++ b/review/harness-3/instance.cpp
@@ -157,7 +157,9 @@
     std::this_thread::sleep_for(m_options.work);
     const std::lock_guard lock(m_mutex);
     --m_running;
-    return responseText(200, echo + "X-Toucandeck-Response-Seal: seal-" + id + "\r\n", "done " + id);
+    const bool isReport = request.startLine.find("/report ") != std::string::npos;
+    return responseText(
+        200, echo + "X-Toucandeck-Response-Seal: seal-" + id + "\r\n", isReport ? std::string(m_options.reportBytes, 'r') : "done " + id);
 }
 
 bool Instance::holdsKey(std::uint64_t key)
--- a/review/harness-3/instance.h
+++ b/review/harness-3/instance.h
@@ -24,6 +24,7 @@
     Milliseconds work{ 20 }; ///< A request takes this long.
     Milliseconds heartbeat{ 1500 };
     unsigned slots = 9;
+    std::size_t reportBytes = 0; ///< Size of the answers to requests whose path ends in /report.
 };
 
 /// A run of a request at an instance.
