--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,7 +6,7 @@
 mkdir -p "$out"
 options=(-std=c++20 -O2 -Wall -Wextra -pthread -Ireview/harness-3)
 shared=()
-for it in record http instance deployment memory_limit case; do
+for it in record http instance deployment memory_limit trial; do
   g++ "${options[@]}" -c "review/harness-3/$it.cpp" -o "$out/$it.o"
   shared+=("$out/$it.o")
 done
--- a/review/harness-3/case_foreign_ping.cpp
+++ b/review/harness-3/case_foreign_ping.cpp
@@ -1,4 +1,4 @@
-#include "case.h"
+#include "trial.h"
 
 using namespace Review;
 
--- a/review/harness-3/case_slow_readers.cpp
+++ b/review/harness-3/case_slow_readers.cpp
@@ -1,5 +1,5 @@
-#include "case.h"
 #include "memory_limit.h"
+#include "trial.h"
 
 using namespace Review;
 
