--- a/src/gateway/heartbeat.h
+++ b/src/gateway/heartbeat.h
@@ -43,6 +43,7 @@
     Duration coldRemaining{}; ///< Rest of the cold period; zero if warm.
     std::vector<HeldKeys> holds;
     std::vector<ReleasedKeys> released;
+    bool listsKeys = true; ///< It says which keys are held and released; both lists may be empty.
 };
 
 /// Answer to a heartbeat: the keys that the backend server is to hold. It releases all others.
--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -197,6 +197,32 @@
     EXPECT_FALSE(readsHeartbeat(replaced(text, "\"250ms\"", "250")));
 }
 
+// Failure: a heartbeat of another writer, without the start of its process or with a null in place of its keys, is taken for the backend
+// server's.
+TEST(HeartbeatJson, RefusesAMissingFieldAndOneOfAnotherType)
+{
+    const auto complete = nlohmann::json::parse(kHeartbeat);
+    const std::vector<nlohmann::json> others{ nullptr, true, 7.5, "7x", nlohmann::json::array({ 7 }), { { "a", 1 } } };
+    for (const auto &[name, value] : complete.items()) {
+        const bool isList = value.is_array();
+        auto it = complete;
+        it.erase(name);
+        EXPECT_EQ(readsHeartbeat(it.dump()), isList) << name;
+        if (isList) {
+            EXPECT_FALSE(readHeartbeat("i-1", it.dump()).value().listsKeys) << name;
+        }
+        for (const auto &other : others) {
+            const bool isText = other.is_string() && value.is_string() && name != "state" && name != "coldRemaining";
+            it[name] = other;
+            EXPECT_EQ(readsHeartbeat(it.dump()), isText) << name << " " << other;
+        }
+    }
+    EXPECT_TRUE(readHeartbeat("i-1", kHeartbeat).value().listsKeys);
+    for (const auto *it : { "", "null", "[]", "7", "\"x\"", "{\"service\":\"s1\"", "\xff\xfe" }) {
+        EXPECT_FALSE(readsHeartbeat(it)) << it;
+    }
+}
+
 // Failure: an entry of another writer with a number out of range displaces the backend server, whose own heartbeats are then out of date.
 TEST(HeartbeatJson, RefusesNumbersOutOfRange)
 {
