gateway: only the backend server of the settings is taken for the one on the VM

Cause: the service of a heartbeat was checked only against the process that was known already. Without one, after any start and after the end of the process, the first comer was taken, and without a manifest any service. Change: InstanceCheck decides, by the service and the address of the settings, which hold before the first manifest and after a restart. Another service needs the manifest and the end, or a silence of 5 s, of the process before. Heartbeats without lists of keys wait for the manifest, since only it says that the service is not divided by key. heartbeat_ignored names the reason, unreadable ones leave a line, and both are counted. LocalInstanceTest.IgnoresHeartbeatsForAnUnknownService expected a process of another known service to be used at once beside one that is there. That is what a manifest that brings the other program's service would allow; it now expects it ignored until the one before is silent for 5 s, and used then.

--- a/prove/grants/grant_world.cpp
+++ b/prove/grants/grant_world.cpp
@@ -225,7 +225,8 @@
     node.gatewayRuns = true;
     node.instance.reset();
     node.port = std::make_unique<Port>(*this, node);
-    node.instance = std::make_unique<LocalInstance>(*node.loop, m_logger, *node.port, node.name, kHeartbeatInterval);
+    node.instance
+        = std::make_unique<LocalInstance>(*node.loop, m_logger, *node.port, BackendIdentity{ node.name, kService }, kHeartbeatInterval);
     InstancePolicy policy;
     policy.hasManifest = true;
     policy.keyed = true;
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -60,7 +60,7 @@
     10223,
     LogLevel::Warning,
     "heartbeat_ignored",
-    "A heartbeat was ignored: it is out of date, from an earlier incarnation, for another address or an unknown service."
+    "A heartbeat was ignored for the given reason: it is out of date, from an earlier incarnation, for another address or service."
 };
 inline constexpr Event kHoldsGranted{ 10224, LogLevel::Info, "holds_granted", "The keys granted to the backend server have changed." };
 inline constexpr Event kKeysReleased{ 10225, LogLevel::Info, "keys_freed", "The backend server has released keys." };
@@ -73,6 +73,10 @@
 inline constexpr Event kInstanceDeregistration{
     10228, LogLevel::Info, "instance_deregistration", "A backend server gave notice that it stops; it is the current one or another."
 };
+inline constexpr Event kInstanceMessageUnreadable{ 10263,
+                                                   LogLevel::Warning,
+                                                   "instance_message_unreadable",
+                                                   "A heartbeat or notice of departure was refused: it cannot be read or lacks a field." };
 inline constexpr Event kDepartureAnswered{ 10229,
                                            LogLevel::Info,
                                            "departure_answered",
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -55,7 +55,11 @@
           [this](const std::string &peer, bool, const std::string &) { m_fleet.onPeerClosed(peer); })
     , m_view(parts.loop.clock(), parts.logger, parts.codec)
     , m_grantCaller(parts.loop, parts.grantCodec, m_options.backend, parts.headers.requestId)
-    , m_instance(parts.loop, parts.logger, m_grantCaller, m_options.backend.toString(), m_options.heartbeatInterval)
+    , m_instance(parts.loop,
+                 parts.logger,
+                 m_grantCaller,
+                 BackendIdentity{ m_options.backend.toString(), m_options.service },
+                 m_options.heartbeatInterval)
     , m_runner(parts.loop, parts.logger, parts.headers, m_options.backend)
     , m_order(queueOrder(m_options.admission))
     , m_parents(
@@ -74,8 +78,7 @@
                        [this] { return m_instance.service().empty() ? m_options.service : m_instance.service(); })
 {
     m_admission.setReferenceWork(&m_referenceWork);
-    m_instance.setServiceCheck(
-        [this](const std::string &service) { return m_view.manifest() == nullptr || m_view.service(service) != nullptr; });
+    m_instance.setServiceLookup([this](const std::string &service) { return m_view.service(service); });
     m_grantCaller.setReadyHandler([this] { m_instance.updateCallGrants(); });
     m_instance.setStartHandler([this] { onInstanceStarted(); });
     m_instance.setChangeHandler([this] { onInstanceChanged(); });
@@ -137,9 +140,15 @@
     processAdmissionQueue();
 }
 
-void Gateway::deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done)
+InstanceVerdict Gateway::deregister(const DepartureNotice &notice, Departures::Done done)
 {
-    m_instance.deregister(instance, startUnixMs, std::move(done));
+    return m_instance.deregister(notice, std::move(done));
+}
+
+void Gateway::onUnreadableMessage(const std::string &instance, const std::string &error)
+{
+    ++m_unreadableMessages;
+    m_parts.logger.write(GatewayEvents::kInstanceMessageUnreadable, { field("instance", instance), field("error", error) });
 }
 
 std::string Gateway::kindOf(const Call &call) const
@@ -184,6 +193,7 @@
 {
     const auto isService = [&manifest](const std::string &service) { return manifest.services.count(service) != 0; };
     m_requestHandler.onManifestChanged(manifest);
+    m_instance.onManifestChanged();
     m_router.retainServices(isService);
     m_referenceWork.retain(isService);
     m_parents.retain([&](const std::string &kind) { return manifest.routes.count(kind) != 0 || isService(kind); });
@@ -327,6 +337,17 @@
     setKept("reference_work", m_referenceWork.size());
     setKept("nested_call_limit", m_parents.gate().size());
     setKept("nested_call_time", m_parents.times().size());
+    const auto setIgnored = [&metrics](const char *reason, std::uint64_t n) {
+        metrics
+            .gauge("toucandeck_instance_messages_ignored",
+                   "Heartbeats and notices of departure that were not taken for the backend server's",
+                   { { "reason", reason } })
+            .Set(static_cast<double>(n));
+    };
+    setIgnored("unreadable", m_unreadableMessages);
+    for (const auto reason : kRejections) {
+        setIgnored(toString(reason), m_instance.ignoredMessages(reason));
+    }
     metrics.gauge("toucandeck_departures_pending", "Notices of backend servers that they stop which are not confirmed yet")
         .Set(static_cast<double>(m_instance.departures().pendingCount()));
     metrics.gauge("toucandeck_view_age_seconds", "Time since the last update from a controller")
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,7 +18,7 @@
 {
     std::string ip; ///< IP address of this VM.
     std::string failureDomain;
-    std::string service; ///< Service on this VM, used until its backend server sends a heartbeat.
+    std::string service; ///< Service of the backend server on this VM.
     SocketAddress backend; ///< Address of the backend server on this VM.
     SocketAddress outbound; ///< Address to which clients and the backend server send their requests.
     std::uint16_t peerPort = 0; ///< The same at all gateways and controllers.
@@ -56,7 +56,9 @@
     /// One of @p answer and @p unconfirmed is called, perhaps after a delay; see LocalInstance::handleHeartbeat().
     void handleHeartbeat(const Heartbeat &it, LocalInstance::AnswerHandler answer, std::function<void()> unconfirmed = nullptr);
     /// @copydoc LocalInstance::deregister()
-    void deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done);
+    InstanceVerdict deregister(const DepartureNotice &notice, Departures::Done done);
+    /// Logs and counts a heartbeat or notice that cannot be read.
+    void onUnreadableMessage(const std::string &instance, const std::string &error);
 
     /// True if clients may send requests to this gateway.
     bool isReady() const;
@@ -111,6 +113,7 @@
     std::unique_ptr<PeerServer> m_peers;
     std::unique_ptr<PipelinedServer> m_outbound;
     std::function<void()> m_drainHandler;
+    std::uint64_t m_unreadableMessages = 0; ///< Heartbeats and notices.
     std::uint64_t m_manifestVersion = 0; ///< Of the latest manifest that the parts were told of.
     TimePoint m_drainStart;
     TimePoint m_lastBusy;
--- a/src/gateway/heartbeat.h
+++ b/src/gateway/heartbeat.h
@@ -46,6 +46,16 @@
     bool listsKeys = true; ///< It says which keys are held and released; both lists may be empty.
 };
 
+/// Notice of a backend server that it stops.
+struct DepartureNotice
+{
+    std::string instance; ///< Id of the backend server.
+    /// Start of its process; if it is not known, the notice is for the current process with this id, or for all that started before now.
+    std::optional<std::int64_t> startUnixMs;
+    std::optional<std::string> service; ///< If the notice names it.
+    std::optional<std::string> address; ///< "IP:PORT", if the notice names it.
+};
+
 /// Answer to a heartbeat: the keys that the backend server is to hold. It releases all others.
 struct HeartbeatAnswer
 {
--- a/src/gateway/local_instance.cpp
+++ b/src/gateway/local_instance.cpp
@@ -27,11 +27,11 @@
 
 } // namespace
 
-LocalInstance::LocalInstance(EventLoop &loop, Logger &logger, GrantPort &grantPort, std::string address, Duration heartbeatInterval)
+LocalInstance::LocalInstance(EventLoop &loop, Logger &logger, GrantPort &grantPort, BackendIdentity identity, Duration heartbeatInterval)
     : m_loop(loop)
     , m_logger(logger)
     , m_grantPort(grantPort)
-    , m_address(std::move(address))
+    , m_check(std::move(identity))
     , m_maxHeartbeatAge(heartbeatInterval + kHeartbeatTransitTime)
     , m_maxAnswerDelay(std::min<Duration>(kMaxAnswerDelay, std::chrono::duration_cast<Duration>(heartbeatInterval * kAnswerDelayShare)))
     , m_departures(loop)
@@ -57,43 +57,65 @@
     m_startHandler = std::move(handler);
 }
 
-void LocalInstance::setServiceCheck(std::function<bool(const std::string &service)> isKnown)
+void LocalInstance::setServiceLookup(InstanceCheck::ServiceLookup lookup)
 {
-    m_isServiceKnown = std::move(isKnown);
+    m_check.setServiceLookup(std::move(lookup));
 }
 
-bool LocalInstance::isStale(const Heartbeat &it) const
+template<class Message>
+InstanceVerdict LocalInstance::verdictOf(const Message &it)
 {
-    const auto &latest = m_current ? m_current : m_previous;
-    if (!latest) {
-        return false;
+    const auto &known = m_current ? m_current : m_previous;
+    InstanceCheck::LatestProcess latest;
+    if (known) {
+        latest = { known->instance, known->startUnixMs, known->sequence, known->service, known->listsKeys, !m_current };
+    }
+    const auto lastAccepted = known ? known->lastHeartbeat : m_createdAt;
+    const auto verdict = m_check.check(it, { known ? &latest : nullptr, m_loop.clock().now() - lastAccepted });
+    if (verdict != InstanceVerdict::Accepted) {
+        ++m_ignoredMessages[verdict];
+    }
+    return verdict;
+}
+
+template InstanceVerdict LocalInstance::verdictOf(const Heartbeat &it);
+template InstanceVerdict LocalInstance::verdictOf(const DepartureNotice &it);
+
+void LocalInstance::handleIgnored(const Heartbeat &it, InstanceVerdict verdict, AnswerHandler answer, std::function<void()> unconfirmed)
+{
+    m_logger.write(GatewayEvents::kHeartbeatIgnored,
+                   { field("reason", toString(verdict)),
+                     field("instance", it.instance),
+                     field("address", it.address),
+                     field("service", it.service),
+                     field("born_ms", it.startUnixMs),
+                     field("sequence", it.sequence),
+                     field("current", m_current ? m_current->name : std::string()) });
+    if (verdict == InstanceVerdict::Unverified) {
+        m_unverified = { it, m_loop.clock().now() };
     }
-    if (it.startUnixMs != latest->startUnixMs || it.instance != latest->instance) {
-        return it.startUnixMs < latest->startUnixMs;
+    if (it.draining && verdict == InstanceVerdict::Stale) {
+        answerDeparting(departingIncarnation(it.instance, it.startUnixMs), std::move(answer), std::move(unconfirmed));
+    } else if (it.draining && verdict == InstanceVerdict::Unverified && unconfirmed) {
+        unconfirmed();
+    } else {
+        answer(std::nullopt);
     }
-    return it.sequence <= latest->sequence;
 }
 
-bool LocalInstance::namesUnknownService(const Heartbeat &it) const
+void LocalInstance::onManifestChanged()
 {
-    return m_current && m_isServiceKnown && it.service != m_current->service && !m_isServiceKnown(it.service);
+    // Older ones have been repeated, or the process has terminated since.
+    if (m_unverified && m_loop.clock().now() - m_unverified->receivedAt <= m_maxHeartbeatAge) {
+        const auto it = std::exchange(m_unverified, std::nullopt)->heartbeat;
+        handleHeartbeat(it, [](const auto &) {});
+    }
 }
 
 void LocalInstance::handleHeartbeat(const Heartbeat &it, AnswerHandler answer, std::function<void()> unconfirmed)
 {
-    if (it.address != m_address || namesUnknownService(it) || isStale(it)) {
-        m_logger.write(GatewayEvents::kHeartbeatIgnored,
-                       { field("instance", it.instance),
-                         field("address", it.address),
-                         field("service", it.service),
-                         field("born_ms", it.startUnixMs),
-                         field("sequence", it.sequence),
-                         field("current", m_current ? m_current->name : std::string()) });
-        if (it.draining && it.address == m_address && !namesUnknownService(it)) {
-            answerDeparting(departingIncarnation(it.instance, it.startUnixMs), std::move(answer), std::move(unconfirmed));
-        } else {
-            answer(std::nullopt);
-        }
+    if (const auto verdict = verdictOf(it); verdict != InstanceVerdict::Accepted) {
+        handleIgnored(it, verdict, std::move(answer), std::move(unconfirmed));
         return;
     }
     answerPending();
@@ -160,6 +182,7 @@
     m_current->sequence = it.sequence;
     m_current->service = it.service;
     m_current->slots = it.slots;
+    m_current->listsKeys = it.listsKeys;
     m_current->draining = draining;
     m_current->lastHeartbeat = now;
     m_current->coldUntil = now + it.coldRemaining;
@@ -328,6 +351,12 @@
     }
 }
 
+std::uint64_t LocalInstance::ignoredMessages(InstanceVerdict reason) const
+{
+    const auto it = m_ignoredMessages.find(reason);
+    return it == m_ignoredMessages.end() ? 0 : it->second;
+}
+
 const Departures &LocalInstance::departures() const
 {
     return m_departures;
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -5,6 +5,7 @@
 #include "gateway/demand_sampler.h"
 #include "gateway/departures.h"
 #include "gateway/heartbeat.h"
+#include "gateway/instance_check.h"
 #include "gateway/pending_releases.h"
 
 #include "log/logger.h"
@@ -12,6 +13,7 @@
 #include "runtime/event_loop.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <peer.pb.h>
 
@@ -36,28 +38,28 @@
     /// Receives the answer to a heartbeat; none if the heartbeat renews no keys.
     using AnswerHandler = std::function<void(std::optional<HeartbeatAnswer>)>;
 
-    /// @param address of the backend server, as "IP:PORT"; heartbeats for another address are ignored.
+    /// @param identity of the backend server; heartbeats and notices of others are ignored, see InstanceCheck.
     /// @param heartbeatInterval between two heartbeats of the backend server.
     /// @param grantPort is used for services whose keys are granted by calls; it must outlive this object.
-    LocalInstance(EventLoop &loop, Logger &logger, GrantPort &grantPort, std::string address, Duration heartbeatInterval);
+    LocalInstance(EventLoop &loop, Logger &logger, GrantPort &grantPort, BackendIdentity identity, Duration heartbeatInterval);
 
     /// Called when the incarnation, its state or its released keys have changed, so that the controllers are notified at once.
     void setChangeHandler(std::function<void()> handler);
     /// Called after the first heartbeat of a new incarnation.
     void setStartHandler(std::function<void()> handler);
 
-    /// @p isKnown tells whether a service may exist. A heartbeat for another service than before that is not known is ignored.
-    void setServiceCheck(std::function<bool(const std::string &service)> isKnown);
+    /// Sets how to find a service in the manifest in force. Without it, only the service of the settings is known.
+    void setServiceLookup(InstanceCheck::ServiceLookup lookup);
+    /// Call when another manifest is in force: a heartbeat that could not be verified without it may be accepted now.
+    void onManifestChanged();
 
     /// Handles a heartbeat. The answer may be delayed, so that changes of the keys reach the backend server at once.
     /// @param unconfirmed called in place of @p answer if the heartbeat says that the process drains and this could not be recorded in
     /// time.
     void handleHeartbeat(const Heartbeat &it, AnswerHandler answer, std::function<void()> unconfirmed = nullptr);
     /// Handles the notice of a backend server that it stops: its process is draining from now on, also if its first heartbeat comes later.
-    /// @param startUnixMs start of its process; if it is not known, the notice is for the current process with this id, or for all that
-    /// started before now.
-    /// @param done called once the notice is recorded, or could not be recorded in time.
-    void deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done);
+    /// @param done called once the notice is recorded, or could not be recorded in time; never if the notice is not accepted.
+    InstanceVerdict deregister(const DepartureNotice &notice, Departures::Done done);
     /// Handles a refused connection to the backend server's address; after several of them its process counts as terminated.
     void onConnectionRefused();
 
@@ -101,6 +103,9 @@
     /// Sets the speed relative to its service's, in thousandths; zero is unknown.
     void setSpeed(std::uint32_t permille);
 
+    /// Number of heartbeats and notices that were ignored for this reason.
+    std::uint64_t ignoredMessages(InstanceVerdict reason) const;
+
     const Departures &departures() const;
     const CallGrants &callGrants() const;
     /// Sends the calls about keys that are due, for services whose keys are granted by calls.
@@ -115,12 +120,19 @@
         std::uint64_t sequence = 0;
         std::string service;
         std::uint32_t slots = 0;
+        bool listsKeys = true; ///< As in Heartbeat.
         bool draining = false;
         bool deregistered = false;
         TimePoint coldUntil;
         TimePoint lastHeartbeat;
     };
 
+    struct UnverifiedHeartbeat
+    {
+        Heartbeat heartbeat;
+        TimePoint receivedAt;
+    };
+
     void startLeaving();
     /// Has the current process leave if it is known to.
     void leaveIfKnown();
@@ -129,9 +141,10 @@
     void confirmDeparture(const std::string &incarnation, Departures::Done done);
     /// Answers the heartbeat of a process that drains once this is recorded.
     void answerDeparting(const std::string &incarnation, AnswerHandler answer, std::function<void()> unconfirmed);
-    bool isStale(const Heartbeat &it) const;
-    /// True if the heartbeat would replace the service of the backend server with an unknown one.
-    bool namesUnknownService(const Heartbeat &it) const;
+    /// Result of the check of a heartbeat or a notice; one that is not accepted is counted.
+    template<class Message>
+    InstanceVerdict verdictOf(const Message &it);
+    void handleIgnored(const Heartbeat &it, InstanceVerdict verdict, AnswerHandler answer, std::function<void()> unconfirmed);
     void startIncarnation(const Heartbeat &it);
     void updateIncarnation(const Heartbeat &it);
     std::vector<KeyRow> rowsToHold() const;
@@ -147,12 +160,13 @@
     EventLoop &m_loop;
     Logger &m_logger;
     GrantPort &m_grantPort;
-    std::string m_address;
+    InstanceCheck m_check;
+    std::map<InstanceVerdict, std::uint64_t> m_ignoredMessages;
+    std::optional<UnverifiedHeartbeat> m_unverified; ///< The latest one.
     Duration m_maxHeartbeatAge; ///< Maximum age of the state in the latest heartbeat, just before the next one.
     Duration m_maxAnswerDelay;
     std::function<void()> m_changeHandler;
     std::function<void()> m_startHandler;
-    std::function<bool(const std::string &service)> m_isServiceKnown;
     std::optional<Incarnation> m_current;
     std::optional<Incarnation> m_previous; ///< Last incarnation that was presumed terminated; its late heartbeats are ignored.
     LeavingProcesses m_leavingProcesses; ///< Never used again.
--- a/src/gateway/local_instance_departures.cpp
+++ b/src/gateway/local_instance_departures.cpp
@@ -18,17 +18,24 @@
     return incarnationName(instance, startUnixMs.value_or(std::chrono::duration_cast<milliseconds>(now).count()), 0);
 }
 
-void LocalInstance::deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs, Departures::Done done)
+InstanceVerdict LocalInstance::deregister(const DepartureNotice &notice, Departures::Done done)
 {
-    const auto incarnation = departingIncarnation(instance, startUnixMs);
-    m_logger.write(
-        GatewayEvents::kInstanceDeregistration,
-        { field("instance", instance), field("incarnation", incarnation), field("current", m_current ? m_current->name : std::string()) });
+    const auto verdict = verdictOf(notice);
+    const auto incarnation = departingIncarnation(notice.instance, notice.startUnixMs);
+    m_logger.write(GatewayEvents::kInstanceDeregistration,
+                   { field("instance", notice.instance),
+                     field("incarnation", incarnation),
+                     field("current", m_current ? m_current->name : std::string()),
+                     field("verdict", toString(verdict)) });
+    if (verdict != InstanceVerdict::Accepted) {
+        return verdict;
+    }
     if (m_leavingProcesses.add(incarnation) && m_changeHandler) {
         m_changeHandler();
     }
     leaveIfKnown();
     confirmDeparture(incarnation, std::move(done));
+    return verdict;
 }
 
 void LocalInstance::confirmDeparture(const std::string &incarnation, Departures::Done done)
--- a/test/gateway/test_departure_orders.cpp
+++ b/test/gateway/test_departure_orders.cpp
@@ -90,9 +90,8 @@
         m_clock.advance(milliseconds(10));
         switch (step) {
         case Step::Notice:
-            m_gateway->deregister("i", m_variant.namesStart ? std::optional(m_firstStart) : std::nullopt, [this](bool isRecorded) {
-                m_confirmed = isRecorded;
-            });
+            m_gateway->deregister({ "i", m_variant.namesStart ? std::optional(m_firstStart) : std::nullopt, {}, {} },
+                                  [this](bool isRecorded) { m_confirmed = isRecorded; });
             record();
             break;
         case Step::Heartbeat:
@@ -148,7 +147,8 @@
 
     void restart()
     {
-        m_gateway = std::make_unique<LocalInstance>(*m_loop, m_logger, m_grantPort, "10.0.0.1:80", milliseconds(870));
+        m_gateway
+            = std::make_unique<LocalInstance>(*m_loop, m_logger, m_grantPort, BackendIdentity{ "10.0.0.1:80", "svc" }, milliseconds(870));
         m_gateway->applyDepartures(m_recorded);
     }
 
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -18,7 +18,7 @@
 protected:
     LocalInstanceTest()
         : m_loop(EventLoop::create(m_clock).value())
-        , m_instance(*m_loop, m_logger, m_grantPort, "10.0.0.1:80", milliseconds(870))
+        , m_instance(*m_loop, m_logger, m_grantPort, { "10.0.0.1:80", "svc" }, milliseconds(870))
     {
         InstancePolicy policy;
         policy.hasManifest = true;
@@ -38,6 +38,15 @@
         return it;
     }
 
+    /// Sets the services that the manifest names.
+    void setServices(const std::map<std::string, ServiceSpec> &services)
+    {
+        m_instance.setServiceLookup([&services](const std::string &name) {
+            const auto it = services.find(name);
+            return it == services.end() ? nullptr : &it->second;
+        });
+    }
+
     /// The answer, if it was not delayed.
     std::optional<std::optional<HeartbeatAnswer>> send(const Heartbeat &it)
     {
@@ -58,7 +67,7 @@
     void deregister(const std::string &instance, std::optional<std::int64_t> startUnixMs = std::nullopt)
     {
         m_confirmation.reset();
-        m_instance.deregister(instance, startUnixMs, [this](bool isRecorded) { m_confirmation = isRecorded; });
+        m_instance.deregister({ instance, startUnixMs, {}, {} }, [this](bool isRecorded) { m_confirmation = isRecorded; });
     }
 
     void
@@ -163,7 +172,8 @@
 // Failure: a heartbeat of another writer, for this address but an unknown service, takes the keys of the backend server there.
 TEST_F(LocalInstanceTest, IgnoresHeartbeatsForAnUnknownService)
 {
-    m_instance.setServiceCheck([](const std::string &service) { return service == "svc" || service == "next"; });
+    const std::map<std::string, ServiceSpec> services{ { "svc", {} }, { "next", {} } };
+    setServices(services);
     send(beat(1, 1));
     lease(0, 99, 7);
     auto it = beat(2, 1);
@@ -176,13 +186,54 @@
     EXPECT_EQ(refusalOf(50), wire::NONE);
     it.service = "next"; // The address of a backend server that has ended may belong to another service.
     send(it);
+    EXPECT_EQ(m_instance.report().incarnation(), "i@1") << "it may be running";
+    m_clock.advance(InstanceCheck::kServiceChangeSilence);
+    send(it);
     EXPECT_EQ(m_instance.report().incarnation(), "odd@2");
 }
 
+// Failure: before the manifest, a heartbeat without lists of keys was taken for one of a service that is divided by key.
+TEST_F(LocalInstanceTest, AHeartbeatWithoutKeysWaitsForTheManifest)
+{
+    std::map<std::string, ServiceSpec> services;
+    setServices(services);
+    auto it = beat(1, 1);
+    it.listsKeys = false;
+    send(it);
+    EXPECT_FALSE(m_instance.isPresent());
+    it.draining = true;
+    bool unconfirmed = false;
+    m_instance.handleHeartbeat(
+        it, [](const auto &) {}, [&] { unconfirmed = true; });
+    EXPECT_TRUE(unconfirmed);
+    it.draining = false;
+    send(it);
+    services["svc"].keyed = true;
+    m_instance.onManifestChanged();
+    EXPECT_FALSE(m_instance.isPresent());
+    services.clear();
+    send(it);
+    services["svc"] = {};
+    m_clock.advance(seconds(1));
+    m_instance.onManifestChanged();
+    EXPECT_FALSE(m_instance.isPresent()) << "the next heartbeat is overdue";
+    services.clear();
+    send(it);
+    services["svc"] = {};
+    m_instance.onManifestChanged();
+    EXPECT_TRUE(m_instance.isPresent());
+    services.clear();
+    it.sequence = 2;
+    it.draining = true;
+    send(it);
+    EXPECT_EQ(m_instance.report().state(), wire::DRAINING) << "its service was dropped";
+}
+
 TEST_F(LocalInstanceTest, AcceptsTheDrainOfABackendServerWhoseServiceWasRemoved)
 {
     send(beat(1, 1));
-    m_instance.setServiceCheck([](const std::string &) { return false; });
+    const std::map<std::string, ServiceSpec> services;
+    setServices(services);
     auto it = beat(1, 2);
     it.draining = true;
     send(it);
@@ -314,7 +365,7 @@
 // An answer sent after the next heartbeat was lost, so holds expired while the gateway relied on them (soak, seed 10).
 TEST_F(LocalInstanceTest, AnswersAHeartbeatBeforeTheNextOneIsDue)
 {
-    LocalInstance instance(*m_loop, m_logger, m_grantPort, "10.0.0.1:80", milliseconds(50));
+    LocalInstance instance(*m_loop, m_logger, m_grantPort, { "10.0.0.1:80", "svc" }, milliseconds(50));
     InstancePolicy policy;
     policy.hasManifest = true;
     policy.keyed = true;
@@ -575,7 +626,8 @@
     /// Replaces the gateway by a later process, which the controllers tell what they have recorded.
     std::unique_ptr<LocalInstance> restarted()
     {
-        auto next = std::make_unique<LocalInstance>(*m_loop, m_logger, m_grantPort, "10.0.0.1:80", milliseconds(870));
+        auto next
+            = std::make_unique<LocalInstance>(*m_loop, m_logger, m_grantPort, BackendIdentity{ "10.0.0.1:80", "svc" }, milliseconds(870));
         wire::RecordedDepartures departures;
         for (const auto &it : announced()) {
             departures.add_incarnations(it);
@@ -690,7 +742,8 @@
 
 TEST_F(DepartureTest, AHeartbeatOfAnotherWriterEndsNoUse)
 {
-    m_instance.setServiceCheck([](const std::string &service) { return service == "svc"; });
+    const std::map<std::string, ServiceSpec> services{ { "svc", {} } };
+    setServices(services);
     send(beat(1, 2));
     auto other = beat(1, 3);
     other.draining = true;
--- a/test/gateway/test_manifest_transfer.cpp
+++ b/test/gateway/test_manifest_transfer.cpp
@@ -58,7 +58,7 @@
               [this](const std::string &peer, const wire::PeerMessage &message) { m_client.receive(peer, message.update()); },
               [this](const std::string &peer, bool, const std::string &) { m_client.onPeerClosed(peer); })
         , m_view(m_clock, m_logger, m_codec)
-        , m_instance(*m_loop, m_logger, m_grantPort, "127.0.0.2:1", 1500ms)
+        , m_instance(*m_loop, m_logger, m_grantPort, BackendIdentity{ "127.0.0.2:1", "svc" }, 1500ms)
         , m_client(*m_loop, m_links, m_logger, m_view, m_instance, nodeIp(3), "a", { nodeIp(2) })
     {
     }
--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -116,10 +116,11 @@
 // A notice whose body cannot be read is a notice all the same.
 TEST(HeartbeatJson, ReadsTheStartOfAProcessThatLeaves)
 {
-    EXPECT_EQ(readDepartureStart(R"({"born":1777424534000})"), 1'777'424'534'000);
+    const auto startOf = [](const char *body) { return readDepartureNotice("i-1", body).value().startUnixMs; };
+    EXPECT_EQ(startOf(R"({"born":1777424534000})"), 1'777'424'534'000);
     for (const char *it :
          { "", "{}", "x", "[]", R"({"born":"1"})", R"({"born":-1})", R"({"born":1e300})", R"({"born":18446744073709551615})" }) {
-        EXPECT_EQ(readDepartureStart(it), std::nullopt) << it;
+        EXPECT_EQ(startOf(it), std::nullopt) << it;
     }
 }
 
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -240,6 +240,127 @@
     int m_requests = 0;
 };
 
+/// What another writer on the VM may send to the gateway: not of the service of the settings, incomplete or unreadable.
+class OtherWriterTest : public FleetPathTest
+{
+protected:
+    static constexpr std::size_t kFirstGatewayServer = 3; ///< After those of the controllers.
+
+    std::int64_t unixMs() const
+    {
+        return std::chrono::duration_cast<milliseconds>(m_clock.wallNow().time_since_epoch()).count();
+    }
+
+    /// A heartbeat of the backend server beside the first gateway, with a later start.
+    nlohmann::json heartbeat() const
+    {
+        return { { "service", "svc" },
+                 { "address", SocketAddress{ nodeIp(11), kBackendPort }.toString() },
+                 { "zone", nodeIp(11) },
+                 { "version", "v1" },
+                 { "slots", 4 },
+                 { "state", "ready" },
+                 { "coldRemaining", "0ms" },
+                 { "seqNum", 1'000'000 },
+                 { "born", unixMs() + 60'000 },
+                 { "holds", { { 0, 65535, 1 } } },
+                 { "freed", { { 0, 65535, "5c0e" } } } };
+    }
+
+    /// @param isKeyed The service is divided by key; otherwise the lists of keys may be missing.
+    std::vector<std::string> heartbeats(bool isKeyed) const
+    {
+        std::vector<std::string> all{ "", "nonsense", "[]", "{\"service\":\"\xff\xfe\"}" };
+        for (const char *state : { "ready", "draining", "asleep" }) {
+            for (const std::int64_t born : { std::int64_t(1), unixMs() + 60'000 }) {
+                auto it = heartbeat();
+                it["service"] = "audit-agent";
+                it["state"] = state;
+                it["born"] = born;
+                all.push_back(it.dump());
+            }
+        }
+        const auto complete = heartbeat();
+        for (const auto &[name, value] : complete.items()) {
+            auto it = complete;
+            if (!value.is_array() || isKeyed) {
+                it.erase(name);
+                all.push_back(it.dump());
+            }
+            it[name] = nullptr;
+            all.push_back(it.dump());
+            if (name != "state") {
+                it["state"] = "draining";
+                all.push_back(it.dump());
+            }
+        }
+        return all;
+    }
+
+    /// Sends everything to the first gateway, under the id of its backend server and under another one.
+    void sendAll(bool isKeyed = true)
+    {
+        const SocketAddress gateway{ nodeIp(11), kInstancePort };
+        for (const std::string &id : { m_backends.front()->instance(), std::string("w-0") }) {
+            const auto target = "/toucandeck/instances/" + id + "/";
+            for (const auto &it : heartbeats(isKeyed)) {
+                EXPECT_TRUE(OneShotClient(*m_loop, gateway).send({ "POST", target + "heartbeat", { { "Host", "x" } }, it }, kLimit)) << it;
+            }
+        }
+    }
+
+    /// Starts the first gateway again; no heartbeat has come when this returns.
+    void restartGateway()
+    {
+        m_servers.erase(m_servers.begin() + kFirstGatewayServer); // It refers to the gateway.
+        m_gateways.erase(m_gateways.begin());
+        startGateway(nodeIp(11), { nodeIp(1), nodeIp(2), nodeIp(3) });
+        std::rotate(m_gateways.begin(), m_gateways.end() - 1, m_gateways.end());
+        std::rotate(m_servers.begin() + kFirstGatewayServer, m_servers.end() - 1, m_servers.end());
+    }
+
+    bool doHoldingsOverlap() const
+    {
+        for (std::uint32_t key = 0; key < kKeyCount; key += 64) {
+            if (m_backends[0]->holds(key) && m_backends[1]->holds(key)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /// True if for longer than a lease no key has two holders, and both backend servers hold keys at the end.
+    bool staysWithItsHolders()
+    {
+        bool overlap = false;
+        m_loop->runUntil(
+            [&] {
+                overlap = overlap || doHoldingsOverlap();
+                return overlap;
+            },
+            seconds(5));
+        return !overlap && m_loop->runUntil([this] { return allHoldKeys(); }, kLimit);
+    }
+
+    void expectNoTrace(std::size_t mark) const
+    {
+        EXPECT_TRUE(m_audit.violations().empty());
+        for (const auto &it : m_controllers) {
+            EXPECT_TRUE(it->group().state().leavingBeside(nodeIp(11)).names().empty());
+        }
+        for (auto i = mark; i < m_logger.entries().size(); ++i) {
+            const auto &entry = m_logger.entries()[i];
+            EXPECT_NE(entry.number, FleetEvents::kHolderLost.number);
+            if (entry.number == GatewayEvents::kInstanceStarted.number || entry.number == FleetEvents::kRouterSeen.number) {
+                for (const auto &it : entry.fields) {
+                    EXPECT_NE(it.value, "audit-agent");
+                    EXPECT_FALSE(it.name == "incarnation" && it.value.starts_with("w-0")) << it.value;
+                }
+            }
+        }
+    }
+};
+
 } // namespace
 
 TEST_F(FleetPathTest, ServesKeysOfAllHoldersThroughEveryGateway)
@@ -371,7 +492,7 @@
     beat.address = SocketAddress{ ip, kBackendPort }.toString();
     beat.slots = 9;
     m_gateways.front()->handleHeartbeat(beat, [](const auto &) {});
-    m_gateways.front()->deregister("left", std::nullopt, [](bool) {});
+    m_gateways.front()->deregister({ "left", {}, {}, {} }, [](bool) {});
     const auto knows = [&](const auto &it) { return it->group().state().leavingBeside(ip).latest() == "left@4000000000000"; };
     ASSERT_TRUE(m_loop->runUntil([&] { return std::all_of(m_controllers.begin(), m_controllers.end(), knows); }, kLimit));
 
@@ -486,3 +607,76 @@
     EXPECT_FALSE(loggedField(GatewayEvents::kRequestRefused, "view_age_ms").empty());
     EXPECT_EQ(loggedField(GatewayEvents::kRequestRefused, "manifest_version"), "3");
 }
+
+// Failure: the first heartbeat after a restart of a gateway came from another writer, and the keys of the backend server got second holders
+// (review/11, OWNER).
+TEST_F(OtherWriterTest, AfterARestartOfTheGatewayTheBackendServerKeepsItsKeys)
+{
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHoldKeys(); }, kLimit));
+    const auto mark = m_logger.entries().size();
+    for (int i = 0; i < 2; ++i) {
+        restartGateway();
+        sendAll();
+    }
+    EXPECT_TRUE(staysWithItsHolders());
+    expectNoTrace(mark);
+    EXPECT_EQ(request(nodeIp(11), "/x/1", 0)->status, 200);
+    EXPECT_EQ(request(nodeIp(11), "/x/1", 65535)->status, 200);
+    for (const auto &it : m_backends) {
+        EXPECT_EQ(it->latestCaller(), "svc");
+    }
+}
+
+// The same without a restart, and without a manifest: then only the settings tell whose heartbeat it is.
+TEST_F(OtherWriterTest, BeforeTheFirstManifestAndInCalmNothingIsTakenFromIt)
+{
+    const auto mark = m_logger.entries().size();
+    sendAll();
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHoldKeys(); }, kLimit));
+    sendAll();
+    EXPECT_TRUE(staysWithItsHolders());
+    expectNoTrace(mark);
+    EXPECT_EQ(request(nodeIp(11), "/x/1", 0)->status, 200);
+}
+
+// A manifest that names the service of the other writer makes it no backend server of this VM.
+TEST_F(OtherWriterTest, AManifestThatBringsItsServiceGivesItNothing)
+{
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHoldKeys(); }, kLimit));
+    const auto mark = m_logger.entries().size();
+    auto next = nlohmann::json::parse(manifest(4, 3, true));
+    next["services"]["audit-agent"] = next["services"]["svc"];
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", next.dump()), 200);
+    sendAll();
+    restartGateway();
+    sendAll();
+    EXPECT_TRUE(staysWithItsHolders());
+    expectNoTrace(mark);
+}
+
+// Guards against a gateway that takes nobody any more: a restart, a successor and a service that a manifest brings are used.
+TEST_F(OtherWriterTest, RestartsSuccessorsAndNewServicesAreUsed)
+{
+    auto first = nlohmann::json::parse(manifest(3, 0, false));
+    first["services"]["front"] = std::exchange(first["services"]["svc"], nullptr);
+    first["services"].erase("svc");
+    first["routes"]["r"]["service"] = "front";
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", first.dump()), 200);
+    sendAll(false);
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(4, 3, false)), 200);
+    ASSERT_TRUE(serves(nodeIp(11)));
+    for (const auto &it : m_backends) {
+        it->crash();
+    }
+    sendAll(false);
+    const auto before = m_backends.front()->instance();
+    const auto runs = m_backends.front()->requestsRun();
+    m_backends.front()->start().value();
+    EXPECT_NE(m_backends.front()->instance(), before);
+    EXPECT_TRUE(serves(nodeIp(11)));
+    EXPECT_TRUE(serves(nodeIp(12)));
+    EXPECT_EQ(m_backends.front()->requestsRun(), runs + 2);
+}
