platform: a notice of departure that cannot be read ends no use

Callers: a call to deregister with the id of the backend server and a body of any bytes took it out of use for good, and recorded its departure. Cause: a body that could not be read, or had a start (born) of another type, counted as a notice without a body, since the id in the path is enough. But what a backend server says of itself can be read and names its start; other bytes are another writer's, which must move nothing. Change: a notice without a body, or with an empty object, counts as before. A body must be an object with the start of the process and, where they are there, fields of the type that heartbeats have; otherwise the answer is 400 and nothing is recorded. HeartbeatJson.ReadsTheStartOfAProcessThatLeaves expected such bodies to be notices. It is replaced by ReadsANoticeOfDeparture, which expects them refused and covers more of them.

--- a/test/platform/test_codecs.cpp
+++ b/test/platform/test_codecs.cpp
@@ -113,14 +113,40 @@
     EXPECT_EQ(codec.handover(response), "7a21");
 }
 
-// A notice whose body cannot be read is a notice all the same.
-TEST(HeartbeatJson, ReadsTheStartOfAProcessThatLeaves)
+// A notice needs no body. One that cannot be read, or does not name the start of the process, is from another writer, and an instance that
+// is in use must not leave because of it.
+TEST(HeartbeatJson, ReadsANoticeOfDeparture)
 {
-    const auto startOf = [](const char *body) { return readDepartureNotice("i-1", body).value().startUnixMs; };
-    EXPECT_EQ(startOf(R"({"born":1777424534000})"), 1'777'424'534'000);
-    for (const char *it :
-         { "", "{}", "x", "[]", R"({"born":"1"})", R"({"born":-1})", R"({"born":1e300})", R"({"born":18446744073709551615})" }) {
-        EXPECT_EQ(startOf(it), std::nullopt) << it;
+    const auto notice
+        = readDepartureNotice("i-1", R"({"born":1777424534000,"service":"s1","address":"10.0.0.9:80","state":"draining"})").value();
+    EXPECT_EQ(notice.instance, "i-1");
+    EXPECT_EQ(notice.startUnixMs, 1'777'424'534'000);
+    EXPECT_EQ(notice.service, "s1");
+    EXPECT_EQ(notice.address, "10.0.0.9:80");
+    EXPECT_EQ(readDepartureNotice("i-1", R"({"born":1777424534000})").value().startUnixMs, 1'777'424'534'000);
+    for (const char *it : { "", "{}" }) {
+        EXPECT_EQ(readDepartureNotice("i-1", it).value().startUnixMs, std::nullopt) << it;
+    }
+    for (const char *it : { "x",
+                            "[]",
+                            "null",
+                            "{\"born\":1777424534000",
+                            "{\"id\":\"\xff\xfe\"}",
+                            R"({"service":"s1"})",
+                            R"({"born":"1"})",
+                            R"({"born":-1})",
+                            R"({"born":1e300})",
+                            R"({"born":18446744073709551615})",
+                            R"({"born":1777424534000,"service":7})",
+                            R"({"born":1777424534000,"address":null})",
+                            R"({"born":1777424534000,"state":"asleep"})",
+                            R"({"born":1777424534000,"slots":"9"})",
+                            R"({"born":1777424534000,"seqNum":-1})",
+                            R"({"born":1777424534000,"zone":7})",
+                            R"({"born":1777424534000,"coldRemaining":5})",
+                            R"({"born":1777424534000,"holds":null})",
+                            R"({"born":1777424534000,"freed":[[1,2]]})" }) {
+        EXPECT_FALSE(succeeds<DepartureNotice>([it] { return readDepartureNotice("i-1", it); })) << it;
     }
 }
 
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -297,6 +297,11 @@
         return all;
     }
 
+    static std::vector<std::string> notices()
+    {
+        return { "nonsense", "[]", "{\"id\":\"\xff\xfe\"}", R"({"born":"now"})", R"({"born":4000000000000,"service":"audit-agent"})" };
+    }
+
     /// Sends everything to the first gateway, under the id of its backend server and under another one.
     void sendAll(bool isKeyed = true)
     {
@@ -306,6 +311,11 @@
             for (const auto &it : heartbeats(isKeyed)) {
                 EXPECT_TRUE(OneShotClient(*m_loop, gateway).send({ "POST", target + "heartbeat", { { "Host", "x" } }, it }, kLimit)) << it;
             }
+            for (const auto &it : notices()) {
+                const auto response
+                    = OneShotClient(*m_loop, gateway).send({ "POST", target + "deregister", { { "Host", "x" } }, it }, kLimit);
+                EXPECT_EQ(response ? response->status : 0, 400) << it;
+            }
         }
     }
 
