fleet: a process of an unknown service does not show that a holder has ended

Cause: KeyCoordinator takes a later process beside a router for proof that the earlier ones have ended, which is right for processes that the gateway has verified. A gateway of an earlier version announces another writer's process as well. Change: the leader believes it only of services that the manifest names (ManifestServices, before KeyedServices, knows them all). Otherwise the keys wait for the end of the lease, as those of any holder that is not announced. Test: OtherWriterTest.ItsAnnouncementEndsNoHolderAtTheControllers sends such an announcement to the leader; without the check it fails with two holders and holder_lost.

--- a/src/fleet/fleet_controller.cpp
+++ b/src/fleet/fleet_controller.cpp
@@ -48,7 +48,7 @@
                             command, [done = std::move(done)](std::optional<CommandOutcome> it) { done(it == CommandOutcome::Applied); });
                     })
     , m_barrier(barrier)
-    , m_keyedServices(codec, logger)
+    , m_services(codec, logger)
     , m_timer(loop.every(kTickInterval, [this] { tick(); }))
 {
     group.setAppliedHandler([this](LogIndex, const wire::FleetCommand &command, CommandOutcome outcome) { onApplied(command, outcome); });
@@ -123,12 +123,7 @@
     for (const auto &it : announce.freed()) {
         m_coordinator.onReleased(announce.instance().service(), it);
     }
-    if (announce.instance().state() != wire::ABSENT) {
-        m_coordinator.onIncarnationAnnounced(announce.router(), announce.instance().incarnation());
-    }
-    if (!announce.instance().ended().empty()) {
-        m_coordinator.onTerminated(announce.instance().ended());
-    }
+    recordTermination(announce);
     wire::PeerMessage message;
     auto &update = *message.mutable_update();
     update.set_term(m_group.term().value);
@@ -143,6 +138,23 @@
     }
 }
 
+void FleetController::recordTermination(const wire::Announce &announce)
+{
+    const auto &instance = announce.instance();
+    const bool isPresent = instance.state() != wire::ABSENT;
+    readManifest();
+    // What is said to be a process of a service that no manifest names is no evidence: another program on the VM may have said it.
+    if (isPresent && !m_services.contains(instance.service())) {
+        return;
+    }
+    if (isPresent) {
+        m_coordinator.onIncarnationAnnounced(announce.router(), instance.incarnation());
+    }
+    if (!instance.ended().empty()) {
+        m_coordinator.onTerminated(instance.ended());
+    }
+}
+
 void FleetController::fillLease(const Session &session, const wire::InstanceReport &instance, wire::FleetUpdate &update)
 {
     *update.mutable_lease() = m_coordinator.grantLease(instance.service(), instance.incarnation());
@@ -252,7 +264,7 @@
     readManifest();
     removeSilentRouters();
     if (m_group.isConfirmedLeader()) {
-        m_coordinator.tick(m_keyedServices.names(), keyHolders());
+        m_coordinator.tick(m_services.keyed(), keyHolders());
     }
     pushChanges();
 }
@@ -265,7 +277,7 @@
     }
     m_readVersion = document.version();
     m_manifestUpdates.setManifest(document, m_group.state().manifestBase());
-    m_keyedServices.update(document);
+    m_services.update(document);
 }
 
 void FleetController::removeSilentRouters()
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "fleet/key_coordinator.h"
-#include "fleet/keyed_services.h"
 #include "fleet/manifest_barrier.h"
+#include "fleet/manifest_services.h"
 #include "fleet/manifest_updates.h"
 #include "fleet/replica_group.h"
 
@@ -60,6 +60,8 @@
 
     void refuse(const std::shared_ptr<MessageChannel> &channel);
     void recordRouter(const wire::Announce &announce);
+    /// Records which processes beside the router have terminated, according to its announcement.
+    void recordTermination(const wire::Announce &announce);
     /// Has the leaving backend server of the router recorded by all controllers.
     void proposeLeaving(const std::string &router, RouterEntry &entry);
     void onApplied(const wire::FleetCommand &command, CommandOutcome outcome);
@@ -92,8 +94,8 @@
     std::map<MessageChannel *, Session> m_sessions;
     ManifestUpdates m_manifestUpdates;
     ManifestBarrier &m_barrier;
-    KeyedServices m_keyedServices;
-    std::uint64_t m_readVersion = 0; ///< Manifest version of m_manifestUpdates and m_keyedServices.
+    ManifestServices m_services;
+    std::uint64_t m_readVersion = 0; ///< Manifest version of m_manifestUpdates and m_services.
     bool m_isLeader = false;
     TimePoint m_leaderSince;
     EventLoop::Watch m_timer;
--- a/src/fleet/keyed_services.cpp
+++ b/src/fleet/manifest_services.cpp
@@ -1,25 +1,27 @@
-#include "fleet/keyed_services.h"
+#include "fleet/manifest_services.h"
 
 #include "fleet/events.h"
 
 namespace Toucandeck
 {
 
-KeyedServices::KeyedServices(const ManifestCodec &codec, Logger &logger)
+ManifestServices::ManifestServices(const ManifestCodec &codec, Logger &logger)
     : m_codec(codec)
     , m_logger(logger)
 {
 }
 
-void KeyedServices::update(const wire::ManifestDocument &document)
+void ManifestServices::update(const wire::ManifestDocument &document)
 {
     handleError(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(manifest, m_codec.decode(document));
             m_names.clear();
+            m_keyed.clear();
             for (const auto &[name, service] : manifest.services) {
+                m_names.insert(name);
                 if (service.keyed) {
-                    m_names.push_back(name);
+                    m_keyed.push_back(name);
                 }
             }
             return {};
@@ -29,9 +31,14 @@
         });
 }
 
-const std::vector<std::string> &KeyedServices::names() const
+bool ManifestServices::contains(const std::string &service) const
 {
-    return m_names;
+    return m_names.count(service) != 0;
+}
+
+const std::vector<std::string> &ManifestServices::keyed() const
+{
+    return m_keyed;
 }
 
 } // namespace Toucandeck
--- a/src/fleet/keyed_services.h
+++ b/src/fleet/manifest_services.h
@@ -4,28 +4,32 @@
 #include "manifest/manifest_codec.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace Toucandeck
 {
 
-/// Names of the services that are divided by key, according to the manifest in force.
-class KeyedServices
+/// Names of the services in the manifest in force, and which of them are divided by key.
+class ManifestServices
 {
 public:
     /// All references must outlive this object.
-    KeyedServices(const ManifestCodec &codec, Logger &logger);
+    ManifestServices(const ManifestCodec &codec, Logger &logger);
 
     /// Reads the manifest in force. If it cannot be decoded, the names remain as they are and an event is logged.
     void update(const wire::ManifestDocument &document);
 
-    const std::vector<std::string> &names() const;
+    bool contains(const std::string &service) const;
+    /// Names of the services that are divided by key.
+    const std::vector<std::string> &keyed() const;
 
 private:
     const ManifestCodec &m_codec;
     Logger &m_logger;
-    std::vector<std::string> m_names;
+    std::set<std::string> m_names;
+    std::vector<std::string> m_keyed;
 };
 
 } // namespace Toucandeck
--- a/test/fleet/test_keyed_services.cpp
+++ b/test/fleet/test_manifest_services.cpp
@@ -1,5 +1,5 @@
 // Guards against keys that no controller assigns, because their service is not known to be divided by key.
-#include "fleet/keyed_services.h"
+#include "fleet/manifest_services.h"
 
 #include "fleet/events.h"
 
@@ -38,25 +38,27 @@
 
 } // namespace
 
-TEST(KeyedServices, FollowTheManifest)
+TEST(ManifestServices, FollowTheManifest)
 {
     const FakeCodec codec;
     NullLogger logger;
-    KeyedServices services(codec, logger);
+    ManifestServices services(codec, logger);
     services.update(document(1, { { "a", "keyed" }, { "b", "plain" }, { "c", "keyed" } }));
-    EXPECT_THAT(services.names(), testing::ElementsAre("a", "c"));
+    EXPECT_THAT(services.keyed(), testing::ElementsAre("a", "c"));
+    EXPECT_TRUE(services.contains("b"));
     services.update(document(2, { { "b", "keyed" } }));
-    EXPECT_THAT(services.names(), testing::ElementsAre("b"));
+    EXPECT_THAT(services.keyed(), testing::ElementsAre("b"));
+    EXPECT_FALSE(services.contains("a"));
 }
 
 // Guards against the end of all assignments of keys when a committed manifest cannot be decoded, for example after a downgrade.
-TEST(KeyedServices, AreKeptIfTheManifestCannotBeDecoded)
+TEST(ManifestServices, AreKeptIfTheManifestCannotBeDecoded)
 {
     const FakeCodec codec;
     RecordingLogger logger;
-    KeyedServices services(codec, logger);
+    ManifestServices services(codec, logger);
     services.update(document(1, { { "a", "keyed" } }));
     services.update(document(2, { { "a", "keyed" }, { "b", "unknown" } }));
-    EXPECT_THAT(services.names(), testing::ElementsAre("a"));
+    EXPECT_THAT(services.keyed(), testing::ElementsAre("a"));
     EXPECT_EQ(logger.count(FleetEvents::kManifestUnreadable), 1);
 }
--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -690,3 +690,39 @@
     EXPECT_TRUE(serves(nodeIp(12)));
     EXPECT_EQ(m_backends.front()->requestsRun(), runs + 2);
 }
+
+// Failure: the controllers took a later process of any service beside a gateway as proof that the holder of keys there had ended. A gateway
+// of an earlier version still announces another writer's process so.
+TEST_F(OtherWriterTest, ItsAnnouncementEndsNoHolderAtTheControllers)
+{
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHoldKeys(); }, kLimit));
+    const auto mark = m_logger.entries().size();
+    PeerLinks links(
+        *m_loop, m_logger, { nodeIp(13), kPeerPort }, [](const auto &, const auto &) {}, [](const auto &, bool, const auto &) {});
+    wire::PeerMessage message;
+    auto &announce = *message.mutable_announce();
+    announce.set_sequence(1'000'000);
+    announce.set_router(nodeIp(11));
+    announce.set_failure_domain(nodeIp(11));
+    announce.mutable_instance()->set_incarnation("w-0@4000000000000");
+    announce.mutable_instance()->set_instance("w-0");
+    announce.mutable_instance()->set_service("audit-agent");
+    announce.mutable_instance()->set_state(wire::READY);
+    announce.mutable_instance()->set_slots(4);
+    announce.mutable_instance()->set_ended(lastSeen(nodeIp(11), "incarnation", 0));
+    const auto isSeen = [&] { return lastSeen(nodeIp(11), "service", mark) == "audit-agent"; };
+    const auto end = m_clock.now() + kLimit;
+    while (!isSeen() && m_clock.now() < end) {
+        for (int i = 1; i <= 3; ++i) {
+            links.send(nodeIp(i), message); // Only a leader that a quorum has just confirmed accepts it.
+        }
+        m_loop->runUntil(isSeen, milliseconds(100));
+    }
+    ASSERT_TRUE(isSeen());
+    EXPECT_TRUE(staysWithItsHolders());
+    for (auto i = mark; i < m_logger.entries().size(); ++i) {
+        EXPECT_NE(m_logger.entries()[i].number, FleetEvents::kHolderLost.number);
+    }
+    EXPECT_EQ(lastSeen(nodeIp(11), "service", mark), "svc");
+}
