toucandeckd: an announcement of another program replaces no backend server that is there

Callers: requests to the partitions of a backend server waited and moved to others as soon as any program on its VM announced itself to the router, and again at the next announcement of the real one. A DELETE with the announcement of another program drained the backend server. Cause: BackendPresence took each announcement that could be parsed for the backend server's. The router then closed its session and registered another. Keys had no two owners, since the router stops first. Change: while a backend server is present, or leaves and is not drained, an announcement or withdrawal of another service, instance or address is answered 409. The successor is accepted once the address refuses connections, after three missed announcements, or once the withdrawal is answered. The new setting "service" refuses other services at any time; without it the first announcement after a start is accepted as before. Test: BackendPresence.IsReplacedOnlyOnceItIsLostOrDrained is the table; PathTest.AnotherAnnouncementMovesNothing, with real processes, fails on the code before: 200 in place of 409.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -62,6 +62,7 @@
     Settings settings;
     settings.process = document["process"];
     settings.failureDomain = document["failure_domain"];
+    settings.service = document.value("service", "");
     for (const auto &it : document["roles"]) {
         (it == "router" ? settings.router : settings.controller) = true;
     }
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -53,6 +53,7 @@
 {
     std::string process; ///< Name in logs and traces.
     std::string failureDomain;
+    std::string service; ///< Of the backend server beside the router; empty: any.
     bool router = false;
     bool controller = false;
     std::string messageAddress; ///< Address at which peers reach this process.
--- a/src/config/settings_schema.cpp
+++ b/src/config/settings_schema.cpp
@@ -16,6 +16,7 @@
   "properties": {
     "process": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,64}$", "description": "a name of 1 to 64 letters, digits, '.', '_' or '-'"},
     "failure_domain": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,64}$", "description": "a name of 1 to 64 letters, digits, '.', '_' or '-'"},
+    "service": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,64}$", "description": "a name of 1 to 64 letters, digits, '.', '_' or '-'"},
     "roles": {
       "type": "array", "minItems": 1, "maxItems": 2, "uniqueItems": true,
       "items": {"enum": ["router", "controller"], "description": "\"router\" or \"controller\""},
--- a/src/daemon/backend_presence.cpp
+++ b/src/daemon/backend_presence.cpp
@@ -85,11 +85,45 @@
     return it;
 }
 
-BackendPresence::BackendPresence(const Clock &clock)
+BackendPresence::BackendPresence(const Clock &clock, std::string service)
     : m_clock(clock)
+    , m_service(std::move(service))
 {
 }
 
+bool BackendPresence::mayBeReplaced() const
+{
+    const auto silence = m_clock.now() - m_lastAnnouncementTime;
+    switch (m_state) {
+    case State::Absent:
+        return true;
+    case State::Present:
+        return silence >= kAnnouncementTimeout;
+    case State::Leaving:
+        return silence >= kLeaveTimeout;
+    }
+    return true;
+}
+
+Result<void> BackendPresence::checkSender(const Announcement &announcement) const
+{
+    if (!m_service.empty() && announcement.service != m_service) {
+        return fail(ErrorCode::Conflict,
+                    fmt::format("the settings name the service {} for this VM, not {}", m_service, announcement.service));
+    }
+    if (!m_latestAnnouncement || mayBeReplaced()) {
+        return {};
+    }
+    const auto &latest = *m_latestAnnouncement;
+    const bool isSame
+        = announcement.service == latest.service && announcement.instance == latest.instance && announcement.address == latest.address;
+    if (isSame) {
+        return {};
+    }
+    return fail(ErrorCode::Conflict,
+                fmt::format("the backend server of this VM is {}/{} at {}", latest.service, latest.instance, latest.address));
+}
+
 bool BackendPresence::onAnnounced(Announcement announcement)
 {
     const bool changed = m_state != State::Present || m_latestAnnouncement != announcement;
--- a/src/daemon/backend_presence.h
+++ b/src/daemon/backend_presence.h
@@ -27,7 +27,8 @@
 /// Reads the JSON body of an announcement. Fails with InvalidArgument and the field that is wrong.
 Result<Announcement> parseAnnouncement(const std::string &body);
 
-/// Tracks whether the backend server on the VM of this router is available.
+/// Tracks whether the backend server on the VM of this router is available, and decides whose announcements are its own. Any program on the
+/// VM can send announcements, so one that is not accepted must change nothing.
 class BackendPresence
 {
 public:
@@ -37,9 +38,18 @@
         Leaving, ///< Withdrew its announcement; its partitions move to other instances.
     };
 
-    explicit BackendPresence(const Clock &clock);
+    /// A backend server that withdrew its announcement and is not drained is replaced only by itself until it has announced nothing for
+    /// this time: it may still work, and its partitions are being moved.
+    static constexpr std::chrono::seconds kLeaveTimeout{ 60 };
 
-    /// Handles an announcement. Returns true if its content or the state changed.
+    /// @param service of the backend server according to the settings; empty for any.
+    explicit BackendPresence(const Clock &clock, std::string service = {});
+
+    /// Checks that an announcement is of the backend server, or of its successor once it is lost or drained. Errors: Conflict, if the
+    /// announcement is of another service, instance or address.
+    Result<void> checkSender(const Announcement &announcement) const;
+
+    /// Handles an announcement that checkSender() accepts. Returns true if its content or the state changed.
     bool onAnnounced(Announcement announcement);
     /// Handles the DELETE of the announcement. Returns false if there is none.
     bool onWithdrawn();
@@ -53,7 +63,10 @@
     const std::optional<Announcement> &latestAnnouncement() const;
 
 private:
+    bool mayBeReplaced() const;
+
     const Clock &m_clock;
+    std::string m_service; ///< Empty for any.
     State m_state = State::Absent;
     std::optional<Announcement> m_latestAnnouncement;
     TimePoint m_lastAnnouncementTime;
--- a/src/daemon/router_role.cpp
+++ b/src/daemon/router_role.cpp
@@ -13,6 +13,12 @@
 /// Load and hot keys are sent with each renewal, so there is no use in computing them more often.
 constexpr Duration kLoadInterval = kRenewInterval;
 
+/// Status of the answer to an announcement or withdrawal that is refused.
+int statusOf(ErrorCode code)
+{
+    return code == ErrorCode::Conflict ? 409 : 400;
+}
+
 HttpResponse textResponse(int status, const std::string &text)
 {
     return { status, { { "Content-Type", "text/plain; charset=utf-8" }, { "Toucandeck-Verdict", "not-run" } }, text + "\n" };
@@ -32,7 +38,7 @@
 
     Core(RouterRole &role, const RouterParts &parts, const wire::RouterSession &description)
         : links(parts.messages, parts.settings.controllers)
-        , presence(parts.loop.clock())
+        , presence(parts.loop.clock(), parts.settings.service)
         , agent({ parts.loop.clock(), parts.random, links, role, parts.logger }, description)
         , executor(parts, agent, presence, [&role] { role.onBackendLost("refused connection"); })
         , router(parts, agent, executor)
@@ -190,6 +196,7 @@
     handleError(
         [&]() -> Result<void> {
             BOOST_LEAF_AUTO(announcement, parseAnnouncement(exchange->request().body));
+            BOOST_LEAF_CHECK(presence.checkSender(announcement));
             const bool first = presence.state() != BackendPresence::State::Present;
             const auto text = announcement.service + "/" + announcement.instance;
             if (presence.onAnnounced(std::move(announcement))) {
@@ -202,10 +209,13 @@
             exchange->respond(textResponse(200, "ok"));
             return {};
         },
-        [&](const Error &error) {
-            m_parts.logger.write(Events::kAnnouncementRefused, { field("reason", error.message) });
-            exchange->respond(textResponse(400, error.message));
-        });
+        [&](const Error &error) { refuseAnnouncement(*exchange, error); });
+}
+
+void RouterRole::refuseAnnouncement(HttpExchange &exchange, const Error &error)
+{
+    m_parts.logger.write(Events::kAnnouncementRefused, { field("reason", error.message) });
+    exchange.respond(textResponse(statusOf(error.code), error.message));
 }
 
 void RouterRole::onBackendChanged()
@@ -228,6 +238,21 @@
 }
 
 void RouterRole::handleWithdrawal(const std::shared_ptr<HttpExchange> &exchange)
+{
+    handleError(
+        [&]() -> Result<void> {
+            // A body is not needed; one that is there must be of the backend server.
+            if (!exchange->request().body.empty()) {
+                BOOST_LEAF_AUTO(announcement, parseAnnouncement(exchange->request().body));
+                BOOST_LEAF_CHECK(m_core->presence.checkSender(announcement));
+            }
+            withdraw(exchange);
+            return {};
+        },
+        [&](const Error &error) { refuseAnnouncement(*exchange, error); });
+}
+
+void RouterRole::withdraw(const std::shared_ptr<HttpExchange> &exchange)
 {
     if (!m_core->presence.onWithdrawn()) {
         exchange->respond(textResponse(404, "no backend server is announced"));
@@ -246,6 +271,7 @@
 void RouterRole::answerWithdrawals()
 {
     if (!m_pendingWithdrawals.empty() && isDrained()) {
+        m_core->presence.markAbsent(); // Another backend server may announce itself now.
         for (const auto &it : std::exchange(m_pendingWithdrawals, {})) {
             it->respond(textResponse(200, "the backend server is drained"));
         }
--- a/src/daemon/router_role.h
+++ b/src/daemon/router_role.h
@@ -54,6 +54,8 @@
     void tick();
     void handleAnnouncement(const std::shared_ptr<HttpExchange> &exchange);
     void handleWithdrawal(const std::shared_ptr<HttpExchange> &exchange);
+    void withdraw(const std::shared_ptr<HttpExchange> &exchange);
+    void refuseAnnouncement(HttpExchange &exchange, const Error &error);
     bool isFromLocalBackend(const HttpExchange &exchange) const;
     wire::RouterSession sessionDescription() const;
     void onBackendChanged();
--- a/test/daemon/test_router_parts.cpp
+++ b/test/daemon/test_router_parts.cpp
@@ -3,6 +3,7 @@
 #include "daemon/backend_presence.h"
 #include "daemon/forward_messages.h"
 
+#include <functional>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <rapidcheck/gtest.h>
@@ -80,6 +81,81 @@
     EXPECT_EQ(presence.state(), BackendPresence::State::Leaving);
 }
 
+// Failure: an announcement of another program on the VM ended the session of the backend server there, and its partitions moved.
+TEST(BackendPresence, IsReplacedOnlyOnceItIsLostOrDrained)
+{
+    struct Case
+    {
+        const char *what;
+        std::function<void(ManualClock &, BackendPresence &)> before;
+        bool mayBeReplaced;
+    };
+    const Case cases[] = {
+        { "never announced", [](auto &, auto &) {}, true },
+        { "present", [](auto &, auto &presence) { presence.onAnnounced(announcement()); }, false },
+        { "one announcement is overdue",
+          [](auto &clock, auto &presence) {
+              presence.onAnnounced(announcement());
+              clock.advance(1499ms);
+          },
+          false },
+        { "three are overdue",
+          [](auto &clock, auto &presence) {
+              presence.onAnnounced(announcement());
+              clock.advance(1500ms);
+          },
+          true },
+        { "its address refuses connections",
+          [](auto &, auto &presence) {
+              presence.onAnnounced(announcement());
+              presence.markAbsent();
+          },
+          true },
+        { "leaves",
+          [](auto &clock, auto &presence) {
+              presence.onAnnounced(announcement());
+              presence.onWithdrawn();
+              clock.advance(59s);
+          },
+          false },
+        { "left a minute ago without being drained",
+          [](auto &clock, auto &presence) {
+              presence.onAnnounced(announcement());
+              presence.onWithdrawn();
+              clock.advance(60s);
+          },
+          true },
+    };
+    const auto accepts = [](const BackendPresence &presence, const Announcement &it) {
+        return handleError(
+            [&]() -> Result<bool> {
+                BOOST_LEAF_CHECK(presence.checkSender(it));
+                return true;
+            },
+            [](const Error &error) { return error.code != ErrorCode::Conflict; });
+    };
+    for (const auto &it : cases) {
+        ManualClock clock;
+        BackendPresence presence(clock);
+        it.before(clock, presence);
+        EXPECT_TRUE(accepts(presence, announcement())) << it.what;
+        for (const auto field : { &Announcement::service, &Announcement::instance, &Announcement::address }) {
+            auto other = announcement();
+            other.*field = "other";
+            EXPECT_EQ(accepts(presence, other), it.mayBeReplaced) << it.what;
+        }
+        auto changed = announcement();
+        changed.slots = 1;
+        changed.cold = true;
+        EXPECT_TRUE(accepts(presence, changed)) << it.what;
+    }
+    ManualClock clock;
+    const BackendPresence ofAnotherService(clock, "judge-svc");
+    EXPECT_FALSE(accepts(ofAnotherService, announcement()));
+    const BackendPresence ofItsService(clock, "clue-svc");
+    EXPECT_TRUE(accepts(ofItsService, announcement()));
+}
+
 TEST(ForwardMessages, GrantHeadersOfCallersNeverReachTheBackendServer)
 {
     wire::ForwardRequest request;
--- a/test/processes/test_path.cpp
+++ b/test/processes/test_path.cpp
@@ -170,6 +170,25 @@
     EXPECT_EQ(large.header("Toucandeck-Verdict"), "not-run");
 }
 
+// Failure: an announcement of another program on the VM took the place of the backend server's, and its partitions moved.
+TEST_F(PathTest, AnotherAnnouncementMovesNothing)
+{
+    const json body{
+        { "service", "audit-agent" }, { "instance", "w-0" }, { "address", "127.0.0.1:9" }, { "slots", 4 }, { "connections", 4 },
+        { "fenced", false },          { "cold", false }
+    };
+    for (std::size_t n = 0; n < sharedCluster->routerAddresses().size(); ++n) {
+        HttpRequest request{ "POST", "/toucandeck/announce", {}, body.dump() };
+        expectRefusal(call(request, n), 409, "the backend server of this VM is ");
+        request.method = "DELETE";
+        expectRefusal(call(request, n), 409, "the backend server of this VM is ");
+        request.body = "[";
+        expectRefusal(call(request, n), 400, "must be a JSON object");
+        request = { "GET", "/clue-svc/team-1", {}, {} };
+        EXPECT_EQ(call(request, n).status, 200);
+    }
+}
+
 TEST_F(PathTest, ResentSubmissionRunsOnceAndGetsTheFirstAnswer)
 {
     const auto first = call(submission("once"), 0);
