--- a/src/gateway/instance_check.cpp
+++ b/src/gateway/instance_check.cpp
@@ -45,7 +45,7 @@
     if (const auto verdict = checkKeyLists(it, context.latest); verdict != InstanceVerdict::Accepted) {
         return verdict;
     }
-    return context.latest != nullptr && isStale(it, *context.latest) ? InstanceVerdict::Stale : InstanceVerdict::Accepted;
+    return context.latest && isStale(it, *context.latest) ? InstanceVerdict::Stale : InstanceVerdict::Accepted;
 }
 
 InstanceVerdict InstanceCheck::check(const DepartureNotice &it, const Context &context) const
@@ -59,17 +59,17 @@
 InstanceVerdict InstanceCheck::checkService(const std::string &service, const Context &context) const
 {
     // A service that the latest manifest has dropped is still that of its processes.
-    if (service == m_identity.service || (context.latest != nullptr && service == context.latest->service)) {
+    if (service == m_identity.service || (context.latest && service == context.latest->service)) {
         return InstanceVerdict::Accepted;
     }
     if (!m_lookup || m_lookup(service) == nullptr) {
         return InstanceVerdict::UnknownService;
     }
-    const bool hasTerminated = context.latest != nullptr && context.latest->hasTerminated;
+    const bool hasTerminated = context.latest && context.latest->hasTerminated;
     return hasTerminated || context.silence >= kServiceChangeSilence ? InstanceVerdict::Accepted : InstanceVerdict::OtherService;
 }
 
-InstanceVerdict InstanceCheck::checkKeyLists(const Heartbeat &it, const LatestProcess *latest) const
+InstanceVerdict InstanceCheck::checkKeyLists(const Heartbeat &it, const std::optional<LatestProcess> &latest) const
 {
     if (it.listsKeys) {
         return InstanceVerdict::Accepted;
@@ -77,7 +77,7 @@
     if (const auto *service = m_lookup ? m_lookup(it.service) : nullptr) {
         return service->keyed ? InstanceVerdict::NoKeyLists : InstanceVerdict::Accepted;
     }
-    if (latest == nullptr || !isSameProcess(it, *latest)) {
+    if (!latest || !isSameProcess(it, *latest)) {
         return InstanceVerdict::Unverified;
     }
     return latest->listsKeys ? InstanceVerdict::NoKeyLists : InstanceVerdict::Accepted;
--- a/src/gateway/instance_check.h
+++ b/src/gateway/instance_check.h
@@ -63,7 +63,7 @@
     /// What is known when a message arrives.
     struct Context
     {
-        const LatestProcess *latest = nullptr; ///< Null if no heartbeat was accepted yet.
+        std::optional<LatestProcess> latest; ///< None if no heartbeat was accepted yet.
         Duration silence{}; ///< Time since the latest accepted heartbeat, or since the start of this process.
     };
 
@@ -77,7 +77,7 @@
 
 private:
     InstanceVerdict checkService(const std::string &service, const Context &context) const;
-    InstanceVerdict checkKeyLists(const Heartbeat &it, const LatestProcess *latest) const;
+    InstanceVerdict checkKeyLists(const Heartbeat &it, const std::optional<LatestProcess> &latest) const;
     static bool isSameProcess(const Heartbeat &it, const LatestProcess &latest);
     static bool isStale(const Heartbeat &it, const LatestProcess &latest);
 
--- a/src/gateway/local_instance.h
+++ b/src/gateway/local_instance.h
@@ -141,9 +141,9 @@
     void confirmDeparture(const std::string &incarnation, Departures::Done done);
     /// Answers the heartbeat of a process that drains once this is recorded.
     void answerDeparting(const std::string &incarnation, AnswerHandler answer, std::function<void()> unconfirmed);
-    /// Result of the check of a heartbeat or a notice; one that is not accepted is counted.
-    template<class Message>
-    InstanceVerdict verdictOf(const Message &it);
+    InstanceCheck::Context checkContext() const;
+    /// Counts a message that is not accepted. Returns @p verdict.
+    InstanceVerdict count(InstanceVerdict verdict);
     void handleIgnored(const Heartbeat &it, InstanceVerdict verdict, AnswerHandler answer, std::function<void()> unconfirmed);
     void startIncarnation(const Heartbeat &it);
     void updateIncarnation(const Heartbeat &it);
--- a/src/gateway/local_instance_departures.cpp
+++ b/src/gateway/local_instance_departures.cpp
@@ -20,7 +20,7 @@
 
 InstanceVerdict LocalInstance::deregister(const DepartureNotice &notice, Departures::Done done)
 {
-    const auto verdict = verdictOf(notice);
+    const auto verdict = count(m_check.check(notice, checkContext()));
     const auto incarnation = departingIncarnation(notice.instance, notice.startUnixMs);
     m_logger.write(GatewayEvents::kInstanceDeregistration,
                    { field("instance", notice.instance),
--- a/test/gateway/test_instance_check.cpp
+++ b/test/gateway/test_instance_check.cpp
@@ -60,9 +60,8 @@
         const auto found = services.find(name);
         return found == services.end() ? nullptr : &found->second;
     });
-    const auto process = processAt(moment);
     const bool isKnown = moment != Moment::JustStarted && moment != Moment::StartedLongAgo;
-    return check.check(it, { isKnown ? &process : nullptr, silenceAt(moment) });
+    return check.check(it, { isKnown ? std::optional(processAt(moment)) : std::nullopt, silenceAt(moment) });
 }
 
 struct HeartbeatCase
