test: other writers while no controller can be reached

OtherWriterTest.WithoutContactToTheControllersNothingIsTakenFromIt starts the gateway and all controllers again; the first messages come before any controller answers, when only the settings tell whose they are.

--- a/test/platform/test_fleet_path.cpp
+++ b/test/platform/test_fleet_path.cpp
@@ -651,6 +651,29 @@
     EXPECT_EQ(request(nodeIp(11), "/x/1", 0)->status, 200);
 }
 
+// The gateway and all controllers start again, and the first messages come while no controller can be reached.
+TEST_F(OtherWriterTest, WithoutContactToTheControllersNothingIsTakenFromIt)
+{
+    ASSERT_EQ(sendOperatorRequest("POST", "/toucandeck/config/put", manifest(3, 0, true)), 200);
+    ASSERT_TRUE(m_loop->runUntil([this] { return allHoldKeys(); }, kLimit));
+    const auto mark = m_logger.entries().size();
+    m_servers.clear(); // They refer to the controllers and gateways.
+    m_controllers.clear();
+    m_gateways.erase(m_gateways.begin());
+    auto *other = m_gateways.front().get();
+    serve({ nodeIp(12), kInstancePort }, [this, other](const auto &exchange) { m_interface.handleInstance(*other, exchange); });
+    const std::vector<std::string> ips{ nodeIp(1), nodeIp(2), nodeIp(3) };
+    startGateway(nodeIp(11), ips);
+    sendAll();
+    for (const auto &it : ips) {
+        startController(it, ips);
+    }
+    sendAll();
+    EXPECT_TRUE(staysWithItsHolders());
+    expectNoTrace(mark);
+    EXPECT_EQ(request(nodeIp(12), "/x/1", 0)->status, 200);
+}
+
 // A manifest that names the service of the other writer makes it no backend server of this VM.
 TEST_F(OtherWriterTest, AManifestThatBringsItsServiceGivesItNothing)
 {
