toucandeckd: a withdrawal that is repeated after the drain is answered again

The change before marked a drained backend server as absent, so that its successor is accepted at once. A second DELETE, sent because the first answer was lost, would have got 404 in place of 200. It stays in the state Leaving, and BackendPresence::onDrained() allows the successor. Found by reading the diff; BackendPresence.IsReplacedOnlyOnceItIsLostOrDrained covers it now.

--- a/src/daemon/backend_presence.cpp
+++ b/src/daemon/backend_presence.cpp
@@ -100,7 +100,7 @@
     case State::Present:
         return silence >= kAnnouncementTimeout;
     case State::Leaving:
-        return silence >= kLeaveTimeout;
+        return m_isDrained || silence >= kLeaveTimeout;
     }
     return true;
 }
@@ -129,6 +129,7 @@
     const bool changed = m_state != State::Present || m_latestAnnouncement != announcement;
     m_latestAnnouncement = std::move(announcement);
     m_state = State::Present;
+    m_isDrained = false;
     m_lastAnnouncementTime = m_clock.now();
     return changed;
 }
@@ -142,6 +143,11 @@
     return true;
 }
 
+void BackendPresence::onDrained()
+{
+    m_isDrained = m_state == State::Leaving;
+}
+
 bool BackendPresence::markAbsent()
 {
     return std::exchange(m_state, State::Absent) != State::Absent;
--- a/src/daemon/backend_presence.h
+++ b/src/daemon/backend_presence.h
@@ -53,6 +53,8 @@
     bool onAnnounced(Announcement announcement);
     /// Handles the DELETE of the announcement. Returns false if there is none.
     bool onWithdrawn();
+    /// Call once a leaving backend server has no work and no partitions left. Another one may take its place from now on.
+    void onDrained();
     /// Marks the backend server as absent after a refused connection or missed announcements. Returns true if the state changed.
     bool markAbsent();
     /// Marks a present backend server as absent if its announcements are overdue. Returns true if the state changed.
@@ -70,6 +72,7 @@
     State m_state = State::Absent;
     std::optional<Announcement> m_latestAnnouncement;
     TimePoint m_lastAnnouncementTime;
+    bool m_isDrained = false; ///< Since its withdrawal.
 };
 
 } // namespace Toucandeck
--- a/src/daemon/router_role.cpp
+++ b/src/daemon/router_role.cpp
@@ -271,7 +271,7 @@
 void RouterRole::answerWithdrawals()
 {
     if (!m_pendingWithdrawals.empty() && isDrained()) {
-        m_core->presence.markAbsent(); // Another backend server may announce itself now.
+        m_core->presence.onDrained();
         for (const auto &it : std::exchange(m_pendingWithdrawals, {})) {
             it->respond(textResponse(200, "the backend server is drained"));
         }
--- a/test/daemon/test_router_parts.cpp
+++ b/test/daemon/test_router_parts.cpp
@@ -118,6 +118,22 @@
               clock.advance(59s);
           },
           false },
+        { "is drained",
+          [](auto &, auto &presence) {
+              presence.onAnnounced(announcement());
+              presence.onWithdrawn();
+              presence.onDrained();
+              EXPECT_TRUE(presence.onWithdrawn()) << "a repeated withdrawal is answered again";
+          },
+          true },
+        { "is back after it was drained",
+          [](auto &, auto &presence) {
+              presence.onAnnounced(announcement());
+              presence.onWithdrawn();
+              presence.onDrained();
+              presence.onAnnounced(announcement());
+          },
+          false },
         { "left a minute ago without being drained",
           [](auto &clock, auto &presence) {
               presence.onAnnounced(announcement());
