gateway: a heartbeat that waits for the manifest gets no newer by other manifests

Each manifest that did not name the service stored the heartbeat again as received now, so that one of a process that had ended could be accepted long after. It keeps the time at which it came.

--- a/src/gateway/local_instance_heartbeats.cpp
+++ b/src/gateway/local_instance_heartbeats.cpp
@@ -53,10 +53,13 @@
 
 void LocalInstance::onManifestChanged()
 {
-    // Older ones have been repeated, or the process has terminated since.
-    if (m_unverified && m_loop.clock().now() - m_unverified->receivedAt <= m_maxHeartbeatAge) {
-        const auto it = std::exchange(m_unverified, std::nullopt)->heartbeat;
-        handleHeartbeat(it, [](const auto &) {});
+    if (!m_unverified || m_check.check(m_unverified->heartbeat, checkContext()) == InstanceVerdict::Unverified) {
+        return;
+    }
+    const auto unverified = *std::exchange(m_unverified, std::nullopt);
+    // An older one has been repeated, or the process has terminated since.
+    if (m_loop.clock().now() - unverified.receivedAt <= m_maxHeartbeatAge) {
+        handleHeartbeat(unverified.heartbeat, [](const auto &) {});
     }
 }
 
--- a/test/gateway/test_local_instance.cpp
+++ b/test/gateway/test_local_instance.cpp
@@ -219,6 +219,15 @@
     EXPECT_FALSE(m_instance.isPresent()) << "the next heartbeat is overdue";
     services.clear();
     send(it);
+    for (int i = 0; i < 3; ++i) {
+        m_clock.advance(milliseconds(400));
+        m_instance.onManifestChanged();
+    }
+    services["svc"] = {};
+    m_instance.onManifestChanged();
+    EXPECT_FALSE(m_instance.isPresent()) << "other manifests do not make it newer";
+    services.clear();
+    send(it);
     services["svc"] = {};
     m_instance.onManifestChanged();
     EXPECT_TRUE(m_instance.isPresent());
